--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,46 @@
+#include "bench.hpp"
+
+#include <iomanip>
+#include <iostream>
+
+namespace {
+
+constexpr bench::bench_function families[] = {
+    bench::bench_routing,
+};
+
+void print_table(const bench::figures& all)
+{
+    std::cout << std::left << std::setw(36) << "figure" << std::right << std::setw(14) << "value"
+              << std::setw(10) << "unit" << std::setw(14) << "baseline" << std::setw(9) << "ratio"
+              << "\n";
+    for (const bench::figure& one : all) {
+        std::cout << std::left << std::setw(36) << one.name << std::right << std::setw(14) << one.value
+                  << std::setw(10) << one.unit << std::setw(14) << one.baseline << std::setw(9)
+                  << (one.baseline > 0 ? one.value / one.baseline : 0) << "\n";
+    }
+}
+
+/// One line per figure: name value unit baseline_value ratio.
+void print_lines(const bench::figures& all)
+{
+    for (const bench::figure& one : all) {
+        std::cout << one.name << " " << one.value << " " << one.unit << " " << one.baseline << " "
+                  << (one.baseline > 0 ? one.value / one.baseline : 0) << "\n";
+    }
+}
+
+}  // namespace
+
+int main()
+{
+    bench::figures all;
+    for (const bench::bench_function family : families) {
+        family(all);
+    }
+    std::cout << std::setprecision(5);
+    print_table(all);
+    std::cout << "\n";
+    print_lines(all);
+    return 0;
+}
--- /dev/null
+++ b/include/waxwingnotch/base/counters.hpp
@@ -0,0 +1,78 @@
+/// @file
+/// Counters, gauges and histograms for the metrics page.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+
+namespace waxwingnotch {
+
+/// A number that only grows.
+class counter {
+public:
+    void add(std::uint64_t amount = 1) { value_ += amount; }
+    std::uint64_t value() const { return value_; }
+
+private:
+    std::uint64_t value_ = 0;
+};
+
+/// A number that goes up and down.
+class gauge {
+public:
+    void set(std::int64_t value) { value_ = value; }
+    std::int64_t value() const { return value_; }
+
+private:
+    std::int64_t value_ = 0;
+};
+
+/// Counts of durations in buckets that double from 1 ms on.
+class histogram {
+public:
+    static constexpr std::size_t bucket_count = 24;  // the last bucket holds everything above 2^22 ms
+
+    void record(std::int64_t value_ms);
+    /// @param share between 0 and 1
+    /// @return upper bound in ms of the bucket that holds this quantile; 0 without records
+    std::int64_t quantile(double share) const;
+    std::uint64_t total() const { return total_; }
+    std::int64_t sum_ms() const { return sum_ms_; }
+    const std::array<std::uint64_t, bucket_count>& buckets() const { return buckets_; }
+
+private:
+    std::array<std::uint64_t, bucket_count> buckets_{};
+    std::uint64_t total_ = 0;
+    std::int64_t sum_ms_ = 0;
+};
+
+/// Owner of all metrics of a process. References stay valid for its lifetime.
+class metrics {
+public:
+    // Creation: a name that exists already gives the same object.
+    counter& make_counter(std::string_view name, std::string_view help);
+    gauge& make_gauge(std::string_view name, std::string_view help);
+    histogram& make_histogram(std::string_view name, std::string_view help);
+
+    /// Renders every metric as `# HELP`, `# TYPE` and value lines.
+    std::string page() const;
+
+private:
+    template <class Metric>
+    struct entry {
+        std::string name;
+        std::string help;
+        Metric metric;
+    };
+    template <class Metric>
+    static Metric& find_or_add(std::deque<entry<Metric>>& list, std::string_view name, std::string_view help);
+
+    std::deque<entry<counter>> counters_;
+    std::deque<entry<gauge>> gauges_;
+    std::deque<entry<histogram>> histograms_;
+};
+
+}  // namespace waxwingnotch
--- /dev/null
+++ b/include/waxwingnotch/entry/dispatcher.hpp
@@ -0,0 +1,94 @@
+/// @file
+/// Takes callers' requests, queues them per service, sends them to upstreams and answers.
+#pragma once
+
+#include "waxwingnotch/base/counters.hpp"
+#include "waxwingnotch/entry/caller_request.hpp"
+#include "waxwingnotch/entry/claim_desk.hpp"
+#include "waxwingnotch/entry/fleet_view.hpp"
+#include "waxwingnotch/entry/request_trace.hpp"
+#include "waxwingnotch/entry/upstreams.hpp"
+#include "waxwingnotch/net/http_client.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace waxwingnotch {
+
+/// What a dispatcher works with.
+struct dispatcher_parts {
+    event_loop& loop;
+    http_client& client;
+    fleet_view& view;
+    upstream_table& upstreams;
+    claim_desk& claims;
+    metrics& counters;
+    std::function<std::uint32_t()> alive_nodes;  // entry nodes that share the workers
+};
+
+/// Fixed values of a dispatcher.
+struct dispatcher_options {
+    std::string request_prefix;                 // node and incarnation; makes request ids unique
+    std::int64_t request_timeout_ms = 120'000;  // longest time a request may be in flight
+    std::uint32_t max_in_flight = 4'096;        // requests held by this node
+    std::uint64_t seed = 0;                     // of routing choices
+};
+
+/// The requests of one node.
+class dispatcher {
+public:
+    static constexpr std::int64_t start_within_ms = 5'000;      // a worker refuses a later start
+    static constexpr std::int64_t claim_usable_ms = 3'600'000;  // an older claim is not sent any more
+    static constexpr std::int64_t eject_ms = 2'000;             // after a refused connection; doubles
+    static constexpr std::int64_t longest_eject_ms = 30'000;
+
+    dispatcher(dispatcher_parts parts, dispatcher_options options);
+
+    /// Takes a request; it is answered later.
+    void submit(const http_exchange_ptr& exchange, caller_request request);
+    /// Cancels a request of this node. @return false if it is not here
+    bool cancel(const std::string& request_id, const std::string& why);
+    /// Sends what can be sent now. Call when capacity may have changed.
+    void pump();
+
+    std::size_t in_flight() const { return requests_.size(); }
+    const request_traces& traces() const { return traces_; }
+    std::vector<std::string> open_requests() const;
+
+private:
+    struct active_request;
+    using active_ptr = std::shared_ptr<active_request>;
+
+    std::string admission_problem(const active_request& item, outcome& result) const;
+    void enqueue(const active_ptr& item);
+    void pump_service(const std::string& service);
+    bool try_send(const active_ptr& item);
+    void send(const active_ptr& item, const std::string& host, const host_state& machine);
+    void take_answer(const active_ptr& item, const std::string& host, const http_answer& answer);
+    void note_contact(const std::string& host, const http_answer& answer);
+    void try_again(const active_ptr& item, const std::string& why, bool started);
+    void finish(const active_ptr& item, const caller_answer& answer);
+    void trace(const active_request& item, std::string text);
+
+    dispatcher_parts parts_;
+    dispatcher_options options_;
+    std::mt19937_64 random_;
+    std::uint64_t next_request_ = 1;
+    std::map<std::string, active_ptr> requests_;
+    std::map<std::string, std::deque<active_ptr>> queues_;  // per service
+    request_traces traces_;
+    counter& received_;
+    counter& sent_;
+    counter& retried_;
+    std::vector<counter*> ended_;  // by outcome
+    histogram& waiting_;
+    histogram& total_;
+};
+
+}  // namespace waxwingnotch
--- /dev/null
+++ b/include/waxwingnotch/net/address.hpp
@@ -0,0 +1,21 @@
+/// @file
+/// Numeric addresses of the form "ip:port".
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace waxwingnotch {
+
+/// An address in parts.
+struct endpoint {
+    std::string ip;
+    std::uint16_t port = 0;
+};
+
+/// Splits "ip:port" or "[ip6]:port"; the parts were checked when settings were read.
+/// @return an empty ip and port 0 if there is no port
+endpoint parse_endpoint(std::string_view address);
+
+}  // namespace waxwingnotch
--- /dev/null
+++ b/include/waxwingnotch/net/http_server.hpp
@@ -0,0 +1,108 @@
+/// @file
+/// HTTP server over evhttp. Each request becomes an exchange that is answered once,
+/// now or later.
+///
+///     http_server server(loop);
+///     server.handle([](http_exchange_ptr exchange) { exchange->reply(200, {}, "ok"); });
+///     result<std::uint16_t> port = server.listen("127.0.0.1", 0);
+#pragma once
+
+#include "waxwingnotch/base/result.hpp"
+#include "waxwingnotch/net/event_loop.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_request;
+
+namespace waxwingnotch {
+
+/// Name and value of a header, in order.
+using http_headers = std::vector<std::pair<std::string, std::string>>;
+
+class http_server;
+
+/// One request and its answer.
+class http_exchange {
+public:
+    http_exchange(http_server* server, evhttp_request* request);
+    ~http_exchange();  // answers 500 if nothing was answered
+    http_exchange(const http_exchange&) = delete;
+    http_exchange& operator=(const http_exchange&) = delete;
+    http_exchange(http_exchange&&) = delete;
+    http_exchange& operator=(http_exchange&&) = delete;
+
+    // Request
+    const std::string& method() const { return method_; }  // upper case
+    const std::string& path() const { return path_; }      // decoded, without the query
+    const std::string& body() const { return body_; }
+    std::optional<std::string> query(std::string_view name) const;
+    std::optional<std::string> header(std::string_view name) const;
+
+    // Answer
+    /// Answers once. After the caller has gone, the answer is dropped.
+    void reply(int status, const http_headers& headers, std::string_view body);
+    bool replied() const { return replied_; }
+    /// Closes the connection without an answer, as a lost answer looks to the caller.
+    void drop();
+    /// Calls @p action if the caller goes away before the answer.
+    void on_closed(std::function<void()> action) { closed_ = std::move(action); }
+
+private:
+    friend class http_server;
+    void connection_closed();
+    void detach();
+
+    http_server* server_;      // null once the server is gone
+    evhttp_request* request_;  // null once answered
+    std::string method_;
+    std::string path_;
+    std::string query_;
+    std::string body_;
+    http_headers headers_;
+    bool replied_ = false;
+    std::function<void()> closed_;
+};
+
+using http_exchange_ptr = std::shared_ptr<http_exchange>;
+
+/// Listens on one address.
+class http_server {
+public:
+    explicit http_server(event_loop& loop);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    http_server(http_server&&) = delete;
+    http_server& operator=(http_server&&) = delete;
+
+    /// Sets who handles requests. Call before listen().
+    void handle(std::function<void(http_exchange_ptr)> handler) { handler_ = std::move(handler); }
+    /// @param ip numeric address @param port 0: any free one
+    /// @return the bound port, or `io`
+    result<std::uint16_t> listen(const std::string& ip, std::uint16_t port);
+    /// Closes the listening socket; open connections go on.
+    void stop_accepting();
+    /// Requests that are not answered yet.
+    std::size_t open_exchanges() const { return open_.size(); }
+
+private:
+    friend class http_exchange;
+    static void dispatch(evhttp_request* request, void* self);
+
+    evhttp* http_;
+    evhttp_bound_socket* socket_ = nullptr;
+    std::function<void(http_exchange_ptr)> handler_;
+    std::set<http_exchange*> open_;
+};
+
+}  // namespace waxwingnotch
--- /dev/null
+++ b/src/cli/audit.cpp
@@ -0,0 +1,117 @@
+#include "cli/commands.hpp"
+#include "cli/remote.hpp"
+
+#include "waxwingnotch/base/clock.hpp"
+#include "waxwingnotch/cli/cli.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+
+namespace waxwingnotch {
+
+namespace {
+
+void print_json(const audit_entry& entry)
+{
+    std::cout << nlohmann::ordered_json{{"offset", entry.offset},
+                                        {"at", entry.at},
+                                        {"what", entry.what},
+                                        {"subject", entry.subject},
+                                        {"from", entry.from},
+                                        {"to", entry.to},
+                                        {"reason", entry.reason},
+                                        {"by", entry.by},
+                                        {"inventory_version", entry.basis.inventory_version},
+                                        {"rules_version", entry.basis.rules_version},
+                                        {"authority", entry.basis.author}}
+                     .dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace)
+              << "\n";
+}
+
+void print_text(const audit_entry& entry)
+{
+    std::cout << entry.offset << "  " << entry.at << "  " << entry.what << " " << entry.subject;
+    if (!entry.from.empty() || !entry.to.empty()) {
+        std::cout << "  " << entry.from << " -> " << entry.to;
+    }
+    std::cout << "  because " << entry.reason << "  by " << entry.by << "  on inventory "
+              << entry.basis.inventory_version << ", rules " << entry.basis.rules_version;
+    if (!entry.basis.author.empty()) {
+        std::cout << " of " << entry.basis.author;
+    }
+    std::cout << "\n";
+}
+
+}  // namespace
+
+int run_audit(const arguments& given)
+{
+    const auto folded = fold_log(text_of(given, "--log"));
+    if (!folded) {
+        std::cerr << folded.error().message << "\n";
+        return exit_unavailable;
+    }
+    const std::string host = text_of(given, "--host");
+    const bool json = given.at("--json").asBool();
+    std::size_t shown = 0;
+    for (const audit_entry& entry : folded.value().audit) {
+        if (!host.empty() && entry.subject != host) {
+            continue;
+        }
+        json ? print_json(entry) : print_text(entry);
+        ++shown;
+    }
+    if (shown == 0) {
+        std::cerr << "no decision on record" << (host.empty() ? "" : " for host '" + host + "'") << "\n";
+        return exit_findings;
+    }
+    return exit_ok;
+}
+
+int run_drain(const arguments& given)
+{
+    if (given.at("node").asBool()) {
+        http_call call;
+        call.method = "POST";
+        call.address = given.at("--node").isStringList() ? given.at("--node").asStringList().front()
+                                                         : given.at("--node").asString();
+        call.path = "/v1/drain";
+        const http_answer answer = fetch(call);
+        if (answer.outcome != call_outcome::answered || answer.status != 202) {
+            std::cerr << "entry node " << call.address << " does not answer\n";
+            return answer.bytes_sent ? exit_unknown : exit_unavailable;
+        }
+        std::cout << "entry node " << call.address << " is draining\n";
+        return exit_ok;
+    }
+    const std::string address = text_of(given, "--log");
+    auto folded = fold_log(address);
+    if (!folded) {
+        std::cerr << folded.error().message << "\n";
+        return exit_unavailable;
+    }
+    const fleet_state& state = folded.value().state;
+    const std::string name = given.at("<name>").asString();
+    const auto found = state.hosts.find(name);
+    if (found == state.hosts.end()) {
+        std::cerr << "unknown host '" << name << "'\n";
+        return exit_findings;
+    }
+    host_record item;
+    item.action = host_action::drain;
+    item.host = name;
+    item.pool = found->second.pool;
+    item.epoch = found->second.epoch;
+    item.reason = text_of(given, "--reason");
+    item.basis = {state.inventory_document.version, state.rules_document.version, text_of(given, "--author")};
+    const append_result done = append_and_wait(address, item.basis.author, item, folded.value());
+    if (done.exit_code != exit_ok) {
+        std::cerr << "not draining: " << done.reason << "\n";
+        return done.exit_code;
+    }
+    std::cout << "host " << name << " of pool " << item.pool << " is draining\n";
+    return exit_ok;
+}
+
+}  // namespace waxwingnotch
--- /dev/null
+++ b/src/cli/remote.cpp
@@ -0,0 +1,124 @@
+#include "cli/remote.hpp"
+
+#include "waxwingnotch/base/clock.hpp"
+#include "waxwingnotch/base/hash.hpp"
+#include "waxwingnotch/cli/cli.hpp"
+#include "waxwingnotch/platform/log_follower.hpp"
+
+#include <unistd.h>
+
+namespace waxwingnotch {
+
+namespace {
+
+constexpr std::int64_t read_timeout_ms = 10'000;
+constexpr int append_tries = 5;
+
+/// Reads the entries from the state's next offset on and folds them.
+/// @return true if the end of the log is reached
+result<bool> fold_more(const std::string& address, log_fold& folded, std::vector<verdict>& verdicts)
+{
+    http_call call;
+    call.address = address;
+    call.path = "/log/records?from=" + std::to_string(folded.state.next_offset) + "&max=1000";
+    call.timeout_ms = read_timeout_ms;
+    const http_answer answer = fetch(call);
+    if (answer.outcome != call_outcome::answered || (answer.status != 200 && answer.status != 410)) {
+        return fail(error_code::unavailable, "the platform's log at " + address + " does not answer");
+    }
+    if (answer.status == 410) {
+        return fail(error_code::gone,
+                    "the log no longer has offset " + std::to_string(folded.state.next_offset));
+    }
+    const auto entries = decode_entries(answer.body);
+    if (!entries) {
+        return entries.error();
+    }
+    for (const log_entry& entry : entries.value()) {
+        const std::size_t before = folded.state.open_audit.size();
+        const std::size_t segments = folded.state.segments.size();
+        for (const verdict& one : apply(folded.state, entry)) {
+            verdicts.push_back(one);
+        }
+        // An entry that seals a segment takes decisions out; those were copied before.
+        const std::size_t from = folded.state.segments.size() == segments ? before : 0;
+        for (std::size_t at = from; at < folded.state.open_audit.size(); ++at) {
+            if (folded.state.open_audit[at].offset == entry.offset) {
+                folded.audit.push_back(folded.state.open_audit[at]);
+            }
+        }
+    }
+    return entries.value().empty();
+}
+
+result<void> fold_to_end(const std::string& address, log_fold& folded, std::vector<verdict>& verdicts)
+{
+    while (true) {
+        const auto ended = fold_more(address, folded, verdicts);
+        if (!ended) {
+            return ended.error();
+        }
+        if (ended.value()) {
+            return boost::outcome_v2::success();
+        }
+    }
+}
+
+}  // namespace
+
+http_answer fetch(const http_call& call)
+{
+    event_loop loop;
+    http_client client(loop);
+    http_answer result;
+    client.send(call, [&](const http_answer& answer) {
+        result = answer;
+        loop.stop();
+    });
+    loop.run();
+    return result;
+}
+
+result<log_fold> fold_log(const std::string& address)
+{
+    log_fold folded;
+    std::vector<verdict> ignored;
+    const auto read = fold_to_end(address, folded, ignored);
+    if (!read) {
+        return read.error();
+    }
+    return folded;
+}
+
+append_result append_and_wait(const std::string& address, const std::string& author, record item,
+                              log_fold& folded)
+{
+    batch value;
+    // Two commands of one operator are two writers.
+    value.writer = "operator:" + author + ":" + std::to_string(wall_ms()) + ":" + std::to_string(getpid());
+    value.incarnation = wall_ms();
+    value.seq = 1;
+    value.seen_offset = folded.state.next_offset;
+    value.records.push_back(std::move(item));
+    http_call call;
+    call.method = "POST";
+    call.address = address;
+    call.path = "/log/records";
+    call.body = encode(value);
+    bool may_be_in = false;
+    for (int tries = 0; tries < append_tries; ++tries) {
+        const http_answer answer = fetch(call);
+        may_be_in = may_be_in || answer.bytes_sent;
+        std::vector<verdict> verdicts;
+        const auto read = fold_to_end(address, folded, verdicts);
+        for (const verdict& one : verdicts) {
+            if (one.writer == value.writer) {
+                return {one.accepted ? exit_ok : exit_conflict, one.reason};
+            }
+        }
+    }
+    return {may_be_in ? exit_unknown : exit_unavailable,
+            "the platform's log at " + address + " does not answer"};
+}
+
+}  // namespace waxwingnotch
--- /dev/null
+++ b/src/cli/serve.cpp
@@ -0,0 +1,37 @@
+#include "cli/commands.hpp"
+
+#include "waxwingnotch/base/log.hpp"
+#include "waxwingnotch/cli/cli.hpp"
+#include "waxwingnotch/config/parse.hpp"
+#include "waxwingnotch/entry/entry_node.hpp"
+
+#include <iostream>
+
+namespace waxwingnotch {
+
+int run_serve(const arguments& given)
+{
+    const std::string file = text_of(given, "--settings");
+    const auto text = read_file(file);
+    if (!text) {
+        std::cerr << text.error().message << "\n";
+        return exit_findings;
+    }
+    findings problems;
+    const settings options = parse_settings(text.value(), file, problems);
+    for (const finding& one : problems.items()) {
+        std::cerr << to_string(one) << "\n";
+    }
+    if (problems.has_errors()) {
+        return exit_findings;
+    }
+    log_options log;
+    parse_log_level(options.log_level, log.level);
+    log.file = options.log_file;
+    log.node = options.node_id;
+    init_log(log);
+    entry_node node(options);
+    return node.run();
+}
+
+}  // namespace waxwingnotch
--- /dev/null
+++ b/src/config/json.cpp
@@ -0,0 +1,118 @@
+#include "waxwingnotch/config/json.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace waxwingnotch {
+
+using nlohmann::json;
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(data_centre, name, region)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(rack, name, data_centre)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(pool, name, spare)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(host, name, address, rack, pool, cores, memory_gb,
+                                                accelerators, slots, connections)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(service_rule, name, pool, min_hosts, target_hosts,
+                                                max_run_time_ms, queue_limit, max_size_mb)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(team_rule, name, quota_slots)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(cost_weights, buffer, moves, waiting, rollout)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(wave_rule, enabled, period_days, max_parallel, max_per_rack,
+                                                stop_after_failed)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(retry_rule, budget_ratio, max_attempts, backoff_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(rules, services, teams, weights, wave, retry, spare_min_hosts,
+                                                repair_after_ms)
+
+namespace {
+
+/// Lists are keyed by name, so that a patch names a host and not a position in a list.
+template <class Item>
+json by_name(const std::vector<Item>& items)
+{
+    json object = json::object();
+    for (const Item& item : items) {
+        json value = item;
+        value.erase("name");
+        object[item.name] = std::move(value);
+    }
+    return object;
+}
+
+template <class Item>
+std::vector<Item> items_of(const json& object)
+{
+    std::vector<Item> items;
+    for (const auto& [name, value] : object.items()) {
+        auto item = value.template get<Item>();
+        item.name = name;
+        items.push_back(std::move(item));
+    }
+    return items;
+}
+
+template <class Value, class Read>
+result<Value> read_json(std::string_view text, Read read)
+{
+    try {
+        return read(json::parse(text));
+    }
+    catch (const json::exception& problem) {
+        return fail(error_code::malformed, problem.what());
+    }
+}
+
+}  // namespace
+
+std::string inventory_to_json(const inventory& machines)
+{
+    const json root = {{"data_centres", by_name(machines.data_centres)},
+                       {"racks", by_name(machines.racks)},
+                       {"pools", by_name(machines.pools)},
+                       {"hosts", by_name(machines.hosts)}};
+    return root.dump();
+}
+
+std::string rules_to_json(const rules& promises)
+{
+    json root = promises;
+    root["services"] = by_name(promises.services);
+    root["teams"] = by_name(promises.teams);
+    return root.dump();
+}
+
+result<inventory> inventory_from_json(std::string_view text)
+{
+    return read_json<inventory>(text, [](const json& root) {
+        inventory machines;
+        machines.data_centres = items_of<data_centre>(root.at("data_centres"));
+        machines.racks = items_of<rack>(root.at("racks"));
+        machines.pools = items_of<pool>(root.at("pools"));
+        machines.hosts = items_of<host>(root.at("hosts"));
+        return machines;
+    });
+}
+
+result<rules> rules_from_json(std::string_view text)
+{
+    return read_json<rules>(text, [](json root) {
+        auto services = items_of<service_rule>(root.at("services"));
+        auto teams = items_of<team_rule>(root.at("teams"));
+        root.erase("services");
+        root.erase("teams");
+        auto promises = root.get<rules>();
+        promises.services = std::move(services);
+        promises.teams = std::move(teams);
+        return promises;
+    });
+}
+
+std::string make_patch(std::string_view from, std::string_view to)
+{
+    return json::diff(json::parse(from), json::parse(to)).dump();
+}
+
+result<std::string> apply_patch(std::string_view from, std::string_view patch)
+{
+    return read_json<std::string>(from,
+                                  [&](const json& root) { return root.patch(json::parse(patch)).dump(); });
+}
+
+}  // namespace waxwingnotch
--- /dev/null
+++ b/src/config/toml_reader.hpp
@@ -0,0 +1,87 @@
+/// @file
+/// Reads typed values out of TOML tables and reports each misfit with its place.
+#pragma once
+
+#include "waxwingnotch/base/findings.hpp"
+
+#include <toml++/toml.h>
+
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwingnotch {
+
+/// Parses @p text. On a syntax error a finding is added and the table is empty.
+toml::table parse_toml(std::string_view text, std::string_view file, findings& problems);
+
+/// @return where @p node stands
+place place_of(const toml::node& node, std::string_view file);
+
+/// Reads the keys of one table; reports wrong types, ranges, missing and unknown keys.
+class table_reader {
+public:
+    /// @param table must outlive the reader
+    /// @param name how the table is called in findings, such as "[[host]]"
+    table_reader(const toml::table& table, std::string_view name, std::string_view file, findings& problems);
+
+    // Each leaves `value` as it is when the key is absent; `required` then adds a finding.
+    void text(std::string_view key, std::string& value, bool required = false);
+    void number(std::string_view key, std::uint32_t& value, std::uint32_t least, std::uint32_t most);
+    void number(std::string_view key, std::int64_t& value, std::int64_t least, std::int64_t most);
+    void real(std::string_view key, double& value, double least, double most);
+    void flag(std::string_view key, bool& value);
+
+    /// Reports every key that none of the calls above asked for.
+    void finish();
+
+    /// Place of @p key, or of the table if it is absent.
+    place where(std::string_view key) const;
+
+private:
+    const toml::node* find(std::string_view key);
+    void wrong_type(const toml::node& node, std::string_view key, std::string_view expected);
+    bool integer(std::string_view key, std::int64_t least, std::int64_t most, std::int64_t& value);
+
+    const toml::table& table_;
+    std::string name_;
+    std::string file_;
+    findings& problems_;
+    std::vector<std::string> known_;
+};
+
+/// Calls @p visit with a table for each element of the array `[[key]]` of @p root.
+/// @return false if the key is absent
+template <class Visit>
+bool each_table(const toml::table& root, std::string_view key, std::string_view file, findings& problems,
+                Visit visit)
+{
+    const toml::node* node = root.get(key);
+    if (node == nullptr) {
+        return false;
+    }
+    const toml::array* list = node->as_array();
+    if (list == nullptr) {
+        problems.error(place_of(*node, file), "one value for '" + std::string(key) + "'",
+                       "an array of tables [[" + std::string(key) + "]]");
+        return true;
+    }
+    for (const toml::node& item : *list) {
+        if (const toml::table* table = item.as_table()) {
+            visit(*table);
+        }
+        else {
+            problems.error(place_of(item, file), "a plain value in '" + std::string(key) + "'",
+                           "a table [[" + std::string(key) + "]]");
+        }
+    }
+    return true;
+}
+
+/// Reports every key of @p root that is not in @p known.
+void check_top_level(const toml::table& root, const std::vector<std::string_view>& known,
+                     std::string_view file, findings& problems);
+
+}  // namespace waxwingnotch
--- /dev/null
+++ b/src/entry/claim_desk.cpp
@@ -0,0 +1,212 @@
+#include "waxwingnotch/entry/claim_desk.hpp"
+
+#include "waxwingnotch/base/log.hpp"
+
+namespace waxwingnotch {
+
+namespace {
+constexpr std::int64_t retry_after_ms = 1'000;
+
+claim_result refused(caller_answer answer)
+{
+    return {false, std::move(answer)};
+}
+}  // namespace
+
+claim_desk::claim_desk(event_loop& loop, std::string node, fleet_view& view, log_appender& appender,
+                       peer_mesh& mesh)
+    : loop_(loop), node_(std::move(node)), view_(view), appender_(appender), mesh_(mesh)
+{
+}
+
+void claim_desk::claim(const std::string& key, const std::string& request_id, claim_handler done)
+{
+    const bool here = pending_.count(key) > 0 || running_.count(key) > 0 || answers_.count(key) > 0 ||
+                      abandoned_.count(key) > 0;
+    if (here || view_.state().claims.count(key) > 0) {
+        refer(key, std::move(done));
+        return;
+    }
+    pending_claim& item = pending_[key];
+    item.request_id = request_id;
+    item.done = std::move(done);
+    item.timeout = loop_.after(claim_wait_ms, [this, key] { timed_out(key); });
+    item.proposal =
+        appender_.propose(claim_record{key, request_id}, [this, key, request_id](const settlement& verdict) {
+            settled(key, request_id, verdict);
+        });
+}
+
+void claim_desk::settled(const std::string& key, const std::string& request_id, const settlement& verdict)
+{
+    const auto found = pending_.find(key);
+    const bool waited_for = found != pending_.end() && found->second.request_id == request_id;
+    if (!waited_for) {
+        // The caller was told "not run" meanwhile, so the claim must not stand.
+        if (verdict.accepted) {
+            release(key, request_id);
+        }
+        else {
+            abandoned_.erase(key);
+        }
+        return;
+    }
+    const claim_handler done = std::move(found->second.done);
+    pending_.erase(found);
+    if (verdict.accepted) {
+        running_[key] = request_id;
+        done({true, {}});
+        return;
+    }
+    log_event(log_level::info, "claim-rejected", {{"request", request_id}, {"reason", verdict.reason}});
+    if (view_.state().claims.count(key) > 0) {
+        refer(key, done);
+        return;
+    }
+    done(refused(make_refusal(outcome::not_run, "claim rejected: " + verdict.reason, retry_after_ms)));
+}
+
+void claim_desk::timed_out(const std::string& key)
+{
+    const auto found = pending_.find(key);
+    if (found == pending_.end()) {
+        return;
+    }
+    const claim_handler done = std::move(found->second.done);
+    if (!appender_.withdraw(found->second.proposal)) {
+        abandoned_[key] = found->second.request_id;
+    }
+    pending_.erase(found);
+    const caller_answer answer = make_refusal(
+        outcome::not_run, "the platform's log does not answer; the key is not claimed", retry_after_ms);
+    done(refused(answer));
+    const auto waiters = std::move(waiting_[key]);
+    waiting_.erase(key);
+    for (const auto& waiter : waiters) {
+        waiter(answer);
+    }
+}
+
+void claim_desk::release(const std::string& key, const std::string& request_id)
+{
+    abandoned_[key] = request_id;
+    appender_.propose(claim_end_record{key, request_id, claim_end::released},
+                      [this, key](const settlement&) { abandoned_.erase(key); });
+}
+
+void claim_desk::end(const std::string& key, const std::string& request_id, const caller_answer& answer)
+{
+    running_.erase(key);
+    if (answer.result == outcome::not_run) {
+        release(key, request_id);
+    }
+    else {
+        keep_answer(key, answer);
+        const bool unknown = answer.result == outcome::unknown;
+        appender_.propose(claim_end_record{key, request_id, unknown ? claim_end::unknown : claim_end::done},
+                          nullptr);
+    }
+    const auto found = waiting_.find(key);
+    if (found == waiting_.end()) {
+        return;
+    }
+    const auto waiters = std::move(found->second);
+    waiting_.erase(found);
+    for (const auto& waiter : waiters) {
+        waiter(answer);
+    }
+}
+
+void claim_desk::keep_answer(const std::string& key, const caller_answer& answer)
+{
+    answers_[key] = answer;
+    answer_order_.push_back(key);
+    answer_bytes_ += answer.body.size();
+    while (answer_order_.size() > max_answers || answer_bytes_ > max_answer_bytes) {
+        const auto oldest = answers_.find(answer_order_.front());
+        answer_bytes_ -= oldest->second.body.size();
+        answers_.erase(oldest);
+        answer_order_.pop_front();
+    }
+}
+
+void claim_desk::refer(const std::string& key, claim_handler done)
+{
+    const auto answered = answers_.find(key);
+    if (answered != answers_.end()) {
+        done(refused(answered->second));
+        return;
+    }
+    if (pending_.count(key) > 0 || running_.count(key) > 0) {
+        waiting_[key].push_back([done](const caller_answer& answer) { done(refused(answer)); });
+        return;
+    }
+    if (abandoned_.count(key) > 0) {
+        done(refused(
+            make_refusal(outcome::not_run, "an unused claim of this key is being released", retry_after_ms)));
+        return;
+    }
+    refer_to_owner(view_.state().claims.at(key), key, std::move(done));
+}
+
+void claim_desk::refer_to_owner(const claim_state& owner, const std::string& key, claim_handler done)
+{
+    const bool ended_done = owner.ended && owner.end == claim_end::done;
+    const auto otherwise =
+        ended_done ? make_refusal(outcome::already_ran,
+                                  "request " + owner.request_id + " of " + owner.node + " ran with this key")
+                   : make_refusal(outcome::unknown,
+                                  "request " + owner.request_id + " of " + owner.node + " holds this key");
+    if (owner.node == node_) {
+        // An earlier incarnation of this node, or an answer that is no longer held.
+        done(refused(otherwise));
+        return;
+    }
+    mesh_.ask(owner.node, key, owner.request_id, ask_timeout_ms,
+              [done = std::move(done), otherwise](const key_message& answer) {
+                  caller_answer first;
+                  if (!answer.known || !parse_outcome(answer.outcome, first.result)) {
+                      done(refused(otherwise));
+                      return;
+                  }
+                  if (first.result != outcome::done) {
+                      done(refused(make_refusal(first.result, answer.body, retry_after_ms)));
+                      return;
+                  }
+                  first.status = answer.status;
+                  first.content_type = answer.content_type;
+                  first.body = answer.body;
+                  done(refused(first));
+              });
+}
+
+void claim_desk::answer_question(const ask_key_message& question,
+                                 const std::function<void(key_message)>& reply)
+{
+    const auto send = [id = question.id, reply](const caller_answer& answer) {
+        const bool whole = answer.result == outcome::done;
+        reply({id, true, answer.status, to_string(answer.result), answer.content_type,
+               whole ? answer.body : answer.reason});
+    };
+    const auto answered = answers_.find(question.key);
+    if (answered != answers_.end()) {
+        send(answered->second);
+        return;
+    }
+    const auto abandoned = abandoned_.find(question.key);
+    if (abandoned != abandoned_.end() && abandoned->second == question.request_id) {
+        send(make_refusal(outcome::not_run, "the claim of this key was not used and is being released"));
+        return;
+    }
+    const auto running = running_.find(question.key);
+    const auto pending = pending_.find(question.key);
+    const bool held = (running != running_.end() && running->second == question.request_id) ||
+                      (pending != pending_.end() && pending->second.request_id == question.request_id);
+    if (held) {
+        waiting_[question.key].push_back(send);
+        return;
+    }
+    reply({question.id, false, 0, "", "", ""});
+}
+
+}  // namespace waxwingnotch
--- /dev/null
+++ b/src/entry/entry_node.cpp
@@ -0,0 +1,413 @@
+#include "waxwingnotch/entry/entry_node.hpp"
+
+#include "entry/operator_api.hpp"
+
+#include "waxwingnotch/base/clock.hpp"
+#include "waxwingnotch/base/log.hpp"
+#include "waxwingnotch/entry/claim_desk.hpp"
+#include "waxwingnotch/entry/controller.hpp"
+#include "waxwingnotch/entry/dispatcher.hpp"
+#include "waxwingnotch/net/address.hpp"
+#include "waxwingnotch/platform/host_list.hpp"
+#include "waxwingnotch/platform/log_follower.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+
+namespace waxwingnotch {
+
+namespace {
+
+constexpr std::int64_t tick_ms = 100;
+constexpr std::int64_t pause_ms = 1'000;         // a loop gap longer than this counts as a pause
+constexpr std::int64_t peer_wait_ms = 1'500;     // wait for peers that do not answer
+constexpr std::int64_t lonely_start_ms = 4'000;  // a start without log and peers waits this long
+constexpr int exit_planned = 0;
+constexpr int exit_cannot_listen = 1;
+constexpr int exit_requests_cut = 3;
+
+http_headers json_type()
+{
+    return {{"Content-Type", "application/json"}};
+}
+
+/// Written under another name first, so that a reader never sees half of it.
+bool write_ports(const std::string& file, std::uint16_t port, std::uint16_t peer_port)
+{
+    const std::string draft = file + ".new";
+    std::ofstream(draft) << port << " " << peer_port << "\n";
+    return std::rename(draft.c_str(), file.c_str()) == 0;
+}
+
+}  // namespace
+
+const char* to_string(node_phase phase)
+{
+    switch (phase) {
+    case node_phase::catching_up:
+        return "catching-up";
+    case node_phase::serving:
+        return "serving";
+    case node_phase::draining:
+        return "draining";
+    }
+    return "unnamed";
+}
+
+/// Everything that a node consists of, in the order in which it is built.
+struct entry_node::parts {
+    explicit parts(settings given);
+
+    // Start and stop
+    result<void> listen();
+    void start();
+    void stop_soon(const std::string& why);
+    void watch_drain();
+    void tick();
+    bool caught_up(std::int64_t now) const;
+
+    // Answers to the other parts
+    heartbeat self() const;
+    node_status status() const;
+    bool owns(std::string_view duty) const;
+
+    // HTTP
+    void handle(const http_exchange_ptr& exchange);
+    bool handle_operator(const http_exchange_ptr& exchange);
+    void handle_explain(const http_exchange_ptr& exchange, const std::string& rest);
+    void handle_caller(const http_exchange_ptr& exchange);
+    void handle_cancel(const http_exchange_ptr& exchange);
+
+    settings options;
+    std::int64_t incarnation;
+    event_loop loop;
+    metrics counters;
+    http_client client;
+    fleet_view view;
+    log_appender appender;
+    peer_mesh mesh;
+    log_follower follower;
+    host_list hosts;
+    upstream_table upstreams;
+    claim_desk claims;
+    dispatcher requests;
+    controller duties;
+    http_server server;
+
+    node_phase phase = node_phase::catching_up;
+    std::int64_t started_at = 0;      // monotonic ms
+    std::int64_t catch_up_since = 0;  // monotonic ms; the log must have answered after this
+    std::int64_t last_tick = 0;       // monotonic ms
+    std::int64_t stop_at = 0;         // monotonic ms; drain limit
+    std::int64_t close_at = 0;        // monotonic ms; the listener closes
+    int exit_code = exit_planned;
+    timer ticker;
+    timer on_term;
+    timer on_int;
+};
+
+entry_node::parts::parts(settings given)
+    : options(std::move(given)), incarnation(wall_ms()), client(loop),
+      appender(loop, client,
+               {options.log_address, options.node_id, incarnation,
+                [this] {
+                    return view.state().next_offset;
+                }}),
+      mesh(loop, {options.node_id, options.peers},
+           {[this] { return self(); },
+            [this](std::span<const log_entry> entries) {
+                if (!view.take(entries)) {
+                    mesh.want(view.state().next_offset);
+                }
+            },
+            [] { return std::string(); }, [](const state_message&) {},
+            [this](const ask_key_message& question, const std::function<void(key_message)>& reply) {
+                claims.answer_question(question, reply);
+            }}),
+      follower(loop, client, options.log_address,
+               {[this] { return view.state().next_offset; },
+                [this](std::span<const log_entry> entries) { view.take(entries); },
+                [this](std::int64_t first_kept) {
+                    log_event(log_level::error, "log-gone",
+                              {{"wanted", view.state().next_offset}, {"first_kept", first_kept}});
+                    mesh.want(view.state().next_offset);
+                }}),
+      hosts(loop, client, options.hosts_address,
+            [this](const std::vector<listed_host>& list) { upstreams.take_list(list); }),
+      claims(loop, options.node_id, view, appender, mesh),
+      requests({loop, client, view, upstreams, claims, counters,
+                [this] {
+                    const auto alive = mesh.members().alive_nodes(monotonic_ms()).size();
+                    return static_cast<std::uint32_t>(alive);
+                }},
+               {options.node_id + "-" + std::to_string(incarnation), options.request_timeout_ms,
+                options.max_in_flight, static_cast<std::uint64_t>(incarnation)}),
+      duties({loop, client, view, appender, [this](std::string_view duty) { return owns(duty); },
+              [this] { return phase == node_phase::serving && follower.reachable(); },
+              options.hosts_address}),
+      server(loop)
+{
+    view.on_applied([this](std::span<const log_entry> entries) {
+        mesh.relay(entries);
+        requests.pump();
+    });
+    view.on_verdict([this](const verdict& one) {
+        log_event(one.accepted ? log_level::info : log_level::warning, "verdict",
+                  {{"accepted", one.accepted},
+                   {"what", one.what},
+                   {"subject", one.subject},
+                   {"writer", one.writer},
+                   {"seq", one.seq},
+                   {"reason", one.reason}});
+        appender.settle(one);
+    });
+    server.handle([this](const http_exchange_ptr& exchange) { handle(exchange); });
+}
+
+heartbeat entry_node::parts::self() const
+{
+    heartbeat beat;
+    beat.node = options.node_id;
+    beat.incarnation = incarnation;
+    beat.data_centre = options.data_centre;
+    beat.offset = view.state().next_offset;
+    beat.log_end = follower.log_end();
+    beat.serving = phase == node_phase::serving;
+    beat.heard = mesh.members().heard_directly(monotonic_ms());
+    return beat;
+}
+
+node_status entry_node::parts::status() const
+{
+    return {options.node_id,      incarnation,        options.data_centre, phase,
+            follower.reachable(), follower.log_end(), requests.in_flight()};
+}
+
+bool entry_node::parts::owns(std::string_view duty) const
+{
+    return duty_owner(duty, mesh.members().alive_nodes(monotonic_ms())) == options.node_id;
+}
+
+result<void> entry_node::parts::listen()
+{
+    const endpoint callers = parse_endpoint(options.listen_address);
+    const auto port = server.listen(callers.ip, callers.port);
+    if (!port) {
+        return port.error();
+    }
+    const auto peer_port = mesh.listen(options.peer_address);
+    if (!peer_port) {
+        return peer_port.error();
+    }
+    if (!options.port_file.empty() && !write_ports(options.port_file, port.value(), peer_port.value())) {
+        return fail(error_code::io, "cannot write " + options.port_file);
+    }
+    log_event(log_level::info, "listening",
+              {{"port", port.value()}, {"peer_port", peer_port.value()}, {"incarnation", incarnation}});
+    return boost::outcome_v2::success();
+}
+
+void entry_node::parts::start()
+{
+    started_at = monotonic_ms();
+    catch_up_since = started_at;
+    last_tick = started_at;
+    mesh.start();
+    follower.start();
+    hosts.start();
+    duties.start();
+    ticker = loop.every(tick_ms, [this] { tick(); });
+    on_term = loop.on_signal(SIGTERM, [this] { stop_soon("SIGTERM"); });
+    on_int = loop.on_signal(SIGINT, [this] { stop_soon("SIGINT"); });
+}
+
+bool entry_node::parts::caught_up(std::int64_t now) const
+{
+    const std::int64_t have = view.state().next_offset;
+    if (have < mesh.members().highest_offset(now) || view.state().inventory_document.version == 0 ||
+        view.state().rules_document.version == 0) {
+        return false;
+    }
+    // A peer that can be reached may know more than the log that this node can read.
+    const bool peers_asked = mesh.members().heard_directly(now).size() >= options.peers.size() ||
+                             now - catch_up_since > peer_wait_ms;
+    if (!peers_asked) {
+        return false;
+    }
+    const bool log_read = follower.reachable() && follower.answered_at() > catch_up_since;
+    if (log_read) {
+        return have >= follower.log_end();
+    }
+    // Without the log, the peers' word counts; without either, what was accepted last stays in force.
+    return now - catch_up_since > lonely_start_ms;
+}
+
+void entry_node::parts::tick()
+{
+    const std::int64_t now = monotonic_ms();
+    if (now - last_tick > pause_ms && phase != node_phase::draining) {
+        log_event(log_level::warning, "paused", {{"for_ms", now - last_tick}});
+        phase = node_phase::catching_up;
+        catch_up_since = now;
+        mesh.want(view.state().next_offset);
+    }
+    last_tick = now;
+    if (phase == node_phase::catching_up && caught_up(now)) {
+        phase = node_phase::serving;
+        log_event(log_level::info, "serving",
+                  {{"offset", view.state().next_offset},
+                   {"inventory", view.state().inventory_document.version},
+                   {"rules", view.state().rules_document.version}});
+    }
+    if (phase == node_phase::draining) {
+        watch_drain();
+    }
+    requests.pump();
+}
+
+void entry_node::parts::stop_soon(const std::string& why)
+{
+    if (phase == node_phase::draining) {
+        return;
+    }
+    phase = node_phase::draining;
+    close_at = monotonic_ms() + options.drain_notice_ms;
+    stop_at = close_at + options.drain_limit_ms;
+    log_event(log_level::info, "draining",
+              {{"reason", why}, {"in_flight", requests.in_flight()}, {"limit_ms", options.drain_limit_ms}});
+}
+
+void entry_node::parts::watch_drain()
+{
+    const std::int64_t now = monotonic_ms();
+    if (now < close_at) {
+        // The balancer's check fails already; requests that it still sends are served.
+        return;
+    }
+    server.stop_accepting();
+    const bool idle = requests.in_flight() == 0 && server.open_exchanges() == 0 && !appender.busy();
+    if (!idle && now < stop_at) {
+        return;
+    }
+    for (const std::string& id : requests.open_requests()) {
+        exit_code = exit_requests_cut;
+        log_event(log_level::error, "cut", {{"request", id}, {"reason", "still open at the drain limit"}});
+    }
+    log_event(log_level::info, "stopped", {{"exit_code", exit_code}});
+    loop.stop();
+}
+
+void entry_node::parts::handle(const http_exchange_ptr& exchange)
+{
+    if (handle_operator(exchange)) {
+        return;
+    }
+    if (exchange->method() == "POST" && exchange->path().rfind(service_prefix, 0) == 0) {
+        handle_caller(exchange);
+    }
+    else if (exchange->method() == "DELETE" && exchange->path().rfind("/v1/requests/", 0) == 0) {
+        handle_cancel(exchange);
+    }
+    else {
+        exchange->reply(404, json_type(), "{\"reason\": \"no such path\"}\n");
+    }
+}
+
+bool entry_node::parts::handle_operator(const http_exchange_ptr& exchange)
+{
+    const std::string& path = exchange->path();
+    const std::string explain = "/v1/explain/";
+    if (path == "/healthz") {
+        exchange->reply(phase == node_phase::serving ? 200 : 503, {}, std::string(to_string(phase)) + "\n");
+    }
+    else if (path == "/metrics") {
+        exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}}, counters.page());
+    }
+    else if (path == "/v1/status") {
+        exchange->reply(200, json_type(), status_page(status(), view.state(), mesh.members()));
+    }
+    else if (path == "/v1/log-info") {
+        exchange->reply(200, json_type(), log_info_page(status(), view.state()));
+    }
+    else if (path.rfind(explain, 0) == 0) {
+        handle_explain(exchange, path.substr(explain.size()));
+    }
+    else if (path == "/v1/drain" && exchange->method() == "POST") {
+        stop_soon("drain request");
+        exchange->reply(202, json_type(), "{\"phase\": \"draining\"}\n");
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
+void entry_node::parts::handle_explain(const http_exchange_ptr& exchange, const std::string& rest)
+{
+    const std::size_t slash = rest.find('/');
+    const std::string kind = rest.substr(0, slash);
+    const std::string name = slash == std::string::npos ? "" : rest.substr(slash + 1);
+    std::string page;
+    if (kind == "host") {
+        page = explain_host(view.state(), name);
+    }
+    else if (kind == "pool") {
+        page = explain_pool(view.state(), name);
+    }
+    else if (kind == "request") {
+        page = explain_request(requests.traces(), name);
+    }
+    if (page.empty()) {
+        exchange->reply(404, json_type(), "{\"reason\": \"this node knows no such " + kind + "\"}\n");
+        return;
+    }
+    exchange->reply(200, json_type(), page);
+}
+
+void entry_node::parts::handle_caller(const http_exchange_ptr& exchange)
+{
+    auto request = read_request(*exchange);
+    if (!request) {
+        const bool path = request.error().code == error_code::not_found;
+        caller_answer answer = make_refusal(outcome::never, request.error().message);
+        answer.status = path ? 404 : 400;
+        send_answer(*exchange, "", answer);
+        return;
+    }
+    const bool pause_unnoticed = monotonic_ms() - last_tick > pause_ms;
+    if (phase == node_phase::catching_up || pause_unnoticed) {
+        send_answer(*exchange, "", make_refusal(outcome::not_run, "this entry node is catching up", 1'000));
+        return;
+    }
+    requests.submit(exchange, std::move(request.value()));
+}
+
+void entry_node::parts::handle_cancel(const http_exchange_ptr& exchange)
+{
+    const std::string id = exchange->path().substr(std::string("/v1/requests/").size());
+    if (!requests.cancel(id, "cancelled by the caller")) {
+        exchange->reply(404, json_type(), "{\"reason\": \"no such request is open on this node\"}\n");
+        return;
+    }
+    exchange->reply(202, json_type(), "{\"cancelled\": true}\n");
+}
+
+entry_node::entry_node(settings options) : parts_(std::make_unique<parts>(std::move(options))) {}
+
+entry_node::~entry_node() = default;
+
+int entry_node::run()
+{
+    const auto listening = parts_->listen();
+    if (!listening) {
+        log_event(log_level::error, "cannot-listen", {{"reason", listening.error().message}});
+        return exit_cannot_listen;
+    }
+    parts_->start();
+    parts_->loop.run();
+    return parts_->exit_code;
+}
+
+}  // namespace waxwingnotch
--- /dev/null
+++ b/src/fleet/state.cpp
@@ -0,0 +1,61 @@
+#include "waxwingnotch/fleet/state.hpp"
+
+#include <algorithm>
+
+namespace waxwingnotch {
+
+namespace {
+template <class Item>
+const Item* find_named(const std::vector<Item>& items, std::string_view name)
+{
+    const auto found =
+        std::find_if(items.begin(), items.end(), [&](const Item& item) { return item.name == name; });
+    return found == items.end() ? nullptr : &*found;
+}
+}  // namespace
+
+const service_rule* find_service(const fleet_state& state, std::string_view name)
+{
+    return find_named(state.promises.services, name);
+}
+
+const pool* find_pool(const fleet_state& state, std::string_view name)
+{
+    return find_named(state.machines.pools, name);
+}
+
+std::uint32_t available_hosts(const fleet_state& state, std::string_view pool)
+{
+    const auto counts = [&](const auto& item) {
+        return item.second.pool == pool && available(item.second);
+    };
+    return static_cast<std::uint32_t>(std::count_if(state.hosts.begin(), state.hosts.end(), counts));
+}
+
+std::uint32_t budget_of(const fleet_state& state, std::string_view pool)
+{
+    std::uint32_t most = 0;
+    for (const service_rule& service : state.promises.services) {
+        if (service.pool == pool) {
+            most = std::max(most, service.min_hosts);
+        }
+    }
+    return most;
+}
+
+const char* to_string(host_phase phase)
+{
+    switch (phase) {
+    case host_phase::serving:
+        return "serving";
+    case host_phase::draining:
+        return "draining";
+    case host_phase::drained:
+        return "drained";
+    case host_phase::rebooting:
+        return "rebooting";
+    }
+    return "unnamed";
+}
+
+}  // namespace waxwingnotch
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,301 @@
+#include "waxwingnotch/net/http_client.hpp"
+
+#include "waxwingnotch/net/address.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <strings.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace waxwingnotch {
+
+namespace {
+
+evhttp_cmd_type command_of(std::string_view method)
+{
+    if (method == "POST") {
+        return EVHTTP_REQ_POST;
+    }
+    if (method == "PUT") {
+        return EVHTTP_REQ_PUT;
+    }
+    if (method == "DELETE") {
+        return EVHTTP_REQ_DELETE;
+    }
+    return EVHTTP_REQ_GET;
+}
+
+}  // namespace
+
+std::optional<std::string> find_header(const http_headers& headers, std::string_view name)
+{
+    const std::string wanted(name);
+    for (const auto& [key, value] : headers) {
+        if (strcasecmp(key.c_str(), wanted.c_str()) == 0) {
+            return value;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> http_answer::header(std::string_view name) const
+{
+    return find_header(headers, name);
+}
+
+/// A connection with one call at a time.
+struct http_client::connection {
+    http_client* client = nullptr;  // null once the client is gone
+    evhttp_connection* handle = nullptr;
+    std::string address;
+    bool bytes_sent = false;  // of the current call
+
+    connection() = default;
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+    connection(connection&&) = delete;
+    connection& operator=(connection&&) = delete;
+    ~connection()
+    {
+        if (handle != nullptr) {
+            evhttp_connection_set_closecb(handle, nullptr, nullptr);
+            evhttp_connection_free(handle);
+        }
+    }
+};
+
+/// A call under way.
+struct http_client::pending {
+    http_client* client = nullptr;
+    call_id id = 0;
+    std::shared_ptr<connection> link;
+    evhttp_request* request = nullptr;
+    bool reused = false;
+    answer_handler done;
+    timer timeout;
+};
+
+http_client::http_client(event_loop& loop) : loop_(loop), alive_(std::make_shared<bool>(true)) {}
+
+http_client::~http_client()
+{
+    *alive_ = false;
+    for (auto& [id, call] : pending_) {
+        // Freeing the connection runs the handler of its request, which must find nothing.
+        call->client = nullptr;
+        if (call->request != nullptr) {
+            evhttp_cancel_request(call->request);
+        }
+    }
+    pending_.clear();
+    idle_.clear();
+}
+
+std::shared_ptr<http_client::connection> http_client::idle_connection(const std::string& address)
+{
+    const auto found = idle_.find(address);
+    if (found == idle_.end()) {
+        return nullptr;
+    }
+    std::shared_ptr<connection> link = found->second;
+    idle_.erase(found);
+    return link;
+}
+
+std::shared_ptr<http_client::connection> http_client::new_connection(const std::string& address)
+{
+    const endpoint target = parse_endpoint(address);
+    auto link = std::make_shared<connection>();
+    link->client = this;
+    link->address = address;
+    link->handle = evhttp_connection_base_new(loop_.native(), nullptr, target.ip.c_str(), target.port);
+    // libevent must not connect again by itself.
+    evhttp_connection_set_retries(link->handle, 0);
+    // evhttp queues bytes only once connected, so a byte that leaves the buffer went to the socket.
+    // When it resets a failed connection, it drains the rest after the descriptor is gone.
+    evbuffer* output = bufferevent_get_output(evhttp_connection_get_bufferevent(link->handle));
+    evbuffer_add_cb(
+        output,
+        [](evbuffer*, const evbuffer_cb_info* info, void* argument) {
+            auto* self = static_cast<connection*>(argument);
+            const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(self->handle));
+            self->bytes_sent = self->bytes_sent || (info->n_deleted > 0 && fd >= 0);
+        },
+        link.get());
+    ++open_[address];
+    return link;
+}
+
+void http_client::retire(std::shared_ptr<connection> link)
+{
+    const auto count = open_.find(link->address);
+    if (count != open_.end() && --count->second == 0) {
+        open_.erase(count);
+    }
+    // The connection may be the one whose handler is running; free it afterwards.
+    loop_.defer([link = std::move(link)]() mutable { link.reset(); });
+}
+
+call_id http_client::send(const http_call& call, answer_handler done)
+{
+    auto item = std::make_shared<pending>();
+    item->client = this;
+    item->id = next_id_++;
+    item->done = std::move(done);
+    item->link = call.reuse ? idle_connection(call.address) : nullptr;
+    item->reused = item->link != nullptr;
+    if (!item->link) {
+        item->link = new_connection(call.address);
+    }
+    connection& link = *item->link;
+    link.bytes_sent = false;
+    evhttp_connection_set_closecb(link.handle, nullptr, nullptr);
+    constexpr std::int64_t margin_s = 2;  // our own timer fires first
+    evhttp_connection_set_timeout(link.handle, static_cast<int>(call.timeout_ms / 1000 + margin_s));
+
+    item->request = evhttp_request_new(
+        [](evhttp_request* request, void* argument) {
+            auto* self = static_cast<pending*>(argument);
+            self->request = nullptr;
+            if (self->client == nullptr) {
+                return;
+            }
+            http_answer answer;
+            answer.bytes_sent = self->link->bytes_sent;
+            answer.reused = self->reused;
+            const int status = request == nullptr ? 0 : evhttp_request_get_response_code(request);
+            bool keep = false;
+            if (status != 0) {
+                answer.outcome = call_outcome::answered;
+                answer.status = status;
+                const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+                for (const evkeyval* at = headers->tqh_first; at != nullptr; at = at->next.tqe_next) {
+                    answer.headers.emplace_back(at->key, at->value);
+                }
+                evbuffer* input = evhttp_request_get_input_buffer(request);
+                answer.body.resize(evbuffer_get_length(input));
+                evbuffer_copyout(input, answer.body.data(), answer.body.size());
+                const auto connection_header = answer.header("Connection");
+                keep = !connection_header || strcasecmp(connection_header->c_str(), "close") != 0;
+            }
+            self->client->finish(self->id, std::move(answer), keep);
+        },
+        item.get());
+
+    evkeyvalq* headers = evhttp_request_get_output_headers(item->request);
+    evhttp_add_header(headers, "Host", call.address.c_str());
+    if (!call.reuse) {
+        evhttp_add_header(headers, "Connection", "close");
+    }
+    for (const auto& [name, value] : call.headers) {
+        evhttp_add_header(headers, name.c_str(), value.c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(item->request), call.body.data(), call.body.size());
+
+    const call_id id = item->id;
+    pending_[id] = item;
+    item->timeout = loop_.after(call.timeout_ms, [this, id] {
+        const auto found = pending_.find(id);
+        if (found == pending_.end()) {
+            return;
+        }
+        http_answer answer;
+        answer.outcome = call_outcome::timed_out;
+        answer.bytes_sent = found->second->link->bytes_sent;
+        answer.reused = found->second->reused;
+        finish(id, std::move(answer), false);
+    });
+    if (evhttp_make_request(link.handle, item->request, command_of(call.method), call.path.c_str()) != 0) {
+        // evhttp has freed the request.
+        item->request = nullptr;
+        loop_.defer([this, id, alive = alive_] {
+            if (*alive) {
+                finish(id, {}, false);
+            }
+        });
+    }
+    return id;
+}
+
+void http_client::finish(call_id id, http_answer answer, bool keep)
+{
+    const auto found = pending_.find(id);
+    if (found == pending_.end()) {
+        return;
+    }
+    const std::shared_ptr<pending> item = found->second;
+    pending_.erase(found);
+    item->timeout.cancel();
+    if (item->request != nullptr) {
+        item->client = nullptr;
+        evhttp_cancel_request(item->request);
+        item->request = nullptr;
+    }
+    if (keep) {
+        connection* link = item->link.get();
+        evhttp_connection_set_closecb(
+            link->handle,
+            [](evhttp_connection*, void* argument) {
+                auto* self = static_cast<connection*>(argument);
+                self->client->loop_.defer([client = self->client, alive = self->client->alive_, self] {
+                    if (!*alive) {
+                        return;
+                    }
+                    for (auto at = client->idle_.begin(); at != client->idle_.end(); ++at) {
+                        if (at->second.get() == self) {
+                            client->retire(at->second);
+                            client->idle_.erase(at);
+                            return;
+                        }
+                    }
+                });
+            },
+            link);
+        idle_.emplace(link->address, item->link);
+    }
+    else {
+        retire(item->link);
+    }
+    item->link.reset();
+    // The handler may destroy the client; nothing of it is touched after this.
+    loop_.defer([done = std::move(item->done), answer = std::move(answer), alive = alive_, item] {
+        if (*alive) {
+            done(answer);
+        }
+    });
+}
+
+void http_client::cancel(call_id id)
+{
+    const auto found = pending_.find(id);
+    if (found == pending_.end()) {
+        return;
+    }
+    http_answer answer;
+    answer.outcome = call_outcome::cancelled;
+    answer.bytes_sent = found->second->link->bytes_sent;
+    answer.reused = found->second->reused;
+    finish(id, std::move(answer), false);
+}
+
+void http_client::forget(std::string_view address)
+{
+    const auto [begin, end] = idle_.equal_range(address);
+    for (auto at = begin; at != end; ++at) {
+        retire(at->second);
+    }
+    idle_.erase(begin, end);
+}
+
+std::size_t http_client::connections(std::string_view address) const
+{
+    const auto found = open_.find(address);
+    return found == open_.end() ? 0 : found->second;
+}
+
+}  // namespace waxwingnotch
--- /dev/null
+++ b/standin/main.cpp
@@ -0,0 +1,102 @@
+#include "standin.hpp"
+
+#include "waxwingnotch/net/address.hpp"
+
+#include <docopt/docopt.h>
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <vector>
+
+namespace {
+
+const char* const usage =
+    R"(Stand-ins of the platform for the demo and the tests; not for production.
+
+Usage:
+  waxwingnotch-standin log [--listen=ADDRESS] [--port-file=FILE] [--retention=RECORDS]
+  waxwingnotch-standin hosts [--listen=ADDRESS] [--port-file=FILE] [--lag-ms=MS]
+  waxwingnotch-standin worker --host=NAME [--listen=ADDRESS] [--port-file=FILE] [--slots=N]
+  waxwingnotch-standin ports <count>
+  waxwingnotch-standin --help
+
+Options:
+  --listen=ADDRESS     ip:port to listen on; port 0 takes a free one [default: 127.0.0.1:0]
+  --port-file=FILE     write the bound port to this file
+  --retention=RECORDS  records that the log keeps [default: 1000000]
+  --lag-ms=MS          how late a change shows in the host list [default: 1000]
+  --host=NAME          name of the worker's host
+  --slots=N            tasks at a time [default: 8]
+)";
+
+using arguments = std::map<std::string, docopt::value>;
+
+/// Prints ports that were free just now; all are held until the last one is found.
+int print_free_ports(long count)
+{
+    waxwingnotch::event_loop loop;
+    std::vector<std::unique_ptr<waxwingnotch::http_server>> servers;
+    for (long index = 0; index < count; ++index) {
+        servers.push_back(std::make_unique<waxwingnotch::http_server>(loop));
+        const auto port = servers.back()->listen("127.0.0.1", 0);
+        if (!port) {
+            std::cerr << port.error().message << "\n";
+            return 1;
+        }
+        std::cout << port.value() << "\n";
+    }
+    return 0;
+}
+
+std::unique_ptr<standin::role> make_role(waxwingnotch::event_loop& loop, arguments& given)
+{
+    if (given["log"].asBool()) {
+        standin::log_options options;
+        options.retention_records = given["--retention"].asLong();
+        return standin::make_log(loop, options);
+    }
+    if (given["hosts"].asBool()) {
+        return standin::make_hosts(loop, {given["--lag-ms"].asLong()});
+    }
+    standin::worker_options options;
+    options.host = given["--host"].asString();
+    options.slots = static_cast<std::uint32_t>(given["--slots"].asLong());
+    return standin::make_worker(loop, options);
+}
+
+/// Written under another name first, so that a reader never sees half a number.
+bool write_port(const std::string& file, std::uint16_t port)
+{
+    const std::string draft = file + ".new";
+    std::ofstream(draft) << port << "\n";
+    return std::rename(draft.c_str(), file.c_str()) == 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv)
+{
+    arguments given = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    if (given["ports"].asBool()) {
+        return print_free_ports(given["<count>"].asLong());
+    }
+    waxwingnotch::event_loop loop;
+    const auto role = make_role(loop, given);
+    waxwingnotch::http_server server(loop);
+    server.handle([&](const waxwingnotch::http_exchange_ptr& exchange) { role->handle(exchange); });
+    const waxwingnotch::endpoint address = waxwingnotch::parse_endpoint(given["--listen"].asString());
+    const auto port = server.listen(address.ip, address.port);
+    if (!port) {
+        std::cerr << port.error().message << "\n";
+        return 1;
+    }
+    if (given["--port-file"] && !write_port(given["--port-file"].asString(), port.value())) {
+        std::cerr << "cannot write " << given["--port-file"].asString() << "\n";
+        return 1;
+    }
+    const auto stop = loop.on_signal(SIGTERM, [&] { loop.stop(); });
+    loop.run();
+    return 0;
+}
--- /dev/null
+++ b/tests/config/parse_test.cpp
@@ -0,0 +1,71 @@
+#include "waxwingnotch/config/json.hpp"
+#include "waxwingnotch/config/parse.hpp"
+
+#include <gtest/gtest.h>
+
+namespace waxwingnotch {
+
+namespace {
+std::string example(const std::string& name)
+{
+    const auto text = read_file(std::string(WAXWINGNOTCH_EXAMPLES) + "/" + name);
+    return text ? text.value() : std::string();
+}
+}  // namespace
+
+// Guards against examples that the product itself refuses.
+TEST(parse, examples_have_no_findings)
+{
+    for (const std::string deployment : {"tokachi", "resins"}) {
+        findings problems;
+        const inventory machines = parse_inventory(example(deployment + "/inventory.toml"), "i", problems);
+        const rules promises = parse_rules(example(deployment + "/rules.toml"), "r", problems);
+        parse_settings(example(deployment + "/entry-1.toml"), "s", problems);
+        check_together(machines, promises, problems);
+        for (const finding& one : problems.items()) {
+            ADD_FAILURE() << to_string(one);
+        }
+        EXPECT_EQ(promises.services.size(), 5U);
+    }
+}
+
+// Guards against a check that stops at the first problem, or that names the wrong place.
+TEST(parse, every_problem_is_found_with_its_place)
+{
+    findings problems;
+    parse_inventory("[[pool]]\n"
+                    "name = \"a\"\n"
+                    "colour = 1\n"
+                    "[[host]]\n"
+                    "name = \"h\"\n"
+                    "address = \"nowhere\"\n"
+                    "rack = \"r\"\n"
+                    "pool = \"b\"\n"
+                    "slots = 0\n",
+                    "f", problems);
+    std::string all;
+    for (const finding& one : problems.items()) {
+        all += to_string(one) + "\n";
+    }
+    EXPECT_NE(all.find("f:3:10: error: found unknown key 'colour'"), std::string::npos) << all;
+    EXPECT_NE(all.find("f:6:11: error: found address 'nowhere'"), std::string::npos) << all;
+    EXPECT_NE(all.find("f:7:8: error: found unknown rack 'r'"), std::string::npos) << all;
+    EXPECT_NE(all.find("f:8:8: error: found unknown pool 'b'"), std::string::npos) << all;
+    EXPECT_NE(all.find("f:9:9: error: found 0 for 'slots'"), std::string::npos) << all;
+}
+
+// Guards against a patch that does not lead to the published content.
+TEST(json, patch_leads_to_the_new_content)
+{
+    findings problems;
+    inventory machines = parse_inventory(example("tokachi/inventory.toml"), "i", problems);
+    const std::string before = inventory_to_json(machines);
+    machines.hosts.front().pool = "spare";
+    const std::string after = inventory_to_json(machines);
+    const std::string patch = make_patch(before, after);
+    EXPECT_LT(patch.size(), 200U);
+    EXPECT_EQ(apply_patch(before, patch).value(), after);
+    EXPECT_EQ(inventory_to_json(inventory_from_json(after).value()), after);
+}
+
+}  // namespace waxwingnotch
--- /dev/null
+++ b/tests/fleet/fold_test.cpp
@@ -0,0 +1,137 @@
+#include "waxwingnotch/base/hash.hpp"
+#include "waxwingnotch/config/json.hpp"
+#include "waxwingnotch/fleet/fold.hpp"
+
+#include <gtest/gtest.h>
+
+namespace waxwingnotch {
+
+namespace {
+
+/// A log with a small fleet: pool "p" of three hosts with a budget of two, and a spare.
+class small_fleet : public ::testing::Test {
+protected:
+    void SetUp() override
+    {
+        inventory machines;
+        machines.data_centres = {{"dc", "r"}};
+        machines.racks = {{"rack", "dc"}};
+        machines.pools = {{"p", false}, {"s", true}};
+        for (const char* name : {"h1", "h2", "h3"}) {
+            machines.hosts.push_back({name, "127.0.0.1:1", "rack", "p"});
+        }
+        machines.hosts.push_back({"s1", "127.0.0.1:2", "rack", "s"});
+        rules promises;
+        promises.services = {{"web", "p", 2}};
+        publish(document::inventory, 0, inventory_to_json(machines));
+        publish(document::rules, 0, rules_to_json(promises));
+    }
+
+    verdict publish(document kind, std::int64_t replaces, const std::string& content)
+    {
+        publish_record item;
+        item.kind = kind;
+        item.replaces = replaces;
+        item.author = "op";
+        item.content = content;
+        item.content_hash = sha256_hex(content);
+        return append("op", item);
+    }
+
+    verdict append(const std::string& writer, record item)
+    {
+        batch value{writer, 1, ++seq_, state_.next_offset, {std::move(item)}};
+        last_ = encode(value);
+        return apply_bytes(last_);
+    }
+
+    verdict apply_bytes(const std::string& bytes)
+    {
+        return apply(state_, {state_.next_offset, 1'000 + state_.next_offset, bytes}).front();
+    }
+
+    host_record action(host_action what, const std::string& host)
+    {
+        host_record item;
+        item.action = what;
+        item.host = host;
+        item.pool = state_.hosts.at(host).pool;
+        item.epoch = state_.hosts.at(host).epoch;
+        return item;
+    }
+
+    fleet_state state_;
+    std::string last_;
+    std::int64_t seq_ = 0;
+};
+
+}  // namespace
+
+// Guards against two drains that each look harmless and together break the budget.
+TEST_F(small_fleet, the_second_drain_would_break_the_budget)
+{
+    const host_record first = action(host_action::drain, "h1");
+    const host_record second = action(host_action::drain, "h2");
+    EXPECT_TRUE(append("a", first).accepted);
+    const verdict refused = append("b", second);
+    EXPECT_FALSE(refused.accepted);
+    EXPECT_EQ(refused.reason, "budget of service 'web' is 2 hosts, and 1 would be left");
+}
+
+// Guards against a controller that was paused and acts on what it saw before.
+TEST_F(small_fleet, an_old_epoch_is_rejected)
+{
+    const host_record old = action(host_action::drain, "h1");
+    EXPECT_TRUE(append("a", old).accepted);
+    EXPECT_TRUE(append("a", action(host_action::restore, "h1")).accepted);
+    EXPECT_FALSE(append("b", old).accepted);
+}
+
+// Guards against an append whose answer was lost and that is repeated.
+TEST_F(small_fleet, a_repeated_batch_changes_nothing)
+{
+    EXPECT_TRUE(append("a", action(host_action::drain, "h1")).accepted);
+    const std::int64_t epoch = state_.hosts.at("h1").epoch;
+    const verdict again = apply_bytes(last_);
+    EXPECT_FALSE(again.accepted);
+    EXPECT_EQ(again.what, "batch");
+    EXPECT_EQ(state_.hosts.at("h1").epoch, epoch);
+}
+
+// Guards against a configuration that reverts when two operators publish at once.
+TEST_F(small_fleet, a_stale_publication_is_refused_with_the_author_in_force)
+{
+    const std::string content = state_.rules_document.content;
+    EXPECT_TRUE(publish(document::rules, 1, content).accepted);
+    const verdict refused = publish(document::rules, 1, content);
+    EXPECT_FALSE(refused.accepted);
+    EXPECT_EQ(refused.reason, "version 2 by op is in force, not 1");
+}
+
+// Guards against two nodes that both send the request of one key.
+TEST_F(small_fleet, the_first_claim_wins)
+{
+    EXPECT_TRUE(append("a", claim_record{"k", "a-1"}).accepted);
+    EXPECT_FALSE(append("b", claim_record{"k", "b-1"}).accepted);
+    EXPECT_FALSE(append("b", claim_end_record{"k", "a-1", claim_end::released}).accepted);
+    EXPECT_TRUE(append("a", claim_end_record{"k", "a-1", claim_end::released}).accepted);
+    EXPECT_TRUE(append("b", claim_record{"k", "b-2"}).accepted);
+}
+
+// Guards against foreign bytes in the log that stop a node.
+TEST_F(small_fleet, malformed_bytes_are_skipped)
+{
+    const std::int64_t before = state_.next_offset;
+    EXPECT_FALSE(apply_bytes("\xff not a batch").accepted);
+    EXPECT_EQ(state_.next_offset, before + 1);
+}
+
+// Guards against taking in a host that answers again while the budget counted it as gone.
+TEST_F(small_fleet, a_host_that_is_down_does_not_count)
+{
+    EXPECT_TRUE(append("a", condition_record{"h1", host_condition::down, "test"}).accepted);
+    EXPECT_FALSE(append("a", action(host_action::drain, "h2")).accepted);
+    EXPECT_TRUE(append("a", action(host_action::drain, "h1")).accepted);
+}
+
+}  // namespace waxwingnotch
