--- a/include/waxwingnotch/net/event_loop.hpp
+++ b/include/waxwingnotch/net/event_loop.hpp
@@ -44,6 +44,7 @@
     [[nodiscard]] timer after(std::int64_t delay_ms, std::function<void()> action);     // once
     [[nodiscard]] timer every(std::int64_t interval_ms, std::function<void()> action);  // repeatedly
     [[nodiscard]] timer on_signal(int number, std::function<void()> action);            // at each signal
+    [[nodiscard]] timer on_close(int fd, std::function<void()> action);  // once the other side has closed
 
     /// Runs @p action from the loop, after the handlers that run now.
     void defer(std::function<void()> action);
--- a/include/waxwingnotch/net/http_server.hpp
+++ b/include/waxwingnotch/net/http_server.hpp
@@ -54,8 +54,8 @@
     bool replied() const { return replied_; }
     /// Closes the connection without an answer, as a lost answer looks to the caller.
     void drop();
-    /// Calls @p action if the caller goes away before the answer.
-    void on_closed(std::function<void()> action) { closed_ = std::move(action); }
+    /// Calls @p action, from the loop, if the caller goes away before the answer.
+    void on_closed(std::function<void()> action);
 
 private:
     friend class http_server;
@@ -71,6 +71,7 @@
     http_headers headers_;
     bool replied_ = false;
     std::function<void()> closed_;
+    timer close_watch_;
 };
 
 using http_exchange_ptr = std::shared_ptr<http_exchange>;
@@ -102,6 +103,7 @@
     evhttp* http_;
     evhttp_bound_socket* socket_ = nullptr;
     std::function<void(http_exchange_ptr)> handler_;
+    event_loop& loop_;
     std::set<http_exchange*> open_;
 };
 
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -91,7 +91,7 @@
         finish(item, make_refusal(result, std::move(problem), retry_after_ms));
         return;
     }
-    exchange->on_closed([this, id = item->id] { cancel(id, "the caller closed the connection"); });
+    exchange->on_closed([this, id = item->id] { abandon(id); });
     const std::int64_t limit = item->request.deadline_ms > 0
                                    ? std::min(item->request.deadline_ms, options_.request_timeout_ms)
                                    : options_.request_timeout_ms;
@@ -331,6 +331,19 @@
     return true;
 }
 
+void dispatcher::abandon(const std::string& request_id)
+{
+    const auto found = requests_.find(request_id);
+    if (found == requests_.end()) {
+        return;
+    }
+    trace(*found->second, "the caller closed the connection");
+    // What was sent runs on: a repeat of its key shall get the answer.
+    if (!found->second->sent && found->second->call == 0) {
+        cancel(request_id, "the caller closed the connection");
+    }
+}
+
 void dispatcher::finish(const active_ptr& item, const caller_answer& answer)
 {
     if (item->finished) {
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -98,6 +98,11 @@
     return timer(schedule(base_, number, EV_SIGNAL | EV_PERSIST, nullptr, std::move(action)));
 }
 
+timer event_loop::on_close(int fd, std::function<void()> action)
+{
+    return timer(schedule(base_, fd, EV_CLOSED, nullptr, std::move(action)));
+}
+
 void event_loop::defer(std::function<void()> action)
 {
     const timeval at_once{0, 0};
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -66,10 +66,6 @@
     for (const evkeyval* item = headers->tqh_first; item != nullptr; item = item->next.tqe_next) {
         headers_.emplace_back(item->key, item->value);
     }
-    evhttp_connection* connection = evhttp_request_get_connection(request);
-    evhttp_connection_set_closecb(
-        connection,
-        [](evhttp_connection*, void* self) { static_cast<http_exchange*>(self)->connection_closed(); }, this);
     server->open_.insert(this);
 }
 
@@ -109,6 +105,7 @@
     request_ = nullptr;
     replied_ = true;
     closed_ = nullptr;
+    close_watch_.cancel();
 }
 
 void http_exchange::reply(int status, const http_headers& headers, std::string_view body)
@@ -121,9 +118,6 @@
     if (request == nullptr) {
         return;
     }
-    if (evhttp_connection* connection = evhttp_request_get_connection(request)) {
-        evhttp_connection_set_closecb(connection, nullptr, nullptr);
-    }
     evkeyvalq* out = evhttp_request_get_output_headers(request);
     for (const auto& [name, value] : headers) {
         evhttp_add_header(out, name.c_str(), value.c_str());
@@ -143,14 +137,25 @@
     detach();
     evhttp_connection* connection = request == nullptr ? nullptr : evhttp_request_get_connection(request);
     if (connection != nullptr) {
-        evhttp_connection_set_closecb(connection, nullptr, nullptr);
         evhttp_connection_free(connection);
     }
 }
 
+void http_exchange::on_closed(std::function<void()> action)
+{
+    evhttp_connection* connection = request_ == nullptr ? nullptr : evhttp_request_get_connection(request_);
+    if (connection == nullptr) {
+        return;
+    }
+    closed_ = std::move(action);
+    // evhttp does not read while a request is being handled, so it does not see the close, and
+    // letting it read would abort the process on a pipelined request.
+    const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    close_watch_ = server_->loop_.on_close(fd, [this] { connection_closed(); });
+}
+
 void http_exchange::connection_closed()
 {
-    // libevent hands the request over to us here; reply() then only frees it.
     const std::function<void()> action = std::move(closed_);
     closed_ = nullptr;
     if (action) {
@@ -158,7 +163,7 @@
     }
 }
 
-http_server::http_server(event_loop& loop) : http_(evhttp_new(loop.native()))
+http_server::http_server(event_loop& loop) : http_(evhttp_new(loop.native())), loop_(loop)
 {
     evhttp_set_max_body_size(http_, max_body_bytes);
     evhttp_set_max_headers_size(http_, max_header_bytes);
--- /dev/null
+++ b/tests/net/http_client_test.cpp
@@ -0,0 +1,237 @@
+#include "waxwingnotch/net/http_client.hpp"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+
+namespace waxwingnotch {
+
+namespace {
+
+/// A server on raw sockets, so that a test decides about each byte and each close.
+class raw_server {
+public:
+    /// What to do with the request number `count`, counted from 1 over all connections.
+    enum class reaction { answer, close, silence };
+    using script = std::function<reaction(int count)>;
+
+    raw_server(event_loop& loop, script react) : loop_(loop), react_(std::move(react))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        listener_ = evconnlistener_new_bind(loop.native(), accept, this, LEV_OPT_CLOSE_ON_FREE, -1,
+                                            reinterpret_cast<sockaddr*>(&address), sizeof address);
+        socklen_t size = sizeof address;
+        getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr*>(&address), &size);
+        address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    }
+    ~raw_server()
+    {
+        for (bufferevent* channel : channels_) {
+            bufferevent_free(channel);
+        }
+        evconnlistener_free(listener_);
+    }
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+
+    const std::string& address() const { return address_; }
+    int requests() const { return requests_; }
+    int connections() const { return connections_; }
+
+private:
+    static void accept(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* argument)
+    {
+        auto* self = static_cast<raw_server*>(argument);
+        ++self->connections_;
+        bufferevent* channel = bufferevent_socket_new(self->loop_.native(), fd, BEV_OPT_CLOSE_ON_FREE);
+        self->channels_.insert(channel);
+        bufferevent_setcb(channel, read, nullptr, nullptr, self);
+        bufferevent_enable(channel, EV_READ | EV_WRITE);
+    }
+
+    static void read(bufferevent* channel, void* argument)
+    {
+        auto* self = static_cast<raw_server*>(argument);
+        evbuffer* input = bufferevent_get_input(channel);
+        const evbuffer_ptr end = evbuffer_search(input, "\r\n\r\n", 4, nullptr);
+        if (end.pos < 0) {
+            return;
+        }
+        evbuffer_drain(input, evbuffer_get_length(input));
+        const reaction next = self->react_(++self->requests_);
+        if (next == reaction::answer) {
+            const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+            bufferevent_write(channel, answer.data(), answer.size());
+        }
+        else if (next == reaction::close) {
+            self->channels_.erase(channel);
+            bufferevent_free(channel);
+        }
+    }
+
+    event_loop& loop_;
+    script react_;
+    evconnlistener* listener_ = nullptr;
+    std::string address_;
+    std::set<bufferevent*> channels_;
+    int requests_ = 0;
+    int connections_ = 0;
+};
+
+class http_client_test : public ::testing::Test {
+protected:
+    http_answer call(const std::string& address, bool reuse, std::int64_t timeout_ms = 20'000)
+    {
+        http_call request;
+        request.address = address;
+        request.reuse = reuse;
+        request.timeout_ms = timeout_ms;
+        http_answer result;
+        client_.send(request, [&](const http_answer& answer) {
+            result = answer;
+            loop_.stop();
+        });
+        loop_.run();
+        return result;
+    }
+
+    event_loop loop_;
+    http_client client_{loop_};
+};
+
+}  // namespace
+
+// Guards against "outcome unknown" for a request that provably went nowhere.
+TEST_F(http_client_test, a_refused_connection_sends_no_byte)
+{
+    std::string address;
+    {
+        const raw_server gone(loop_, [](int) { return raw_server::reaction::answer; });
+        address = gone.address();
+    }
+    const http_answer answer = call(address, false);
+    EXPECT_EQ(answer.outcome, call_outcome::failed);
+    EXPECT_FALSE(answer.bytes_sent);
+}
+
+// Guards against "not run" for a request that the other side read before it closed, and against
+// evhttp sending it once more by itself.
+TEST_F(http_client_test, a_close_after_the_request_is_not_repeated)
+{
+    const raw_server server(loop_, [](int) { return raw_server::reaction::close; });
+    const http_answer answer = call(server.address(), false);
+    EXPECT_EQ(answer.outcome, call_outcome::failed);
+    EXPECT_TRUE(answer.bytes_sent);
+    EXPECT_EQ(server.requests(), 1);
+    EXPECT_EQ(server.connections(), 1);
+}
+
+// Guards against evhttp repeating a request on a new connection after a kept one was closed.
+TEST_F(http_client_test, a_kept_connection_that_closes_does_not_repeat_the_request)
+{
+    const raw_server server(loop_, [](int count) {
+        return count == 1 ? raw_server::reaction::answer : raw_server::reaction::close;
+    });
+    EXPECT_EQ(call(server.address(), true).status, 200);
+    const http_answer second = call(server.address(), true);
+    EXPECT_EQ(second.outcome, call_outcome::failed);
+    EXPECT_TRUE(second.reused);
+    EXPECT_TRUE(second.bytes_sent);
+    EXPECT_EQ(server.requests(), 2);
+}
+
+// Guards against a call that waits for ever on a connection that has gone silent, and against
+// using that connection again.
+TEST_F(http_client_test, a_silent_connection_times_out_and_is_not_used_again)
+{
+    const raw_server server(loop_, [](int count) {
+        return count == 2 ? raw_server::reaction::silence : raw_server::reaction::answer;
+    });
+    EXPECT_EQ(call(server.address(), true).status, 200);
+    const http_answer second = call(server.address(), true, 50);
+    EXPECT_EQ(second.outcome, call_outcome::timed_out);
+    EXPECT_TRUE(second.bytes_sent);
+    EXPECT_EQ(call(server.address(), true).status, 200);
+    EXPECT_EQ(server.connections(), 2);
+}
+
+// Guards against a call that must not share a connection and does.
+TEST_F(http_client_test, a_call_without_reuse_takes_a_fresh_connection)
+{
+    const raw_server server(loop_, [](int) { return raw_server::reaction::answer; });
+    EXPECT_EQ(call(server.address(), true).status, 200);
+    const http_answer second = call(server.address(), false);
+    EXPECT_FALSE(second.reused);
+    EXPECT_EQ(server.connections(), 2);
+}
+
+// Guards against a cancelled call whose handler never runs.
+TEST_F(http_client_test, cancel_reports_once)
+{
+    const raw_server server(loop_, [](int) { return raw_server::reaction::silence; });
+    http_call request;
+    request.address = server.address();
+    int reports = 0;
+    const call_id id = client_.send(request, [&](const http_answer& answer) {
+        EXPECT_EQ(answer.outcome, call_outcome::cancelled);
+        ++reports;
+        loop_.stop();
+    });
+    client_.cancel(id);
+    client_.cancel(id);
+    loop_.run();
+    EXPECT_EQ(reports, 1);
+}
+
+// Guards against a caller that goes away unnoticed, and against an answer to freed memory.
+TEST_F(http_client_test, the_server_notices_a_caller_that_leaves)
+{
+    http_server server(loop_);
+    http_exchange_ptr held;
+    bool closed = false;
+    server.handle([&](const http_exchange_ptr& exchange) {
+        held = exchange;
+        exchange->on_closed([&] {
+            closed = true;
+            loop_.stop();
+        });
+    });
+    const auto port = server.listen("127.0.0.1", 0);
+    http_call request;
+    request.address = "127.0.0.1:" + std::to_string(port.value());
+    request.timeout_ms = 50;
+    client_.send(request, [](const http_answer&) {});
+    loop_.run();
+    EXPECT_TRUE(closed);
+    held->reply(200, {}, "late");
+    held.reset();
+    EXPECT_EQ(server.open_exchanges(), 0U);
+}
+
+// Guards against an exchange that outlives its server and touches freed memory.
+TEST_F(http_client_test, an_exchange_may_outlive_its_server)
+{
+    http_exchange_ptr held;
+    {
+        http_server server(loop_);
+        server.handle([&](const http_exchange_ptr& exchange) {
+            held = exchange;
+            loop_.stop();
+        });
+        const auto port = server.listen("127.0.0.1", 0);
+        http_call request;
+        request.address = "127.0.0.1:" + std::to_string(port.value());
+        client_.send(request, [](const http_answer&) {});
+        loop_.run();
+    }
+    held->reply(200, {}, "late");
+    EXPECT_TRUE(held->replied());
+}
+
+}  // namespace waxwingnotch
