Ask peers for missing records instead of pushing every record

Cause: each node sent each record that it read from the log to all peers not known to have it: up to 7 copies from each of 8 nodes, for records that all of them read from the log anyway.

--- a/bench/bench.hpp
+++ b/bench/bench.hpp
@@ -20,6 +20,7 @@
 /// Measures one family of decisions and appends its figures.
 using bench_function = void (*)(figures& out);
 
+void bench_gaps(figures& out);
 void bench_routing(figures& out);
 
 }  // namespace bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr bench::bench_function families[] = {
+    bench::bench_gaps,
     bench::bench_routing,
 };
 
--- a/include/waxwingnotch/peer/peer_mesh.hpp
+++ b/include/waxwingnotch/peer/peer_mesh.hpp
@@ -1,5 +1,6 @@
 /// @file
-/// Links to all other entry nodes: heartbeats, relay of log records, questions about keys.
+/// Links to all other entry nodes: heartbeats, log records for nodes that miss some, questions
+/// about keys.
 ///
 ///     peer_mesh mesh(loop, options, handlers);
 ///     result<std::uint16_t> port = mesh.listen("127.0.0.1:0");
@@ -42,6 +43,7 @@
 public:
     static constexpr std::int64_t beat_interval_ms = 500;
     static constexpr std::int64_t redial_ms = 500;
+    static constexpr std::int64_t gap_wait_ms = 200;       // for the log, before a peer is asked
     static constexpr std::size_t kept_records = 4'096;     // for peers that missed some
     static constexpr std::size_t kept_bytes = 8U << 20U;   // of those records
     static constexpr std::int64_t silent_link_ms = 3'000;  // then the link is closed and dialled again
@@ -51,8 +53,8 @@
     result<std::uint16_t> listen(std::string_view address);
     void start();
 
-    /// Passes on entries that this node has applied.
-    void relay(std::span<const log_entry> entries);
+    /// Keeps entries that this node has applied for peers that ask for them.
+    void keep(std::span<const log_entry> entries);
     /// Asks the records from @p offset on of a peer that has them.
     void want(std::int64_t offset);
     /// Asks @p node about a key. @p done runs once; `known` is false if the node cannot be asked.
@@ -74,6 +76,7 @@
     void adopt(const websocket_link_ptr& link, const std::string& expected);
     void take(websocket_link* link, const std::string& bytes);
     void take_message(link_entry& from, const peer_message& message);
+    void expect(std::int64_t offset);
     void answer_want(link_entry& from, std::int64_t offset);
     void drop(websocket_link* link);
     void beat();
@@ -99,6 +102,7 @@
     std::uint64_t next_question_ = 1;
     std::uint64_t closed_bytes_out_ = 0;
     timer beat_timer_;
+    timer gap_wait_;  // pending while a gap may still close by itself
 };
 
 }  // namespace waxwingnotch
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -150,7 +150,7 @@
       server(loop)
 {
     view.on_applied([this](std::span<const log_entry> entries) {
-        mesh.relay(entries);
+        mesh.keep(entries);
         requests.pump();
     });
     view.on_verdict([this](const verdict& one) {
--- a/src/peer/peer_mesh.cpp
+++ b/src/peer/peer_mesh.cpp
@@ -92,6 +92,7 @@
     }
     else if (const auto* beat = std::get_if<beat_message>(&message)) {
         members_.hear(beat->self, monotonic_ms());
+        expect(beat->self.offset);
     }
     else if (const auto* records = std::get_if<records_message>(&message)) {
         handlers_.records(records->entries);
@@ -129,7 +130,7 @@
     from.link->send(encode(records_message{{recent_.begin() + skip, recent_.end()}}));
 }
 
-void peer_mesh::relay(std::span<const log_entry> entries)
+void peer_mesh::keep(std::span<const log_entry> entries)
 {
     if (entries.empty()) {
         return;
@@ -146,18 +147,18 @@
         recent_bytes_ -= recent_.front().bytes.size();
         recent_.pop_front();
     }
-    // Peers that are known to have the entries already need no copy.
-    std::string bytes;
-    for (auto& [raw, entry] : links_) {
-        const member* known = members_.find(entry.node);
-        if (!entry.link->open() || known == nullptr || known->offset > entries.back().offset) {
-            continue;
-        }
-        if (bytes.empty()) {
-            bytes = encode(records_message{{entries.begin(), entries.end()}});
-        }
-        entry.link->send(bytes);
+}
+
+void peer_mesh::expect(std::int64_t offset)
+{
+    if (offset <= handlers_.self().offset || gap_wait_.pending()) {
+        return;
     }
+    // Most gaps close by themselves: the log's answer is on its way.
+    gap_wait_ = loop_.after(gap_wait_ms, [this] {
+        gap_wait_.cancel();
+        want(handlers_.self().offset);
+    });
 }
 
 void peer_mesh::want(std::int64_t offset)
--- /dev/null
+++ b/tests/peer/mesh_test.cpp
@@ -0,0 +1,151 @@
+#include "waxwingnotch/base/clock.hpp"
+#include "waxwingnotch/peer/peer_mesh.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace waxwingnotch {
+
+namespace {
+
+/// A node with nothing but a mesh and a row of log entries.
+struct fake_node {
+    fake_node(event_loop& loop, std::string name, std::vector<peer_settings> peers)
+        : name_(std::move(name)), mesh(loop, {name_, std::move(peers)}, handlers())
+    {
+    }
+
+    mesh_handlers handlers()
+    {
+        mesh_handlers given;
+        given.self = [this] {
+            heartbeat beat;
+            beat.node = name_;
+            beat.incarnation = 1;
+            beat.offset = static_cast<std::int64_t>(entries.size());
+            beat.serving = true;
+            return beat;
+        };
+        given.records = [this](std::span<const log_entry> more) {
+            ++record_messages;
+            for (const log_entry& entry : more) {
+                if (entry.offset == static_cast<std::int64_t>(entries.size())) {
+                    entries.push_back(entry);
+                }
+            }
+            changed();
+        };
+        given.encode_state = [this] {
+            return std::to_string(entries.size());
+        };
+        given.state = [this](const state_message& message) {
+            state_bytes = message.bytes;
+            changed();
+        };
+        given.ask_key = [](const ask_key_message& question, const std::function<void(key_message)>& reply) {
+            reply({question.id, true, 200, "done", "text/plain", "answer of " + question.key});
+        };
+        return given;
+    }
+
+    /// As if the log had answered.
+    void read_from_log(std::int64_t count)
+    {
+        std::vector<log_entry> more;
+        for (std::int64_t i = 0; i < count; ++i) {
+            const auto offset = static_cast<std::int64_t>(entries.size());
+            more.push_back({offset, offset, "r" + std::to_string(offset)});
+            entries.push_back(more.back());
+        }
+        mesh.keep(more);
+    }
+
+    std::string name_;
+    std::vector<log_entry> entries;
+    int record_messages = 0;
+    std::string state_bytes;
+    std::function<void()> changed = [] {
+    };
+    peer_mesh mesh;
+};
+
+class mesh_test : public ::testing::Test {
+protected:
+    void SetUp() override
+    {
+        const auto port = second_.mesh.listen("127.0.0.1:0");
+        ASSERT_TRUE(port);
+        first_ = std::make_unique<fake_node>(
+            loop_, "a", std::vector<peer_settings>{{"b", "127.0.0.1:" + std::to_string(port.value())}});
+        first_->mesh.start();
+        second_.mesh.start();
+    }
+
+    /// Runs the loop until the condition holds.
+    void run_until(const std::function<bool()>& condition)
+    {
+        const timer check = loop_.every(5, [&] {
+            if (condition()) {
+                loop_.stop();
+            }
+        });
+        loop_.run();
+    }
+
+    event_loop loop_;
+    fake_node second_{loop_, "b", {}};
+    std::unique_ptr<fake_node> first_;
+};
+
+}  // namespace
+
+// Guards against a node that cannot reach the log and stays behind its peers.
+TEST_F(mesh_test, a_node_without_the_log_asks_a_peer)
+{
+    run_until([&] { return first_->mesh.members().find("b") != nullptr; });
+    second_.read_from_log(10);
+    run_until([&] { return first_->entries.size() == 10; });
+    EXPECT_EQ(first_->entries.back().bytes, "r9");
+}
+
+// Guards against record traffic between nodes that all read the log.
+TEST_F(mesh_test, nodes_that_read_the_log_send_one_another_no_records)
+{
+    run_until([&] { return first_->mesh.members().find("b") != nullptr; });
+    for (int round = 0; round < 50; ++round) {
+        second_.read_from_log(1);
+        first_->read_from_log(1);
+    }
+    const std::int64_t beats = 2 * peer_mesh::beat_interval_ms;
+    const std::int64_t end = monotonic_ms() + beats;
+    run_until([&] { return monotonic_ms() > end; });
+    EXPECT_EQ(first_->record_messages + second_.record_messages, 0);
+}
+
+// Guards against a node whose wanted records no peer holds any more.
+TEST_F(mesh_test, a_node_far_behind_gets_the_whole_state)
+{
+    run_until([&] { return first_->mesh.members().find("b") != nullptr; });
+    second_.read_from_log(static_cast<std::int64_t>(peer_mesh::kept_records) + 10);
+    run_until([&] { return !first_->state_bytes.empty(); });
+    EXPECT_EQ(first_->state_bytes, std::to_string(peer_mesh::kept_records + 10));
+}
+
+// Guards against a question that is answered by another one's answer, or never.
+TEST_F(mesh_test, questions_are_answered_once_each)
+{
+    run_until([&] { return first_->mesh.members().find("b") != nullptr; });
+    std::vector<std::string> got;
+    for (const char* key : {"k1", "k2"}) {
+        first_->mesh.ask("b", key, "r", 20'000,
+                         [&](const key_message& answer) { got.push_back(answer.body); });
+    }
+    first_->mesh.ask("nobody", "k3", "r", 20'000,
+                     [&](const key_message& answer) { got.push_back(answer.known ? "known" : "not known"); });
+    run_until([&] { return got.size() == 3; });
+    std::sort(got.begin(), got.end());
+    EXPECT_EQ(got, (std::vector<std::string>{"answer of k1", "answer of k2", "not known"}));
+}
+
+}  // namespace waxwingnotch
