--- a/include/waxwingnotch/platform/host_list.hpp
+++ b/include/waxwingnotch/platform/host_list.hpp
@@ -20,7 +20,8 @@
 /// Decodes the list. @return the hosts, or `malformed`
 result<std::vector<listed_host>> decode_host_list(std::string_view body);
 
-/// Reads the list again and again.
+/// Reads the list again and again; an unchanged one costs only headers where the platform
+/// answers `If-None-Match`.
 class host_list {
 public:
     static constexpr std::int64_t interval_ms = 1'000;
@@ -36,6 +37,7 @@
     http_client& client_;
     std::string address_;
     std::function<void(const std::vector<listed_host>&)> changed_;
+    std::string etag_;  // of the list that was taken over last
     timer next_;
 };
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -76,6 +76,7 @@
     // HTTP
     void handle(const http_exchange_ptr& exchange);
     bool handle_operator(const http_exchange_ptr& exchange);
+    void refresh_gauges();
     void handle_explain(const http_exchange_ptr& exchange, const std::string& rest);
     void handle_caller(const http_exchange_ptr& exchange);
     void handle_cancel(const http_exchange_ptr& exchange);
@@ -323,6 +324,7 @@
         exchange->reply(phase == node_phase::serving ? 200 : 503, {}, std::string(to_string(phase)) + "\n");
     }
     else if (path == "/metrics") {
+        refresh_gauges();
         exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}}, counters.page());
     }
     else if (path == "/v1/status") {
@@ -344,6 +346,31 @@
     return true;
 }
 
+void entry_node::parts::refresh_gauges()
+{
+    const fleet_state& state = view.state();
+    const auto set = [this](const char* name, const char* help, auto value) {
+        counters.make_gauge(name, help).set(static_cast<std::int64_t>(value));
+    };
+    set("waxwingnotch_serving", "1 if the node takes new requests.", phase == node_phase::serving);
+    set("waxwingnotch_in_flight", "Requests that are not answered yet.", requests.in_flight());
+    set("waxwingnotch_offset", "Next log offset of the fold.", state.next_offset);
+    set("waxwingnotch_log_end", "The log's next offset at the last answered read.", follower.log_end());
+    set("waxwingnotch_log_reachable", "1 if the last read of the log was answered.", follower.reachable());
+    set("waxwingnotch_log_appends", "Appends sent, repeats included.", appender.appends());
+    set("waxwingnotch_log_append_bytes", "Bytes of those appends.", appender.bytes());
+    set("waxwingnotch_log_waiting", "Records that wait for an append.", appender.waiting());
+    set("waxwingnotch_peers_alive", "Entry nodes that are alive, this one included.",
+        mesh.members().alive_nodes(monotonic_ms()).size());
+    set("waxwingnotch_peer_bytes_out", "Bytes sent to other entry nodes.", mesh.bytes_out());
+    set("waxwingnotch_inventory_version", "Inventory in force.", state.inventory_document.version);
+    set("waxwingnotch_rules_version", "Rules in force.", state.rules_document.version);
+    set("waxwingnotch_hosts", "Hosts on record.", state.hosts.size());
+    set("waxwingnotch_claims", "Idempotency keys on record.", state.claims.size());
+    set("waxwingnotch_audit_open", "Audit entries that are not sealed yet.", state.open_audit.size());
+    set("waxwingnotch_audit_segments", "Sealed audit segments.", state.segments.size());
+}
+
 void entry_node::parts::handle_explain(const http_exchange_ptr& exchange, const std::string& rest)
 {
     const std::size_t slash = rest.find('/');
--- a/src/platform/host_list.cpp
+++ b/src/platform/host_list.cpp
@@ -40,10 +40,14 @@
     call.address = address_;
     call.path = "/hosts";
     call.reuse = true;
+    if (!etag_.empty()) {
+        call.headers = {{"If-None-Match", etag_}};
+    }
     client_.send(call, [this](const http_answer& answer) {
         if (answer.outcome == call_outcome::answered && answer.status == 200) {
             const auto hosts = decode_host_list(answer.body);
             if (hosts) {
+                etag_ = answer.header("ETag").value_or("");
                 changed_(hosts.value());
             }
             else {
--- a/standin/hosts.cpp
+++ b/standin/hosts.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <map>
 
 namespace standin {
@@ -61,7 +62,13 @@
                 items.push_back({{"host", name}, {"address", host.address}, {"state", host.state}});
             }
         }
-        exchange->reply(200, {{"Content-Type", "application/json"}}, json{{"hosts", items}}.dump());
+        const std::string body = json{{"hosts", items}}.dump();
+        const std::string etag = "\"" + std::to_string(std::hash<std::string>{}(body)) + "\"";
+        if (exchange->header("If-None-Match").value_or("") == etag) {
+            exchange->reply(304, {{"ETag", etag}}, "");
+            return;
+        }
+        exchange->reply(200, {{"Content-Type", "application/json"}, {"ETag", etag}}, body);
     }
 
     /// `/hosts/NAME/ACTION` with ACTION one of register, drain, reboot, return, leave, gone.
