Pay repeats from a budget per service and team

Cause: repeats up to max_attempts multiply the load just when workers fail.

Change: decision/retry holds token buckets per service and team, filled by first attempts and capped at 10 repeats; the pause is exponential with jitter. Whether a request may be sent again is an argument. Names beyond the bounded tables share one bucket.

The module is not used by the dispatcher yet.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr bench::bench_function families[] = {
+    bench::bench_routing, bench::bench_worker_health,  bench::bench_retry,
 };
 
 void print_table(const bench::figures& all)
--- /dev/null
+++ b/src/decision/retry.cpp
@@ -0,0 +1,108 @@
+#include "waxwingnotch/decision/retry.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace waxwingnotch {
+
+namespace {
+
+constexpr double rounding = 1e-9;  // sums of a ratio such as 0.1 fall short of whole tokens
+
+retry_refusal objection(const retry_question& question, const retry_rule& rule, const retry_verdict& verdict)
+{
+    const bool started = question.safety == repeat_safety::idempotent;
+    if (question.safety == repeat_safety::may_not) {
+        return retry_refusal::unsafe;
+    }
+    if (started ? question.attempts >= rule.max_attempts : question.refusals >= retry_budget::max_refusals) {
+        return retry_refusal::attempts_used;
+    }
+    if (question.deadline_left_ms > 0 &&
+        verdict.pause_ms + question.run_estimate_ms > question.deadline_left_ms) {
+        return retry_refusal::past_deadline;
+    }
+    if (verdict.service_tokens + rounding < verdict.price) {
+        return retry_refusal::service_budget;
+    }
+    return verdict.team_tokens + rounding < verdict.price ? retry_refusal::team_budget : retry_refusal::none;
+}
+
+}  // namespace
+
+const char* to_string(retry_refusal refusal)
+{
+    switch (refusal) {
+    case retry_refusal::none:
+        return "none";
+    case retry_refusal::unsafe:
+        return "may not run twice";
+    case retry_refusal::attempts_used:
+        return "attempts used up";
+    case retry_refusal::past_deadline:
+        return "past the deadline";
+    case retry_refusal::service_budget:
+        return "retry budget of the service used up";
+    case retry_refusal::team_budget:
+        return "retry budget of the team used up";
+    }
+    return "unnamed";
+}
+
+std::string retry_verdict::text() const
+{
+    const std::string outcome = repeat ? "repeat in " + std::to_string(pause_ms) + " ms"
+                                       : std::string("no repeat: ") + to_string(refusal);
+    return outcome + "; service tokens " + std::to_string(service_tokens) + ", team tokens " +
+           std::to_string(team_tokens) + ", price " + std::to_string(price);
+}
+
+double& retry_budget::bucket(bucket_table& table, std::string_view name, std::size_t most)
+{
+    const auto found = table.find(name);
+    if (found != table.end()) {
+        return found->second;
+    }
+    const bool full = table.size() >= most;
+    return table[full ? std::string() : std::string(name)];
+}
+
+void retry_budget::note_first_attempt(std::string_view service, std::string_view team, double ratio)
+{
+    for (double* tokens : {&bucket(services_, service, max_services), &bucket(teams_, team, max_teams)}) {
+        *tokens = std::min(most_tokens, *tokens + ratio);
+    }
+}
+
+retry_verdict retry_budget::decide(const retry_question& question, const retry_rule& rule,
+                                   std::uint64_t random)
+{
+    double& service = bucket(services_, question.service, max_services);
+    double& team = bucket(teams_, question.team, max_teams);
+    retry_verdict verdict;
+    verdict.service_tokens = service;
+    verdict.team_tokens = team;
+    verdict.price = question.safety == repeat_safety::not_started ? not_started_price : 1;
+    const std::uint32_t failed_sends = std::max(1U, question.attempts + question.refusals);
+    verdict.pause_ms = retry_pause_ms(rule.backoff_ms, failed_sends, random);
+    verdict.refusal = objection(question, rule, verdict);
+    verdict.repeat = verdict.refusal == retry_refusal::none;
+    if (verdict.repeat) {
+        service = std::max(0.0, service - verdict.price);
+        team = std::max(0.0, team - verdict.price);
+    }
+    return verdict;
+}
+
+std::int64_t retry_pause_ms(std::int64_t backoff_ms, std::uint32_t failed_sends, std::uint64_t random)
+{
+    assert(failed_sends >= 1 && "the first send needs no pause");
+    constexpr std::uint32_t most_doublings = 16;
+    const std::int64_t base = std::clamp<std::int64_t>(backoff_ms, 1, retry_budget::longest_pause_ms);
+    const std::int64_t whole =
+        std::min(base << std::min(failed_sends - 1, most_doublings), retry_budget::longest_pause_ms);
+    const std::int64_t half = whole / 2;
+    return half + static_cast<std::int64_t>(random % static_cast<std::uint64_t>(whole - half + 1));
+}
+
+}  // namespace waxwingnotch
--- /dev/null
+++ b/tests/decision/naive_retry.hpp
@@ -0,0 +1,59 @@
+/// @file
+/// Naive versions of the retry decision: a recount of the whole history (oracle) and repeats up to
+/// max_attempts without a budget (baseline of the bench).
+#pragma once
+
+#include "waxwingnotch/decision/retry.hpp"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace waxwingnotch::naive {
+
+/// Remembers every payment and recounts the tokens in hundredths.
+class retry_history {
+public:
+    void first_attempt(const std::string& service, const std::string& team, int hundredths)
+    {
+        all_.push_back({service, team, hundredths});
+    }
+    bool decide(const retry_question& question, std::uint32_t max_attempts)
+    {
+        const bool started = question.safety == repeat_safety::idempotent;
+        const int price = started ? 100 : 10;
+        const bool used_up = started ? question.attempts >= max_attempts : question.refusals >= 20;
+        if (question.safety == repeat_safety::may_not || used_up || tokens(question.service, true) < price ||
+            tokens(question.team, false) < price) {
+            return false;
+        }
+        all_.push_back({std::string(question.service), std::string(question.team), -price});
+        return true;
+    }
+
+private:
+    struct payment {
+        std::string service;
+        std::string team;
+        int hundredths = 0;
+    };
+    int tokens(std::string_view name, bool of_service) const
+    {
+        int sum = 0;
+        for (const payment& one : all_) {
+            if ((of_service ? one.service : one.team) == name) {
+                sum = std::min(1'000, sum + one.hundredths);
+            }
+        }
+        return sum;
+    }
+
+    std::vector<payment> all_;
+};
+
+inline bool repeat_up_to(std::uint32_t max_attempts, std::uint32_t attempts)
+{
+    return attempts < max_attempts;
+}
+
+}  // namespace waxwingnotch::naive
--- /dev/null
+++ b/tests/decision/retry_test.cpp
@@ -0,0 +1,79 @@
+#include "naive_retry.hpp"
+
+#include "waxwingnotch/decision/retry.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace waxwingnotch {
+
+// Guards against buckets that drift from the account of all payments, and against unsafe repeats.
+RC_GTEST_PROP(retry, equals_the_recount_of_all_payments, ())
+{
+    retry_budget budget;
+    naive::retry_history history;
+    retry_rule rule;
+    const auto ratio = *rc::gen::inRange(1, 100);
+    rule.budget_ratio = ratio / 100.0;
+    for (int step = 0; step < 150; ++step) {
+        const std::string service(1, static_cast<char>('a' + *rc::gen::inRange(0, 2)));
+        const std::string team(1, static_cast<char>('x' + *rc::gen::inRange(0, 3)));
+        if (*rc::gen::inRange(0, 3) > 0) {
+            budget.note_first_attempt(service, team, rule.budget_ratio);
+            history.first_attempt(service, team, ratio);
+            continue;
+        }
+        retry_question question;
+        question.service = service;
+        question.team = team;
+        question.safety = static_cast<repeat_safety>(*rc::gen::inRange(0, 3));
+        question.attempts = *rc::gen::inRange(1U, 5U);
+        question.refusals = *rc::gen::inRange(0U, 25U);
+        const bool expected = history.decide(question, rule.max_attempts);
+        RC_ASSERT(budget.decide(question, rule, 7).repeat == expected);
+    }
+}
+
+// Guards against overflow of the doubling pause and against pauses that come all at the same time.
+RC_GTEST_PROP(retry, pause_is_jittered_and_bounded, (std::uint64_t random))
+{
+    const auto backoff = *rc::gen::inRange<std::int64_t>(0, 100'000);
+    const auto failed = *rc::gen::inRange<std::uint32_t>(1, 1'000);
+    const std::int64_t pause = retry_pause_ms(backoff, failed, random);
+    RC_ASSERT(pause >= 0 && pause <= retry_budget::longest_pause_ms);
+    RC_ASSERT(retry_pause_ms(100, 2, random) >= 100 && retry_pause_ms(100, 2, random) <= 200);
+}
+
+// Guards against invented team names that each bring a budget of their own, or grow the table.
+TEST(retry, names_beyond_the_table_share_one_bucket)
+{
+    retry_budget budget;
+    const retry_rule rule;
+    std::size_t repeats = 0;
+    for (int team = 0; team < 10'000; ++team) {
+        const std::string name = "team-" + std::to_string(team);
+        budget.note_first_attempt("service", name, rule.budget_ratio);
+        retry_question question;
+        question.service = "service";
+        question.team = name;
+        question.safety = repeat_safety::idempotent;
+        repeats += budget.decide(question, rule, 7).repeat ? 1 : 0;
+    }
+    EXPECT_LE(repeats, 1'000U);
+}
+
+// Guards against a repeat that cannot finish before its caller stops waiting.
+TEST(retry, a_repeat_must_fit_the_deadline)
+{
+    retry_budget budget;
+    const retry_rule rule;
+    for (int request = 0; request < 100; ++request) {
+        budget.note_first_attempt("service", "team", rule.budget_ratio);
+    }
+    retry_question question{"service", "team", repeat_safety::idempotent, 1, 0, 100, 90};
+    EXPECT_EQ(budget.decide(question, rule, 7).refusal, retry_refusal::past_deadline);
+    question.deadline_left_ms = 0;
+    EXPECT_TRUE(budget.decide(question, rule, 7).repeat);
+}
+
+}  // namespace waxwingnotch
