Bound queues, quotas and urgent work, and refuse late work on arrival

Cause: without admission control a pool beyond its capacity answers nearly everything too late, and a static division of quotas leaves most of a quota unused when a team's demand comes to one node.

Change: decision/limits divides each quota by the demand of numbered rounds that heartbeats carry, with the static division as fall-back and a stated error bound, and decides on admission by queue, team and expected wait. Run-time estimates are corrected by what ran.

The module is not used by the dispatcher or the heartbeats yet.

--- a/bench/bench.hpp
+++ b/bench/bench.hpp
@@ -23,5 +23,6 @@
 void bench_routing(figures& out);
 void bench_worker_health(figures& out);
 void bench_retry(figures& out);
+void bench_limits(figures& out);
 
 }  // namespace bench
--- /dev/null
+++ b/include/waxwingnotch/decision/limits.hpp
@@ -0,0 +1,191 @@
+/// @file
+/// Admission: bounded queues, deadlines, quotas of teams and the share that urgent work may take.
+/// Pure: counts and beats in, verdicts out, time and rounds as arguments.
+///
+///     quota_shares quotas("entry-1");           // divides each team's quota among the live nodes
+///     admission_control limits;                 // decides on each request
+///     quotas.begin_round(round, live_nodes, rules.teams);
+///     admission_verdict verdict = limits.admit(request, load, quotas.share(request.team));
+#pragma once
+
+#include "waxwingnotch/config/model.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace waxwingnotch {
+
+/// Lets a table be searched by `std::string_view`.
+struct name_hash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view name) const { return std::hash<std::string_view>{}(name); }
+};
+
+template <class Value>
+using name_table = std::unordered_map<std::string, Value, name_hash, std::equal_to<>>;
+
+// ---- Quotas ----
+
+/// Divides @p quota slots among nodes, the least demand first, so that no node gets more than it wants
+/// while another lacks; what nobody wants is spread evenly.
+/// @param first node that gets the first of the unwanted slots
+/// @return a share per node; they always add up to @p quota
+std::vector<std::uint32_t> divide_quota(std::uint32_t quota, std::span<const std::uint32_t> demand,
+                                        std::size_t first = 0);
+
+/// What a node wanted in a round; part of its heartbeat. Teams without demand are left out.
+struct demand_beat {
+    std::string node;
+    std::int64_t round = 0;                                     // wall-clock ms / quota_shares::round_ms
+    std::vector<std::pair<std::string, std::uint32_t>> demand;  // team and slots
+};
+
+/// This node's share of every team's quota.
+///
+/// In round r each node computes the division from the beats of rounds r-2 and r-3 and uses the
+/// smaller share. Nodes whose clocks differ by less than a round and that have all beats therefore
+/// never exceed a quota together. A node that lacks a beat, or counts other members, falls back to the
+/// static division: with m such nodes of n, a quota Q is exceeded by at most m * ceil(Q / n).
+class quota_shares {
+public:
+    static constexpr std::int64_t round_ms = 500;  // the interval of heartbeats
+    static constexpr std::int64_t lag = 2;         // rounds until a beat is used
+    static constexpr std::size_t kept_rounds = 5;
+    static constexpr std::size_t max_nodes = 64;  // beats of further nodes are dropped
+
+    explicit quota_shares(std::string self) : self_(std::move(self)) {}
+
+    /// Takes a beat, this node's own included.
+    void hear(const demand_beat& beat);
+    /// Computes the shares of round @p round.
+    /// @param nodes live entry nodes, this one included, in any order
+    void begin_round(std::int64_t round, std::vector<std::string> nodes, std::span<const team_rule> teams);
+    /// @return slots that @p team may use at this node; nothing if the rules set no quota for it
+    std::optional<std::uint32_t> share(std::string_view team) const;
+    /// @return true if the last round fell back to the static division
+    bool fell_back() const { return fell_back_; }
+
+private:
+    using team_demand = name_table<std::uint32_t>;
+    struct round_beats {
+        std::int64_t round = -1;
+        std::map<std::string, team_demand, std::less<>> by_node;
+    };
+
+    const round_beats* complete_round(std::int64_t round, std::span<const std::string> nodes) const;
+
+    std::string self_;
+    std::array<round_beats, kept_rounds> rounds_;
+    name_table<std::uint32_t> shares_;
+    bool fell_back_ = true;
+};
+
+// ---- Admission ----
+
+/// A request as admission sees it.
+struct admission_request {
+    std::string_view service;
+    std::string_view team;
+    bool urgent = false;
+    std::int64_t run_estimate_ms = 0;   // 0: unknown; the same in all calls of a request
+    std::int64_t deadline_left_ms = 0;  // 0: none
+};
+
+/// What this node may use of the service's pool.
+struct service_load {
+    std::uint32_t slots = 0;        // this node's part of the pool's slots
+    std::uint32_t queue_limit = 0;  // waiting requests
+};
+
+/// Why a request is not admitted.
+enum class admission_refusal {
+    none,
+    queue_full,  // 429
+    team_quota,  // 429
+    deadline,    // 503: it would wait too long
+};
+
+const char* to_string(admission_refusal refusal);
+
+/// The decision with its inputs.
+struct admission_verdict {
+    admission_refusal refusal = admission_refusal::none;
+    std::uint32_t waiting = 0;  // in the service's queue
+    std::uint32_t queue_limit = 0;
+    std::uint32_t team_held = 0;   // waiting or running for the team at this node
+    std::uint32_t team_share = 0;  // 0 with no quota
+    std::int64_t expected_wait_ms = 0;
+    std::int64_t longest_wait_ms = 0;  // that the deadline leaves; 0 without one
+    std::string text() const;          // for the log line
+};
+
+/// Counts what waits and runs at this node, and decides what may join and what goes first.
+class admission_control {
+public:
+    static constexpr double urgent_share = 0.5;          // of the slots, while normal work waits
+    static constexpr std::uint32_t queued_per_slot = 2;  // waiting requests of a team per slot of its share
+    static constexpr double usable_wait = 0.5;  // of the time left; estimates err, and late work is waste
+
+    /// Decides and, if it is admitted, counts the request as waiting.
+    /// @param team_share nothing: the team has no quota
+    admission_verdict admit(const admission_request& request, const service_load& load,
+                            std::optional<std::uint32_t> team_share);
+    /// @return true if urgent work is to be sent next, false for normal work
+    bool urgent_next(std::string_view service, const service_load& load) const;
+    /// @param deadline_left_ms until the caller's deadline
+    /// @return true if a waiting request can no longer finish in time; it is answered "not run".
+    ///         Never true while nothing of the service runs: estimates that are too long would refuse
+    ///         everything, and nothing would correct them.
+    bool too_late(const admission_request& request, std::int64_t deadline_left_ms) const;
+    /// @return false if its team uses its whole share
+    bool may_start(const admission_request& request, std::optional<std::uint32_t> team_share) const;
+
+    void started(const admission_request& request);     // waiting -> running
+    void left_queue(const admission_request& request);  // waiting -> gone
+    /// Counts a running request as gone.
+    /// @param ran_ms how long it ran, if it ran to its end; corrects later estimates
+    void ended(const admission_request& request, std::optional<std::int64_t> ran_ms);
+
+    /// @return the request's run time by its estimate and by how far estimates of its service were off
+    std::int64_t corrected_run_ms(const admission_request& request) const;
+
+    /// @return the most that each team wanted since the last call, refused requests included
+    std::vector<std::pair<std::string, std::uint32_t>> take_demand();
+
+private:
+    struct work {
+        std::uint32_t count = 0;
+        std::int64_t run_ms = 0;  // sum of the estimates
+    };
+    struct service_use {
+        work waiting[2];  // normal, urgent
+        work running[2];
+        double ran_ms = 0;        // of past requests, decayed
+        double estimated_ms = 0;  // of the same requests, decayed
+    };
+    struct team_use {
+        std::uint32_t waiting = 0;
+        std::uint32_t running = 0;
+        std::uint32_t refused = 0;  // since the last take_demand
+        std::uint32_t most = 0;     // wanted since the last take_demand
+    };
+
+    static double correction(const service_use& use);
+    static std::int64_t expected_wait(const service_use& use, bool urgent, const service_load& load);
+    team_use* team(std::string_view name);
+
+    name_table<service_use> services_;
+    name_table<team_use> teams_;
+};
+
+}  // namespace waxwingnotch
