Name the limit of jobs that can never run

Change: decision/never_runnable judges by rules and inventory, never by the condition of hosts, and names the limit, the values and the versions in force. It remembers the largest host per pool and checks it at each use.

The module is not used by the dispatcher yet.

--- a/bench/bench.hpp
+++ b/bench/bench.hpp
@@ -24,5 +24,6 @@
 void bench_worker_health(figures& out);
 void bench_retry(figures& out);
 void bench_limits(figures& out);
+void bench_never_runnable(figures& out);
 
 }  // namespace bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -7,6 +7,7 @@
 
 constexpr bench::bench_function families[] = {
     bench::bench_routing, bench::bench_worker_health,  bench::bench_retry,
+    bench::bench_limits,  bench::bench_never_runnable,
 };
 
 void print_table(const bench::figures& all)
--- /dev/null
+++ b/src/decision/never_runnable.cpp
@@ -0,0 +1,128 @@
+#include "waxwingnotch/decision/never_runnable.hpp"
+
+namespace waxwingnotch {
+
+namespace {
+
+std::int64_t memory_mb(const host_state& machine)
+{
+    constexpr std::int64_t mb_per_gb = 1'024;
+    return machine.spec.memory_gb * mb_per_gb;
+}
+
+bool counts_for(const host_state& machine, std::string_view pool)
+{
+    return !machine.removed && (machine.spec.pool == pool || machine.pool == pool);
+}
+
+}  // namespace
+
+const char* to_string(never_limit limit)
+{
+    switch (limit) {
+    case never_limit::none:
+        return "none";
+    case never_limit::unknown_service:
+        return "unknown-service";
+    case never_limit::empty_pool:
+        return "empty-pool";
+    case never_limit::service_size:
+        return "service-size";
+    case never_limit::host_memory:
+        return "host-memory";
+    case never_limit::run_time:
+        return "run-time";
+    }
+    return "unnamed";
+}
+
+std::string never_verdict::text() const
+{
+    const std::string numbers = std::to_string(declared);
+    const std::string most = std::to_string(allowed);
+    const std::string versions = " (rules version " + std::to_string(rules_version) + ", inventory version " +
+                                 std::to_string(inventory_version) + ")";
+    switch (limit) {
+    case never_limit::none:
+        return {};
+    case never_limit::unknown_service:
+        return "unknown service '" + service + "'" + versions;
+    case never_limit::empty_pool:
+        return "pool '" + pool + "' of service '" + service + "' has no host in the inventory" + versions;
+    case never_limit::service_size:
+        return "declared size " + numbers + " MB exceeds max_size_mb " + most + " of service '" + service +
+               "'" + versions;
+    case never_limit::host_memory:
+        return "declared size " + numbers + " MB exceeds the " + most + " MB of host '" + host +
+               "', the largest of pool '" + pool + "'" + versions;
+    case never_limit::run_time:
+        return "declared run time " + numbers + " ms exceeds max_run_time_ms " + most + " of service '" +
+               service + "'" + versions;
+    }
+    return {};
+}
+
+const host_state* never_judge::largest_host(const fleet_state& state, std::string_view pool,
+                                            std::int64_t size_mb)
+{
+    const auto known = largest_.find(pool);
+    if (known != largest_.end()) {
+        const auto machine = state.hosts.find(known->second);
+        if (machine != state.hosts.end() && counts_for(machine->second, pool) &&
+            memory_mb(machine->second) >= size_mb) {
+            return &machine->second;
+        }
+        largest_.erase(known);
+    }
+    const host_state* largest = nullptr;
+    for (const auto& [name, machine] : state.hosts) {
+        if (counts_for(machine, pool) && (largest == nullptr || memory_mb(machine) > memory_mb(*largest))) {
+            largest = &machine;
+        }
+    }
+    if (largest != nullptr) {
+        largest_.emplace(pool, largest->spec.name);
+    }
+    return largest;
+}
+
+never_verdict never_judge::judge(const fleet_state& state, const declared_job& job)
+{
+    never_verdict verdict;
+    verdict.service = job.service;
+    verdict.rules_version = state.rules_document.version;
+    verdict.inventory_version = state.inventory_document.version;
+    const service_rule* service = find_service(state, job.service);
+    if (service == nullptr) {
+        verdict.limit = verdict.rules_version > 0 ? never_limit::unknown_service : never_limit::none;
+        return verdict;
+    }
+    verdict.pool = service->pool;
+    verdict.declared = job.size_mb;
+    if (job.size_mb > service->max_size_mb) {
+        verdict.limit = never_limit::service_size;
+        verdict.allowed = service->max_size_mb;
+        return verdict;
+    }
+    if (job.run_time_ms > service->max_run_time_ms) {
+        verdict.limit = never_limit::run_time;
+        verdict.declared = job.run_time_ms;
+        verdict.allowed = service->max_run_time_ms;
+        return verdict;
+    }
+    if (verdict.inventory_version == 0) {
+        return verdict;
+    }
+    const host_state* largest = largest_host(state, service->pool, job.size_mb);
+    if (largest == nullptr) {
+        verdict.limit = never_limit::empty_pool;
+    }
+    else if (memory_mb(*largest) < job.size_mb) {
+        verdict.limit = never_limit::host_memory;
+        verdict.host = largest->spec.name;
+        verdict.allowed = memory_mb(*largest);
+    }
+    return verdict;
+}
+
+}  // namespace waxwingnotch
