Use worker health, retry budgets and the judgement of impossible jobs in the dispatcher

It also counted refusals as attempts, so a request that was refused by full workers lost its repeats, and it told "failed" for idempotent requests whose last send got no answer.

--- a/include/waxwingnotch/entry/dispatcher.hpp
+++ b/include/waxwingnotch/entry/dispatcher.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "waxwingnotch/base/counters.hpp"
+#include "waxwingnotch/decision/never_runnable.hpp"
+#include "waxwingnotch/decision/retry.hpp"
 #include "waxwingnotch/entry/caller_request.hpp"
 #include "waxwingnotch/entry/claim_desk.hpp"
 #include "waxwingnotch/entry/fleet_view.hpp"
@@ -65,13 +67,14 @@
     struct active_request;
     using active_ptr = std::shared_ptr<active_request>;
 
-    std::string admission_problem(const active_request& item, outcome& result) const;
+    std::string admission_problem(const active_request& item, outcome& result);
     void enqueue(const active_ptr& item);
     void pump_service(const std::string& service);
     bool try_send(const active_ptr& item);
     void send(const active_ptr& item, const std::string& host, const host_state& machine);
     void take_answer(const active_ptr& item, const std::string& host, const http_answer& answer);
     void note_contact(const std::string& host, const http_answer& answer);
+    void judge_worker(const active_ptr& item, const std::string& host, const http_answer& answer);
     void try_again(const active_ptr& item, const std::string& why, bool started);
     void finish(const active_ptr& item, const caller_answer& answer);
     void trace(const active_request& item, std::string text);
@@ -83,6 +86,8 @@
     std::map<std::string, active_ptr> requests_;
     std::map<std::string, std::deque<active_ptr>> queues_;  // per service
     request_traces traces_;
+    never_judge never_;
+    retry_budget retries_;
     counter& received_;
     counter& sent_;
     counter& retried_;
--- a/include/waxwingnotch/entry/upstreams.hpp
+++ b/include/waxwingnotch/entry/upstreams.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "waxwingnotch/decision/routing.hpp"
+#include "waxwingnotch/decision/worker_health.hpp"
 #include "waxwingnotch/fleet/state.hpp"
 #include "waxwingnotch/net/http_client.hpp"
 #include "waxwingnotch/platform/host_list.hpp"
@@ -39,6 +40,11 @@
                                             std::uint32_t nodes, std::int64_t now_ms,
                                             const std::vector<std::string>& exclude) const;
 
+    /// @return available hosts of @p pool beyond its budget, less those that refuse connections
+    std::uint32_t may_be_out(const fleet_state& state, std::string_view pool, std::int64_t now_ms) const;
+
+    worker_health& health() { return health_; }
+
     /// Takes over the platform's list.
     void take_list(const std::vector<listed_host>& hosts);
     /// Takes over what a worker's answer says of its slots and of leaving.
@@ -46,6 +52,7 @@
 
 private:
     std::map<std::string, upstream, std::less<>> upstreams_;
+    worker_health health_;
 };
 
 }  // namespace waxwingnotch
--- a/src/decision/retry.cpp
+++ b/src/decision/retry.cpp
@@ -64,7 +64,7 @@
         return found->second;
     }
     const bool full = table.size() >= most;
-    return table[full ? std::string() : std::string(name)];
+    return table.emplace(full ? std::string_view() : name, most_tokens).first->second;
 }
 
 void retry_budget::note_first_attempt(std::string_view service, std::string_view team, double ratio)
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -22,7 +22,9 @@
     std::int64_t deadline_at = 0;  // monotonic ms; 0: none
     std::string claim;             // key held in the log; empty: none
     std::int64_t claimed_at = 0;   // monotonic ms
-    std::uint32_t attempts = 0;    // sends that may have started it
+    std::uint32_t attempts = 0;    // all sends
+    std::uint32_t refusals = 0;    // sends that proved not to have started it
+    std::string failed_at;         // host where its last started send ran and failed; empty: none
     std::vector<std::string> tried;
     call_id call = 0;   // under way; 0: none
     bool sent = false;  // some send may have started it
@@ -46,23 +48,22 @@
     }
 }
 
-std::string dispatcher::admission_problem(const active_request& item, outcome& result) const
+std::string dispatcher::admission_problem(const active_request& item, outcome& result)
 {
     const fleet_state& state = parts_.view.state();
-    const service_rule* service = find_service(state, item.request.service);
+    const never_verdict never =
+        never_.judge(state, {item.request.service, item.request.size_mb, item.request.run_time_ms});
     result = outcome::never;
-    if (service == nullptr) {
-        return "unknown service '" + item.request.service + "'";
-    }
-    if (item.request.size_mb > service->max_size_mb) {
-        return "declared size " + std::to_string(item.request.size_mb) + " MB exceeds max_size_mb " +
-               std::to_string(service->max_size_mb);
-    }
-    if (item.request.run_time_ms > service->max_run_time_ms) {
-        return "declared run time " + std::to_string(item.request.run_time_ms) +
-               " ms exceeds max_run_time_ms " + std::to_string(service->max_run_time_ms);
+    if (never.limit != never_limit::none) {
+        log_event(log_level::info, "never",
+                  {{"request", item.id}, {"limit", to_string(never.limit)}, {"reason", never.text()}});
+        return never.text();
     }
     result = outcome::not_run;
+    const service_rule* service = find_service(state, item.request.service);
+    if (service == nullptr) {
+        return "no rules are published yet";
+    }
     if (requests_.size() > options_.max_in_flight) {
         return "this entry node holds " + std::to_string(options_.max_in_flight) + " requests";
     }
@@ -252,6 +253,11 @@
 void dispatcher::take_answer(const active_ptr& item, const std::string& host, const http_answer& answer)
 {
     note_contact(host, answer);
+    judge_worker(item, host, answer);
+    if (item->attempts == 1) {
+        retries_.note_first_attempt(item->request.service, item->request.team,
+                                    parts_.view.state().promises.retry.budget_ratio);
+    }
     item->call = 0;
     const bool answered = answer.outcome == call_outcome::answered;
     const bool not_started =
@@ -292,25 +298,79 @@
     pump();
 }
 
+void dispatcher::judge_worker(const active_ptr& item, const std::string& host, const http_answer& answer)
+{
+    const fleet_state& state = parts_.view.state();
+    const auto machine = state.hosts.find(host);
+    const bool answered = answer.outcome == call_outcome::answered;
+    const bool not_started =
+        answered ? answer.header("X-Not-Started").value_or("") == "1" : !answer.bytes_sent;
+    // 410: somebody stopped the task, which says nothing of the worker.
+    if (not_started || answer.outcome == call_outcome::cancelled || answer.status == 410 ||
+        machine == state.hosts.end()) {
+        return;
+    }
+    const bool foreign = answered && answer.header("X-Task-Id").value_or("") != item->id;
+    health_event event;
+    event.host = host;
+    event.pool = machine->second.pool;
+    event.service = item->request.service;
+    event.result = !answered                         ? work_result::silent
+                   : foreign || answer.status >= 500 ? work_result::failed
+                                                     : work_result::succeeded;
+    event.now_ms = monotonic_ms();
+    event.sent_at_ms = item->arrived_at;  // at the earliest
+    event.earlier_host = item->failed_at;
+    if (event.result != work_result::succeeded) {
+        event.may_be_out = parts_.upstreams.may_be_out(state, event.pool, event.now_ms);
+    }
+    const health_verdict verdict = parts_.upstreams.health().observe(event);
+    item->failed_at = event.result == work_result::failed ? host : std::string();
+    if (verdict.action == health_action::none) {
+        return;
+    }
+    if (verdict.action == health_action::fresh_connection) {
+        parts_.client.forget(machine->second.spec.address);
+    }
+    log_event(log_level::warning, "worker-health",
+              {{"host", host},
+               {"pool", event.pool},
+               {"action", to_string(verdict.action)},
+               {"for_ms", verdict.pause_ms},
+               {"reason", verdict.reason},
+               {"request", item->id}});
+}
+
 void dispatcher::try_again(const active_ptr& item, const std::string& why, bool started)
 {
     const retry_rule& rule = parts_.view.state().promises.retry;
     trace(*item, why);
-    if (started && item->request.non_idempotent) {
-        finish(item, make_refusal(outcome::unknown, why));
-        return;
-    }
-    constexpr std::uint32_t max_refusals = 20;
-    const std::uint32_t most = started ? rule.max_attempts : max_refusals;
-    if (item->attempts >= most) {
-        const outcome result = item->sent ? outcome::failed : outcome::not_run;
-        finish(item, make_refusal(result, why, retry_after_ms));
+    item->refusals += started ? 0 : 1;
+    retry_question question;
+    question.service = item->request.service;
+    question.team = item->request.team;
+    question.safety = !started                       ? repeat_safety::not_started
+                      : item->request.non_idempotent ? repeat_safety::may_not
+                                                     : repeat_safety::idempotent;
+    question.attempts = item->attempts - item->refusals;
+    question.refusals = item->refusals;
+    if (item->deadline_at > 0) {
+        question.deadline_left_ms = std::max<std::int64_t>(1, item->deadline_at - monotonic_ms());
+    }
+    const retry_verdict verdict = retries_.decide(question, rule, random_());
+    log_event(
+        log_level::info, "retry",
+        {{"request", item->id}, {"cause", why}, {"repeat", verdict.repeat}, {"reason", verdict.text()}});
+    if (!verdict.repeat) {
+        // A send that may have run without an answer leaves the outcome open.
+        const outcome result = !item->sent               ? outcome::not_run
+                               : item->failed_at.empty() ? outcome::unknown
+                                                         : outcome::failed;
+        finish(item, make_refusal(result, why + "; " + to_string(verdict.refusal), retry_after_ms));
         return;
     }
     retried_.add();
-    const std::int64_t base = rule.backoff_ms << std::min(item->attempts, 6U);
-    const auto jitter = static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(base + 1));
-    item->backoff = parts_.loop.after(started ? base / 2 + jitter / 2 : jitter / 4, [this, item] {
+    item->backoff = parts_.loop.after(verdict.pause_ms, [this, item] {
         if (!item->finished) {
             enqueue(item);
         }
--- a/src/entry/upstreams.cpp
+++ b/src/entry/upstreams.cpp
@@ -34,6 +34,14 @@
         if (here.listed_leaving || here.said_leaving || here.ejected_until > now_ms) {
             continue;
         }
+        const std::uint32_t limit = health_.work_limit(name, machine.spec.slots, now_ms);
+        if (limit < machine.spec.slots) {
+            // On trial: the limit counts this node's own requests only.
+            if (here.in_flight < limit) {
+                found.push_back({name, limit, here.in_flight, 0, limit - here.in_flight});
+            }
+            continue;
+        }
         const std::uint32_t share = std::max(1U, machine.spec.connections / std::max(1U, nodes));
         found.push_back({name, machine.spec.slots, here.in_flight, here.busy_elsewhere,
                          share > here.in_flight ? share - here.in_flight : 0});
@@ -41,6 +49,19 @@
     return found;
 }
 
+std::uint32_t upstream_table::may_be_out(const fleet_state& state, std::string_view pool,
+                                         std::int64_t now_ms) const
+{
+    std::uint32_t usable = 0;
+    for (const auto& [name, machine] : state.hosts) {
+        const upstream* known = machine.pool == pool && available(machine) ? find(name) : nullptr;
+        const bool refuses = known != nullptr && known->ejected_until > now_ms;
+        usable += machine.pool == pool && available(machine) && !refuses ? 1 : 0;
+    }
+    const std::uint32_t promised = budget_of(state, pool);
+    return usable > promised ? usable - promised : 0;
+}
+
 void upstream_table::take_list(const std::vector<listed_host>& hosts)
 {
     for (auto& [name, known] : upstreams_) {
