Notice silent workers when requests end at their own deadline

Cause: a request with a deadline is cancelled long before the HTTP timeout, and cancelled sends told worker_health nothing, so a worker that had gone silent kept its work for as long as callers set deadlines.

Change: work_result gains `late` (given up while the host answered others: a fresh connection, at most one a second, never evidence); a request given up at a host that has answered nothing since it arrived counts as silent. By function: dispatcher::result_of (new), dispatcher::judge_worker, dispatcher::note_contact (records the time of the last answer in `upstream`).

Conclusion: silence is noticed; requests in flight together count as one silence, which keeps connections that break together from ejecting a worker and makes the detection of a paused one slower.

--- a/include/waxwingnotch/decision/worker_health.hpp
+++ b/include/waxwingnotch/decision/worker_health.hpp
@@ -24,7 +24,8 @@
 enum class work_result {
     succeeded,  // the whole answer came, however slowly
     failed,     // the worker ran the request and it failed
-    silent,     // nothing came within the timeout, or the connection broke
+    silent,     // nothing came within its time, or the connection broke, and the host answered nothing else
+    late,       // given up at the caller's deadline, though the host answered others meanwhile
 };
 
 /// One result.
@@ -79,6 +80,7 @@
     std::uint32_t probation_successes = 8;    // until full work
     std::uint32_t min_peers = 2;              // peers with results that a comparison needs
     std::int64_t silence_memory_ms = 60'000;  // a later silence is a new one
+    std::int64_t fresh_pause_ms = 1'000;      // between fresh connections because of late answers
     std::size_t max_workers = 4'096;          // the one without results for longest is dropped
     std::size_t max_services = 1'024;         // results of further services are not judged
 };
--- a/include/waxwingnotch/entry/dispatcher.hpp
+++ b/include/waxwingnotch/entry/dispatcher.hpp
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -74,6 +75,8 @@
     void send(const active_ptr& item, const std::string& host, const host_state& machine);
     void take_answer(const active_ptr& item, const std::string& host, const http_answer& answer);
     void note_contact(const std::string& host, const http_answer& answer);
+    std::optional<work_result> result_of(const active_request& item, const std::string& host,
+                                         const http_answer& answer);
     void judge_worker(const active_ptr& item, const std::string& host, const http_answer& answer);
     void try_again(const active_ptr& item, const std::string& why, bool started);
     void finish(const active_ptr& item, const caller_answer& answer);
--- a/include/waxwingnotch/entry/upstreams.hpp
+++ b/include/waxwingnotch/entry/upstreams.hpp
@@ -25,6 +25,7 @@
     bool said_leaving = false;         // the worker's own answer said so
     std::int64_t ejected_until = 0;    // monotonic ms; no work before
     std::uint32_t failures = 0;        // in a row
+    std::int64_t answered_at = 0;      // monotonic ms of its last answer of any kind
 };
 
 /// All hosts.
--- a/src/decision/worker_health.cpp
+++ b/src/decision/worker_health.cpp
@@ -64,7 +64,9 @@
 worker_health::silence worker_health::note_silence(worker& known, const health_event& event) const
 {
     const bool remembered = known.silent && event.now_ms - known.silent_at_ms < options_.silence_memory_ms;
-    if (remembered && event.sent_at_ms <= known.silent_at_ms) {
+    const bool late_again =
+        event.result == work_result::late && event.now_ms - known.silent_at_ms < options_.fresh_pause_ms;
+    if (remembered && (late_again || event.sent_at_ms <= known.silent_at_ms)) {
         return silence::same;
     }
     known.silent = true;
@@ -239,12 +241,16 @@
     if (known.out && event.now_ms < known.out_until_ms) {
         return {};  // sent before the ejection
     }
-    const silence kind = event.result == work_result::silent ? note_silence(known, event) : silence::repeated;
-    if (kind == silence::first) {
-        return {health_action::fresh_connection, 0, "a request got no answer"};
-    }
-    if (kind == silence::same) {
-        return {};
+    if (event.result == work_result::silent || event.result == work_result::late) {
+        const silence kind = note_silence(known, event);
+        if (kind == silence::same) {
+            return {};
+        }
+        if (kind == silence::first || event.result == work_result::late) {
+            return {health_action::fresh_connection, 0,
+                    event.result == work_result::late ? "a request got no answer while others did"
+                                                      : "a request got no answer"};
+        }
     }
     const bool failed = event.result != work_result::succeeded;
     remember(event, failed);
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -238,6 +238,7 @@
             machine == parts_.view.state().hosts.end() ? 0 : machine->second.spec.slots;
         parts_.upstreams.take_answer(host, slots, answer);
         known.failures = 0;
+        known.answered_at = monotonic_ms();
         return;
     }
     const bool refused_connection = answer.outcome == call_outcome::failed && !answer.bytes_sent;
@@ -298,26 +299,46 @@
     pump();
 }
 
+std::optional<work_result> dispatcher::result_of(const active_request& item, const std::string& host,
+                                                 const http_answer& answer)
+{
+    constexpr std::int64_t timer_slack_ms = 20;  // a timer counts from the loop's cached time
+    const std::int64_t now = monotonic_ms() + timer_slack_ms;
+    if (answer.outcome == call_outcome::answered) {
+        // 410: somebody stopped the task, which says nothing of the worker.
+        if (answer.header("X-Not-Started").value_or("") == "1" || answer.status == 410) {
+            return std::nullopt;
+        }
+        const bool foreign = answer.header("X-Task-Id").value_or("") != item.id;
+        return foreign || answer.status >= 500 ? work_result::failed : work_result::succeeded;
+    }
+    if (answer.outcome == call_outcome::cancelled) {
+        // Its caller left or cancelled it, unless its own time is over.
+        const bool time_over = now >= item.arrived_at + options_.request_timeout_ms ||
+                               (item.deadline_at > 0 && now >= item.deadline_at);
+        if (!time_over) {
+            return std::nullopt;
+        }
+        return parts_.upstreams.at(host).answered_at >= item.arrived_at ? work_result::late
+                                                                        : work_result::silent;
+    }
+    const bool refused_connection = answer.outcome == call_outcome::failed && !answer.bytes_sent;
+    return refused_connection ? std::nullopt : std::optional(work_result::silent);
+}
+
 void dispatcher::judge_worker(const active_ptr& item, const std::string& host, const http_answer& answer)
 {
     const fleet_state& state = parts_.view.state();
     const auto machine = state.hosts.find(host);
-    const bool answered = answer.outcome == call_outcome::answered;
-    const bool not_started =
-        answered ? answer.header("X-Not-Started").value_or("") == "1" : !answer.bytes_sent;
-    // 410: somebody stopped the task, which says nothing of the worker.
-    if (not_started || answer.outcome == call_outcome::cancelled || answer.status == 410 ||
-        machine == state.hosts.end()) {
+    const std::optional<work_result> result = result_of(*item, host, answer);
+    if (!result || machine == state.hosts.end()) {
         return;
     }
-    const bool foreign = answered && answer.header("X-Task-Id").value_or("") != item->id;
     health_event event;
     event.host = host;
     event.pool = machine->second.pool;
     event.service = item->request.service;
-    event.result = !answered                         ? work_result::silent
-                   : foreign || answer.status >= 500 ? work_result::failed
-                                                     : work_result::succeeded;
+    event.result = *result;
     event.now_ms = monotonic_ms();
     event.sent_at_ms = item->arrived_at;  // at the earliest
     event.earlier_host = item->failed_at;
--- a/tests/decision/worker_health_test.cpp
+++ b/tests/decision/worker_health_test.cpp
@@ -99,6 +99,21 @@
     EXPECT_EQ(health.mode("a", 1'003), worker_mode::full);
 }
 
+// Guards against ejecting a worker that is merely slow, and against keeping one that never answers.
+TEST(worker_health, late_answers_do_not_condemn_but_lasting_silence_does)
+{
+    for (const work_result result : {work_result::late, work_result::silent}) {
+        worker_health health;
+        bool ejected = false;
+        for (std::int64_t now = 1; now <= 20; ++now) {
+            health.observe(event_of("b", work_result::succeeded, now * 100));
+            health.observe(event_of("c", work_result::succeeded, now * 100));
+            ejected |= health.observe(event_of("a", result, now * 100)).action == health_action::eject;
+        }
+        EXPECT_EQ(ejected, result == work_result::silent);
+    }
+}
+
 // Guards against a worker that recovered but stays out, and one that comes back with full work at once.
 TEST(worker_health, returns_by_probation)
 {
