Measure worker health with three bad workers in a pool of ten

Cause: bad workers attract work and distort a comparison with the pool; one bad worker does not show it.

--- a/bench/worker_health.cpp
+++ b/bench/worker_health.cpp
@@ -63,10 +63,13 @@
     double back_after_ms = 0;   // from recovery to full work
 };
 
-/// Ten workers at 60 % load; the first fails everything after 2 ms, the others take 100 ms.
+/// Ten workers at 60 % load; the first ones fail everything after 2 ms, the others take 100 ms.
 class pool_run {
 public:
-    explicit pool_run(detector judge) : judge_(std::move(judge)), names_(host_names(10)), busy_(10) {}
+    explicit pool_run(detector judge, std::size_t bad_workers = 1)
+        : judge_(std::move(judge)), bad_workers_(bad_workers), names_(host_names(10)), busy_(10)
+    {
+    }
 
     outage_result run()
     {
@@ -99,7 +102,7 @@
             const task done = tasks_.begin()->second;
             tasks_.erase(tasks_.begin());
             --busy_[done.host];
-            const bool lost = done.host == 0 && done.sent >= fault_at && done.sent < recovered_at;
+            const bool lost = done.host < bad_workers_ && done.sent >= fault_at && done.sent < recovered_at;
             result_.lost += lost ? 1 : 0;
             result_.lost_until_out += lost && !out_ ? 1 : 0;
             const bool ejected = judge_.observe(names_[done.host], done.failed, done.sent, now_);
@@ -122,7 +125,7 @@
         }
         const std::string name(candidates[choice->index].host);
         const auto host = static_cast<std::size_t>(std::stoul(name.substr(5)));
-        const bool poisoned = host == 0 && bad();
+        const bool poisoned = host < bad_workers_ && bad();
         std::exponential_distribution<double> run_time(0.01);
         const std::int64_t took = poisoned ? 2 : 1 + static_cast<std::int64_t>(run_time(random_));
         const bool failed = poisoned || random_() % 100 < 5;
@@ -132,6 +135,7 @@
     }
 
     detector judge_;
+    std::size_t bad_workers_;
     std::vector<std::string> names_;
     std::vector<std::uint32_t> busy_;
     std::multimap<std::int64_t, task> tasks_;
@@ -177,6 +181,12 @@
                                    .run();
     out.push_back({"health_lost_until_out", ours.lost_until_out, "requests", naive.lost_until_out});
     out.push_back({"health_lost_share", ours.lost / ours.sent, "share", naive.lost / naive.sent});
+    waxwingnotch::worker_health three_health;
+    waxwingnotch::naive::failures_in_a_row three_rows;
+    const outage_result three = pool_run(make_judge(three_health), 3).run();
+    const outage_result three_naive = pool_run(make_baseline(three_rows), 3).run();
+    out.push_back(
+        {"health_lost_share_3_bad", three.lost / three.sent, "share", three_naive.lost / three_naive.sent});
     out.push_back({"health_lost_share_undetected", none.lost / none.sent, "share", 0});
     out.push_back({"health_back_after_ms", ours.back_after_ms, "ms", naive.back_after_ms});
     constexpr int results = 10'000'000;
