--- a/bench/bench.hpp
+++ b/bench/bench.hpp
@@ -22,5 +22,9 @@
 
 void bench_gaps(figures& out);
 void bench_routing(figures& out);
+void bench_worker_health(figures& out);
+void bench_retry(figures& out);
+void bench_limits(figures& out);
+void bench_never_runnable(figures& out);
 
 }  // namespace bench
