Send short work before long work by learned run times

Cause: a service's queue was first come, first served but for urgent work, so short requests waited behind long ones, and cancelled requests counted against queue_limit until they reached the head. A repeated request that waited for a host it was not tried on held up the whole queue.

Change: decision/run_time.hpp learns medians by service, kind and magnitude of the declared time in a bounded table. decision/queue.hpp orders by arrival plus 5 times the expected run time (at most 60 s), bounds runs of urgent sends, and limits the slots of work that is or turns out to be long. The dispatcher uses both; the route line names the inputs. Requests leave the queue when they end, and a repeated request without a host is passed over.

--- /dev/null
+++ b/bench/queueing.cpp
@@ -0,0 +1,292 @@
+#include "bench.hpp"
+
+#include "waxwingnotch/decision/queue.hpp"
+#include "waxwingnotch/decision/run_time.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <deque>
+#include <numeric>
+#include <queue>
+#include <random>
+#include <string>
+
+namespace bench {
+
+namespace {
+
+using namespace waxwingnotch;
+
+constexpr std::uint64_t seed = 20261204;
+constexpr std::uint32_t pool_slots = 80;  // 10 workers with 8 slots
+constexpr std::size_t job_count = 200'000;
+constexpr std::int64_t short_ms = 1'000;  // work up to this true run time is short
+constexpr double latency_ms = 1;          // added to both waits, so that a ratio exists when nobody waits
+constexpr double burst_mean_load = 0.5;   // over a whole period of peak and calm
+constexpr double burst_peak = 5;          // times the mean
+constexpr double burst_calm = 0.05;       // times the mean
+constexpr std::int64_t burst_period_ms = 20'800;  // with 4 s at the peak the mean load is as above
+constexpr std::int64_t burst_peak_ms = 4'000;
+
+struct job {
+    double arrives_ms = 0;
+    std::int64_t ran_ms = 0;       // true run time
+    std::int64_t declared_ms = 0;  // 0: not declared
+    std::string_view kind;
+};
+
+/// Kinds of work. Two of them are long with a heavy tail; the rest is short but for stragglers.
+struct kind_row {
+    const char* name;
+    double share;
+    double median_ms;
+    bool heavy;
+};
+
+constexpr std::array<kind_row, 6> kinds = {{{"label", 0.40, 40, false},
+                                            {"ledger", 0.25, 90, false},
+                                            {"photo", 0.20, 150, false},
+                                            {"certificate", 0.10, 300, false},
+                                            {"plan", 0.03, 2'000, true},
+                                            {"audit", 0.02, 4'000, true}}};
+
+double run_time_of(const kind_row& kind, std::mt19937_64& random)
+{
+    constexpr double tail = 1.5;  // Pareto exponent: the variance is infinite
+    constexpr double longest_ms = 120'000;
+    constexpr double straggler_share = 0.02;
+    constexpr double straggler_factor = 20;
+    std::uniform_real_distribution<double> uniform(0, 1);
+    if (kind.heavy) {
+        return std::min(longest_ms, kind.median_ms * std::pow(1 - uniform(random), -1 / tail));
+    }
+    std::lognormal_distribution<double> around(std::log(kind.median_ms), 0.5);
+    const double ran = around(random);
+    return uniform(random) < straggler_share ? ran * straggler_factor : ran;
+}
+
+/// A tenth declares nothing, a tenth anything at all, the rest is off by a factor of 4 or more in a third
+/// of the cases. A fifth of the work names no kind.
+std::vector<job> make_work(std::mt19937_64& random)
+{
+    std::uniform_real_distribution<double> uniform(0, 1);
+    std::lognormal_distribution<double> wrong(0, 1.5);
+    std::vector<job> work(job_count);
+    for (job& item : work) {
+        double left = uniform(random);
+        std::size_t index = 0;
+        while (index + 1 < kinds.size() && left >= kinds[index].share) {
+            left -= kinds[index++].share;
+        }
+        item.ran_ms = std::max<std::int64_t>(1, std::llround(run_time_of(kinds[index], random)));
+        item.kind = uniform(random) < 0.2 ? "" : kinds[index].name;
+        const double honesty = uniform(random);
+        const double said = honesty < 0.2 ? std::pow(10, 1 + 4 * uniform(random))
+                                          : static_cast<double>(item.ran_ms) * wrong(random);
+        item.declared_ms = honesty < 0.1 ? 0 : std::max<std::int64_t>(1, std::llround(said));
+    }
+    return work;
+}
+
+/// Load of the pool at a time, as a share of its slots.
+double load_at(double load, bool burst, double now_ms)
+{
+    if (!burst) {
+        return load;
+    }
+    const bool peak = std::fmod(now_ms, burst_period_ms) < burst_peak_ms;
+    return burst_mean_load * (peak ? burst_peak : burst_calm);
+}
+
+std::vector<job> make_arrivals(double load, bool burst)
+{
+    std::mt19937_64 random(seed);
+    std::vector<job> work = make_work(random);
+    const double mean_ms =
+        std::accumulate(work.begin(), work.end(), 0.0,
+                        [](double sum, const job& item) { return sum + static_cast<double>(item.ran_ms); }) /
+        static_cast<double>(work.size());
+    // Arrivals are thinned from the highest rate, so that the rate may change at any time.
+    const double highest = burst ? burst_mean_load * burst_peak : load;
+    std::exponential_distribution<double> gap(highest * pool_slots / mean_ms);
+    std::uniform_real_distribution<double> uniform(0, highest);
+    double now = 0;
+    for (job& item : work) {
+        do {
+            now += gap(random);
+        } while (uniform(random) >= load_at(load, burst, now));
+        item.arrives_ms = now;
+    }
+    return work;
+}
+
+// ---- Policies: what is sent next ----
+
+class policy {
+public:
+    policy() = default;
+    policy(const policy&) = delete;
+    policy& operator=(const policy&) = delete;
+    policy(policy&&) = delete;
+    policy& operator=(policy&&) = delete;
+    virtual ~policy() = default;
+    virtual void arrive(std::size_t index, const job& item) = 0;
+    /// @return index of the job to start, or none
+    virtual std::optional<std::size_t> next(double now) = 0;
+    virtual void done(std::size_t index, const job& item, double now) = 0;
+};
+
+class fifo_policy : public policy {
+public:
+    void arrive(std::size_t index, const job& /*item*/) override { waiting_.push_back(index); }
+    std::optional<std::size_t> next(double /*now*/) override
+    {
+        if (waiting_.empty()) {
+            return std::nullopt;
+        }
+        const std::size_t index = waiting_.front();
+        waiting_.pop_front();
+        return index;
+    }
+    void done(std::size_t /*index*/, const job& /*item*/, double /*now*/) override {}
+
+private:
+    std::deque<std::size_t> waiting_;
+};
+
+/// Strictly shortest first by the true run times, with the same slots for long work and no aging: long
+/// work pays any price for the sake of short work.
+constexpr queue_rules oracle_rules{
+    .aging = 1'000, .longest_bypass_ms = 1'000'000'000'000, .long_share = 0.75, .patient_share = 0.75};
+
+/// The queue of the product, with learned run times or, as oracle, with the true ones.
+class ordered_policy : public policy {
+public:
+    explicit ordered_policy(bool knows) : knows_(knows), rules_(knows ? oracle_rules : queue_rules{}) {}
+
+    void arrive(std::size_t index, const job& item) override
+    {
+        const run_time_estimate guess = table_.estimate({"service", item.kind, item.declared_ms});
+        const bool is_long = knows_ ? item.ran_ms > short_ms
+                                    : expected_long(rules_, guess.typical_ms, guess.service_typical_ms);
+        typical_ms_ = guess.service_typical_ms;
+        queue_.push({index, false, is_long, static_cast<std::int64_t>(item.arrives_ms),
+                     knows_ ? item.ran_ms : guess.typical_ms});
+    }
+    std::optional<std::size_t> next(double now) override
+    {
+        const auto now_ms = static_cast<std::int64_t>(now);
+        const auto chosen = queue_.next({pool_slots, long_.count(now_ms)}, now_ms);
+        if (!chosen) {
+            return std::nullopt;
+        }
+        queue_.take(chosen->id);
+        long_.start(chosen->id, chosen->expected_long ? now_ms : now_ms + long_from_ms(rules_, typical_ms_));
+        return chosen->id;
+    }
+    void done(std::size_t index, const job& item, double now) override
+    {
+        long_.end(index);
+        table_.learn({"service", item.kind, item.declared_ms}, item.ran_ms, static_cast<std::int64_t>(now));
+    }
+
+private:
+    bool knows_;
+    queue_rules rules_;
+    run_time_table table_;
+    work_queue queue_{rules_};
+    long_work long_;
+    std::int64_t typical_ms_ = 0;
+};
+
+// ---- The loop ----
+
+struct waits {
+    std::vector<double> of_short;
+    double mean_long = 0;
+    double longest_long = 0;
+};
+
+struct running_job {
+    double ends_ms = 0;
+    std::size_t index = 0;
+    bool operator>(const running_job& other) const { return ends_ms > other.ends_ms; }
+};
+
+waits run(const std::vector<job>& work, policy& order)
+{
+    waits result;
+    std::size_t long_count = 0;
+    std::priority_queue<running_job, std::vector<running_job>, std::greater<>> running;
+    std::size_t arrived = 0;
+    while (arrived < work.size() || !running.empty()) {
+        double now = 0;
+        if (running.empty() || (arrived < work.size() && work[arrived].arrives_ms <= running.top().ends_ms)) {
+            now = work[arrived].arrives_ms;
+            order.arrive(arrived, work[arrived]);
+            ++arrived;
+        }
+        else {
+            now = running.top().ends_ms;
+            order.done(running.top().index, work[running.top().index], now);
+            running.pop();
+        }
+        while (running.size() < pool_slots) {
+            const auto index = order.next(now);
+            if (!index) {
+                break;
+            }
+            const job& item = work[*index];
+            const double waited = now - item.arrives_ms;
+            running.push({now + static_cast<double>(item.ran_ms), *index});
+            if (item.ran_ms <= short_ms) {
+                result.of_short.push_back(waited);
+                continue;
+            }
+            ++long_count;
+            result.mean_long += (waited - result.mean_long) / static_cast<double>(long_count);
+            result.longest_long = std::max(result.longest_long, waited);
+        }
+    }
+    std::sort(result.of_short.begin(), result.of_short.end());
+    return result;
+}
+
+double quantile(const waits& of, double share)
+{
+    const auto last = static_cast<double>(of.of_short.size() - 1);
+    return of.of_short[static_cast<std::size_t>(share * last)] + latency_ms;
+}
+
+void measure(figures& out, const std::string& name, double load, bool burst)
+{
+    const std::vector<job> work = make_arrivals(load, burst);
+    fifo_policy fifo;
+    ordered_policy learned(false);
+    ordered_policy knowing(true);
+    const waits plain = run(work, fifo);
+    const waits ours = run(work, learned);
+    const waits best = run(work, knowing);
+    for (const auto& [label, share] : {std::pair{"p50", 0.5}, {"p99", 0.99}, {"p999", 0.999}}) {
+        const double oracle = quantile(best, share);
+        const std::string figure_name = std::string("short_wait_") + label + "_" + name;
+        out.push_back(
+            {figure_name, quantile(ours, share) / oracle, "x_oracle", quantile(plain, share) / oracle});
+        out.push_back({figure_name + "_ms", quantile(ours, share), "ms", quantile(plain, share)});
+    }
+    out.push_back({"long_wait_mean_" + name, ours.mean_long, "ms", plain.mean_long});
+    out.push_back({"long_wait_max_" + name, ours.longest_long, "ms", plain.longest_long});
+}
+
+}  // namespace
+
+void bench_queueing(figures& out)
+{
+    measure(out, "050", 0.5, false);
+    measure(out, "080", 0.8, false);
+    measure(out, "095", 0.95, false);
+    measure(out, "burst", 0, true);
+}
+
+}  // namespace bench
--- a/include/waxwingnotch/entry/dispatcher.hpp
+++ b/include/waxwingnotch/entry/dispatcher.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "waxwingnotch/base/counters.hpp"
+#include "waxwingnotch/decision/queue.hpp"
+#include "waxwingnotch/decision/run_time.hpp"
 #include "waxwingnotch/entry/caller_request.hpp"
 #include "waxwingnotch/entry/claim_desk.hpp"
 #include "waxwingnotch/entry/fleet_view.hpp"
@@ -11,12 +13,13 @@
 #include "waxwingnotch/net/http_client.hpp"
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace waxwingnotch {
@@ -65,10 +68,30 @@
     struct active_request;
     using active_ptr = std::shared_ptr<active_request>;
 
+    /// Waiting requests of one service.
+    struct service_queue {
+        work_queue order;
+        std::unordered_map<std::uint64_t, active_ptr> items;  // by number
+    };
+    struct route_view;  // a routing decision as it is logged
+    /// What came of trying to send the request that is first in its queue.
+    enum class send_attempt {
+        sent,
+        ended,    // it was answered without being sent
+        no_room,  // no host of the pool may take it now
+    };
+
     std::string admission_problem(const active_request& item, outcome& result) const;
+    // The queue, in dispatcher_queue.cpp.
     void enqueue(const active_ptr& item);
+    void leave_queue(active_request& item);
     void pump_service(const std::string& service);
-    bool try_send(const active_ptr& item);
+    pool_use use_of(std::string_view pool, std::int64_t now);
+    send_attempt try_send(const active_ptr& item, const pool_use& use);
+    void log_route(const active_request& item, const route_view& route, const pool_use& use) const;
+    void note_start(active_request& item, const std::string& pool);
+    void note_end(active_request& item, const http_answer& answer);
+
     void send(const active_ptr& item, const std::string& host, const host_state& machine);
     void take_answer(const active_ptr& item, const std::string& host, const http_answer& answer);
     void note_contact(const std::string& host, const http_answer& answer);
@@ -81,13 +104,17 @@
     std::mt19937_64 random_;
     std::uint64_t next_request_ = 1;
     std::map<std::string, active_ptr> requests_;
-    std::map<std::string, std::deque<active_ptr>> queues_;  // per service
+    queue_rules queue_rules_;
+    run_time_table run_times_;
+    std::map<std::string, service_queue> queues_;                 // by service
+    std::map<std::string, long_work, std::less<>> long_running_;  // by pool
     request_traces traces_;
     counter& received_;
     counter& sent_;
     counter& retried_;
     std::vector<counter*> ended_;  // by outcome
     histogram& waiting_;
+    histogram& waiting_short_;
     histogram& total_;
 };
 
--- a/include/waxwingnotch/entry/upstreams.hpp
+++ b/include/waxwingnotch/entry/upstreams.hpp
@@ -39,6 +39,9 @@
                                             std::uint32_t nodes, std::int64_t now_ms,
                                             const std::vector<std::string>& exclude) const;
 
+    /// @return slots of the hosts of @p pool that serve, whatever they run
+    std::uint32_t pool_slots(const fleet_state& state, std::string_view pool) const;
+
     /// Takes over the platform's list.
     void take_list(const std::vector<listed_host>& hosts);
     /// Takes over what a worker's answer says of its slots and of leaving.
--- /dev/null
+++ b/src/decision/queue.cpp
@@ -0,0 +1,112 @@
+#include "waxwingnotch/decision/queue.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace waxwingnotch {
+
+std::int64_t long_from_ms(const queue_rules& rules, std::int64_t service_typical_ms)
+{
+    return std::max(rules.long_floor_ms, rules.long_factor * service_typical_ms);
+}
+
+bool expected_long(const queue_rules& rules, std::int64_t estimate_ms, std::int64_t service_typical_ms)
+{
+    return service_typical_ms > 0 && estimate_ms >= long_from_ms(rules, service_typical_ms);
+}
+
+void long_work::start(std::uint64_t id, std::int64_t turns_long_at)
+{
+    running_.emplace(id, turns_long_at);
+    not_long_yet_.insert({turns_long_at, id});
+}
+
+void long_work::end(std::uint64_t id)
+{
+    const auto found = running_.find(id);
+    if (found == running_.end()) {
+        return;
+    }
+    not_long_yet_.erase({found->second, id});
+    running_.erase(found);
+}
+
+std::uint32_t long_work::count(std::int64_t now_ms)
+{
+    while (!not_long_yet_.empty() && not_long_yet_.begin()->first <= now_ms) {
+        not_long_yet_.erase(not_long_yet_.begin());
+    }
+    return static_cast<std::uint32_t>(running_.size() - not_long_yet_.size());
+}
+
+std::uint32_t long_slots(const queue_rules& rules, std::uint32_t slots, std::int64_t waited_ms)
+{
+    const double share = waited_ms >= rules.patience_ms ? rules.patient_share : rules.long_share;
+    return std::max(1U, static_cast<std::uint32_t>(share * slots));
+}
+
+std::int64_t order_time(const queue_rules& rules, const queued_work& work)
+{
+    const std::int64_t most = rules.longest_bypass_ms / std::max<std::int64_t>(1, rules.aging);
+    const bool capped = work.estimate_ms > most;
+    return work.queued_at + (capped ? rules.longest_bypass_ms : rules.aging * work.estimate_ms);
+}
+
+void work_queue::push(const queued_work& work)
+{
+    const bool fresh = work_.emplace(work.id, work).second;
+    assert(fresh && "work is queued once");
+    (void)fresh;
+    lane_of(work).insert({order_time(rules_, work), work.id});
+}
+
+std::optional<work_queue::order_key> work_queue::first(bool urgent, const pool_use& pool,
+                                                       std::int64_t now_ms) const
+{
+    const lane& brief = lanes_[urgent ? 1 : 0][0];
+    const lane& lengthy = lanes_[urgent ? 1 : 0][1];
+    std::optional<order_key> best;
+    if (!brief.empty()) {
+        best = *brief.begin();
+    }
+    if (!lengthy.empty()) {
+        const order_key candidate = *lengthy.begin();
+        const std::int64_t waited = now_ms - work_.at(candidate.second).queued_at;
+        const bool allowed = pool.long_in_flight < long_slots(rules_, pool.slots, waited);
+        if (allowed && (!best || candidate < *best)) {
+            best = candidate;
+        }
+    }
+    return best;
+}
+
+std::optional<queued_work> work_queue::next(const pool_use& pool, std::int64_t now_ms) const
+{
+    const std::optional<order_key> urgent = first(true, pool, now_ms);
+    const std::optional<order_key> normal = first(false, pool, now_ms);
+    if (!urgent && !normal) {
+        return std::nullopt;
+    }
+    const bool urgent_goes = urgent && (!normal || urgent_run_ < rules_.urgent_run);
+    return work_.at(urgent_goes ? urgent->second : normal->second);
+}
+
+void work_queue::take(std::uint64_t id)
+{
+    const bool was_urgent = work_.at(id).urgent;
+    const bool normal_waits = !lanes_[0][0].empty() || !lanes_[0][1].empty();
+    urgent_run_ = was_urgent && normal_waits ? urgent_run_ + 1 : 0;
+    remove(id);
+}
+
+void work_queue::remove(std::uint64_t id)
+{
+    const auto found = work_.find(id);
+    if (found == work_.end()) {
+        return;
+    }
+    lane_of(found->second).erase({order_time(rules_, found->second), id});
+    work_.erase(found);
+}
+
+}  // namespace waxwingnotch
--- /dev/null
+++ b/src/entry/active_request.hpp
@@ -0,0 +1,36 @@
+/// @file
+/// A request of the dispatcher that is not answered yet; shared by the dispatcher's parts.
+#pragma once
+
+#include "waxwingnotch/entry/dispatcher.hpp"
+
+namespace waxwingnotch {
+
+constexpr std::int64_t retry_after_ms = 1'000;  // told to callers whose request did not run
+
+struct dispatcher::active_request {
+    std::uint64_t number = 0;  // in order of arrival
+    std::string id;
+    caller_request request;
+    http_exchange_ptr exchange;
+    std::int64_t arrived_at = 0;   // monotonic ms
+    std::int64_t deadline_at = 0;  // monotonic ms; 0: none
+    std::string claim;             // key held in the log; empty: none
+    std::int64_t claimed_at = 0;   // monotonic ms
+    std::uint32_t attempts = 0;    // sends that may have started it
+    std::vector<std::string> tried;
+    run_time_estimate expected;  // as of its last queueing
+    bool expected_long = false;
+    bool queued = false;
+    std::string pool;          // of the last send
+    std::int64_t sent_at = 0;  // monotonic ms; of the last send
+    call_id call = 0;          // under way; 0: none
+    bool sent = false;         // some send may have started it
+    bool finished = false;
+    timer limit;
+    timer backoff;
+
+    work_label label() const { return {request.service, request.kind, request.run_time_ms}; }
+};
+
+}  // namespace waxwingnotch
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -1,42 +1,26 @@
 #include "waxwingnotch/entry/dispatcher.hpp"
 
+#include "entry/active_request.hpp"
+
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/log.hpp"
-#include "waxwingnotch/decision/routing.hpp"
 
 #include <algorithm>
 
 namespace waxwingnotch {
 
 namespace {
-constexpr std::int64_t retry_after_ms = 1'000;
 constexpr std::size_t outcome_count = 6;
 }  // namespace
 
-/// A request that is not answered yet.
-struct dispatcher::active_request {
-    std::string id;
-    caller_request request;
-    http_exchange_ptr exchange;
-    std::int64_t arrived_at = 0;   // monotonic ms
-    std::int64_t deadline_at = 0;  // monotonic ms; 0: none
-    std::string claim;             // key held in the log; empty: none
-    std::int64_t claimed_at = 0;   // monotonic ms
-    std::uint32_t attempts = 0;    // sends that may have started it
-    std::vector<std::string> tried;
-    call_id call = 0;   // under way; 0: none
-    bool sent = false;  // some send may have started it
-    bool finished = false;
-    timer limit;
-    timer backoff;
-};
-
 dispatcher::dispatcher(dispatcher_parts parts, dispatcher_options options)
     : parts_(std::move(parts)), options_(std::move(options)), random_(options_.seed),
       received_(parts_.counters.make_counter("waxwingnotch_requests_total", "Requests received.")),
       sent_(parts_.counters.make_counter("waxwingnotch_sends_total", "Requests sent to upstreams.")),
       retried_(parts_.counters.make_counter("waxwingnotch_retries_total", "Repeated sends.")),
       waiting_(parts_.counters.make_histogram("waxwingnotch_wait_ms", "Time from arrival to send, in ms.")),
+      waiting_short_(parts_.counters.make_histogram("waxwingnotch_wait_short_ms",
+                                                    "Same, of work that is not expected to be long, in ms.")),
       total_(parts_.counters.make_histogram("waxwingnotch_answer_ms", "Time from arrival to answer, in ms."))
 {
     for (std::size_t index = 0; index < outcome_count; ++index) {
@@ -67,7 +51,7 @@
         return "this entry node holds " + std::to_string(options_.max_in_flight) + " requests";
     }
     const auto queue = queues_.find(item.request.service);
-    if (queue != queues_.end() && queue->second.size() >= service->queue_limit) {
+    if (queue != queues_.end() && queue->second.order.size() >= service->queue_limit) {
         return "queue of service '" + service->name + "' is full with " +
                std::to_string(service->queue_limit) + " requests";
     }
@@ -77,7 +61,8 @@
 void dispatcher::submit(const http_exchange_ptr& exchange, caller_request request)
 {
     auto item = std::make_shared<active_request>();
-    item->id = options_.request_prefix + "-" + std::to_string(next_request_++);
+    item->number = next_request_++;
+    item->id = options_.request_prefix + "-" + std::to_string(item->number);
     item->request = std::move(request);
     item->exchange = exchange;
     item->arrived_at = monotonic_ms();
@@ -120,88 +105,6 @@
     });
 }
 
-void dispatcher::enqueue(const active_ptr& item)
-{
-    std::deque<active_ptr>& queue = queues_[item->request.service];
-    if (item->request.urgent) {
-        const auto first_normal = std::find_if(
-            queue.begin(), queue.end(), [](const active_ptr& other) { return !other->request.urgent; });
-        queue.insert(first_normal, item);
-    }
-    else {
-        queue.push_back(item);
-    }
-    pump_service(item->request.service);
-}
-
-void dispatcher::pump()
-{
-    for (const auto& [service, queue] : queues_) {
-        pump_service(service);
-    }
-}
-
-void dispatcher::pump_service(const std::string& service)
-{
-    std::deque<active_ptr>& queue = queues_[service];
-    while (!queue.empty()) {
-        const active_ptr item = queue.front();
-        if (!item->finished && !try_send(item)) {
-            return;
-        }
-        queue.pop_front();
-    }
-}
-
-bool dispatcher::try_send(const active_ptr& item)
-{
-    const fleet_state& state = parts_.view.state();
-    const service_rule* service = find_service(state, item->request.service);
-    if (service == nullptr) {
-        finish(item, make_refusal(item->sent ? outcome::unknown : outcome::not_run,
-                                  "the service was removed from the rules", retry_after_ms));
-        return true;
-    }
-    const std::int64_t now = monotonic_ms();
-    if (!item->claim.empty() && now - item->claimed_at > claim_usable_ms) {
-        finish(item, make_refusal(outcome::not_run, "its claim is too old to be used", retry_after_ms));
-        return true;
-    }
-    const std::uint32_t nodes = parts_.alive_nodes();
-    auto candidates = parts_.upstreams.candidates(state, service->pool, nodes, now, item->tried);
-    if (candidates.empty() && !item->tried.empty()) {
-        item->tried.clear();
-        candidates = parts_.upstreams.candidates(state, service->pool, nodes, now, item->tried);
-    }
-    const auto choice = choose_upstream(candidates, random_());
-    if (!choice) {
-        return false;
-    }
-    const std::string host(candidates[choice->index].host);
-    const std::string runner_up(choice->runner_up ? candidates[*choice->runner_up].host : "");
-    const std::int64_t waited = now - item->arrived_at;
-    if (item->attempts == 0) {
-        waiting_.record(waited);
-    }
-    log_event(log_level::info, "route",
-              {{"request", item->id},
-               {"service", item->request.service},
-               {"pool", service->pool},
-               {"host", host},
-               {"load", choice->load},
-               {"runner_up", runner_up},
-               {"candidates", candidates.size()},
-               {"waited_ms", waited},
-               {"attempt", item->attempts + 1},
-               {"rules", state.rules_document.version},
-               {"inventory", state.inventory_document.version}});
-    trace(*item, "sent to " + host + " of pool " + service->pool + " at load " +
-                     std::to_string(choice->load) +
-                     (runner_up.empty() ? std::string() : ", compared with " + runner_up));
-    send(item, host, state.hosts.at(host));
-    return true;
-}
-
 void dispatcher::send(const active_ptr& item, const std::string& host, const host_state& machine)
 {
     const service_rule* service = find_service(parts_.view.state(), item->request.service);
@@ -223,6 +126,7 @@
     ++item->attempts;
     ++parts_.upstreams.at(host).in_flight;
     sent_.add();
+    note_start(*item, service->pool);
     item->call = parts_.client.send(
         call, [this, item, host](const http_answer& answer) { take_answer(item, host, answer); });
 }
@@ -252,6 +156,7 @@
 void dispatcher::take_answer(const active_ptr& item, const std::string& host, const http_answer& answer)
 {
     note_contact(host, answer);
+    note_end(*item, answer);
     item->call = 0;
     const bool answered = answer.outcome == call_outcome::answered;
     const bool not_started =
@@ -339,6 +244,7 @@
     item->finished = true;
     item->limit.cancel();
     item->backoff.cancel();
+    leave_queue(*item);
     requests_.erase(item->id);
     const std::int64_t took = monotonic_ms() - item->arrived_at;
     ended_[static_cast<std::size_t>(answer.result)]->add();
--- /dev/null
+++ b/src/entry/dispatcher_queue.cpp
@@ -0,0 +1,198 @@
+// The dispatcher's queues: in which order requests are sent, and to which host.
+#include "entry/active_request.hpp"
+
+#include "waxwingnotch/base/clock.hpp"
+#include "waxwingnotch/base/log.hpp"
+
+#include <algorithm>
+
+namespace waxwingnotch {
+
+/// A routing decision with the inputs that decided it.
+struct dispatcher::route_view {
+    std::string pool;
+    std::string host;
+    std::string runner_up;  // empty: there was no other host
+    double load = 0;
+    std::size_t candidates = 0;
+    std::int64_t waited_ms = 0;
+};
+
+void dispatcher::enqueue(const active_ptr& item)
+{
+    service_queue& queue = queues_[item->request.service];
+    item->expected = run_times_.estimate(item->label());
+    item->expected_long =
+        expected_long(queue_rules_, item->expected.typical_ms, item->expected.service_typical_ms);
+    queue.order.push({.id = item->number,
+                      .urgent = item->request.urgent,
+                      .expected_long = item->expected_long,
+                      .queued_at = item->arrived_at,
+                      .estimate_ms = item->expected.typical_ms});
+    queue.items.emplace(item->number, item);
+    item->queued = true;
+    pump_service(item->request.service);
+}
+
+void dispatcher::leave_queue(active_request& item)
+{
+    if (!item.queued) {
+        return;
+    }
+    item.queued = false;
+    service_queue& queue = queues_[item.request.service];
+    queue.order.remove(item.number);
+    queue.items.erase(item.number);
+}
+
+void dispatcher::pump()
+{
+    for (const auto& [service, queue] : queues_) {
+        pump_service(service);
+    }
+}
+
+pool_use dispatcher::use_of(std::string_view pool, std::int64_t now)
+{
+    const std::uint32_t slots = parts_.upstreams.pool_slots(parts_.view.state(), pool);
+    const auto running = long_running_.find(pool);
+    return {slots / std::max(1U, parts_.alive_nodes()),
+            running == long_running_.end() ? 0 : running->second.count(now)};
+}
+
+void dispatcher::pump_service(const std::string& service)
+{
+    // A repeated request may wait for a host that it was not tried on while other hosts have room. It must
+    // not hold up the requests behind it, so a few of them are passed over.
+    constexpr std::size_t most_passed_over = 16;
+    std::vector<queued_work> passed_over;
+    service_queue& queue = queues_[service];
+    const service_rule* rule = find_service(parts_.view.state(), service);
+    const std::int64_t now = monotonic_ms();
+    while (passed_over.size() < most_passed_over) {
+        const pool_use use = rule != nullptr ? use_of(rule->pool, now) : pool_use{};
+        const auto chosen = queue.order.next(use, now);
+        if (!chosen) {
+            break;
+        }
+        const active_ptr item = queue.items.at(chosen->id);
+        if (try_send(item, use) != send_attempt::no_room) {
+            continue;
+        }
+        if (item->tried.empty()) {
+            break;
+        }
+        queue.order.remove(chosen->id);
+        passed_over.push_back(*chosen);
+    }
+    for (const queued_work& work : passed_over) {
+        queue.order.push(work);
+    }
+}
+
+dispatcher::send_attempt dispatcher::try_send(const active_ptr& item, const pool_use& use)
+{
+    const fleet_state& state = parts_.view.state();
+    const service_rule* service = find_service(state, item->request.service);
+    if (service == nullptr) {
+        finish(item, make_refusal(item->sent ? outcome::unknown : outcome::not_run,
+                                  "the service was removed from the rules", retry_after_ms));
+        return send_attempt::ended;
+    }
+    const std::int64_t now = monotonic_ms();
+    if (!item->claim.empty() && now - item->claimed_at > claim_usable_ms) {
+        finish(item, make_refusal(outcome::not_run, "its claim is too old to be used", retry_after_ms));
+        return send_attempt::ended;
+    }
+    const std::uint32_t nodes = parts_.alive_nodes();
+    auto candidates = parts_.upstreams.candidates(state, service->pool, nodes, now, item->tried);
+    if (candidates.empty() && !item->tried.empty()) {
+        item->tried.clear();
+        candidates = parts_.upstreams.candidates(state, service->pool, nodes, now, item->tried);
+    }
+    const auto choice = choose_upstream(candidates, random_());
+    if (!choice) {
+        return send_attempt::no_room;
+    }
+    const route_view route{service->pool,
+                           std::string(candidates[choice->index].host),
+                           std::string(choice->runner_up ? candidates[*choice->runner_up].host : ""),
+                           choice->load,
+                           candidates.size(),
+                           now - item->arrived_at};
+    log_route(*item, route, use);
+    trace(*item, "sent to " + route.host + " of pool " + route.pool + " at load " +
+                     std::to_string(route.load) +
+                     (route.runner_up.empty() ? std::string() : ", compared with " + route.runner_up) +
+                     "; expected to run " + std::to_string(item->expected.typical_ms) + " ms by " +
+                     to_string(item->expected.basis));
+    if (item->attempts == 0) {
+        waiting_.record(route.waited_ms);
+        if (!item->expected_long) {
+            waiting_short_.record(route.waited_ms);
+        }
+    }
+    service_queue& queue = queues_[item->request.service];
+    queue.order.take(item->number);
+    queue.items.erase(item->number);
+    item->queued = false;
+    send(item, route.host, state.hosts.at(route.host));
+    return send_attempt::sent;
+}
+
+void dispatcher::log_route(const active_request& item, const route_view& route, const pool_use& use) const
+{
+    const fleet_state& state = parts_.view.state();
+    log_event(log_level::info, "route",
+              {{"request", item.id},
+               {"service", item.request.service},
+               {"pool", route.pool},
+               {"host", route.host},
+               {"load", route.load},
+               {"runner_up", route.runner_up},
+               {"candidates", route.candidates},
+               {"waited_ms", route.waited_ms},
+               {"urgent", item.request.urgent},
+               {"expected_ms", item.expected.typical_ms},
+               {"expected_by", to_string(item.expected.basis)},
+               {"samples", item.expected.samples},
+               {"service_typical_ms", item.expected.service_typical_ms},
+               {"expected_long", item.expected_long},
+               {"long_in_flight", use.long_in_flight},
+               {"long_slots", long_slots(queue_rules_, use.slots, route.waited_ms)},
+               {"queued_behind", queues_.at(item.request.service).order.size() - 1},
+               {"attempt", item.attempts + 1},
+               {"rules", state.rules_document.version},
+               {"inventory", state.inventory_document.version}});
+}
+
+void dispatcher::note_start(active_request& item, const std::string& pool)
+{
+    item.pool = pool;
+    item.sent_at = monotonic_ms();
+    const std::int64_t turns_long =
+        item.expected_long ? 0 : long_from_ms(queue_rules_, item.expected.service_typical_ms);
+    long_running_[pool].start(item.number, item.sent_at + turns_long);
+}
+
+void dispatcher::note_end(active_request& item, const http_answer& answer)
+{
+    const std::int64_t now = monotonic_ms();
+    const std::int64_t ran = now - item.sent_at;
+    long_running_[item.pool].end(item.number);
+    constexpr int first_error = 400;
+    constexpr int lease_over = 410;
+    const bool answered = answer.outcome == call_outcome::answered;
+    if (answered && answer.status < first_error) {
+        run_times_.learn(item.label(), ran, now);
+        return;
+    }
+    // An error says nothing about the run time, since a faulty worker fails at once.
+    const bool stopped =
+        answered ? answer.status == lease_over : answer.bytes_sent && answer.outcome != call_outcome::failed;
+    if (stopped) {
+        run_times_.learn_at_least(item.label(), ran, now);
+    }
+}
+
+}  // namespace waxwingnotch
--- a/src/entry/upstreams.cpp
+++ b/src/entry/upstreams.cpp
@@ -41,6 +41,15 @@
     return found;
 }
 
+std::uint32_t upstream_table::pool_slots(const fleet_state& state, std::string_view pool) const
+{
+    std::uint32_t slots = 0;
+    for (const auto& [name, machine] : state.hosts) {
+        slots += machine.pool == pool && available(machine) ? machine.spec.slots : 0;
+    }
+    return slots;
+}
+
 void upstream_table::take_list(const std::vector<listed_host>& hosts)
 {
     for (auto& [name, known] : upstreams_) {
