Route from an index of pools, and requeue what a full worker refuses

Cause: each routing decision scanned all hosts of the state. A worker's report of busy slots held for good, so a node with nothing in flight at a full worker never tried it again until its slots were reported otherwise. A refusal for lack of slots counted as an attempt, backed off for up to 0.8 s and ended as "not run" after 20 of them. Slots of long work stepped from 75% to 90% only after 30 s.

Change: upstream_table indexes hosts by pool and samples two with room; the state is still read for the chosen hosts. A 429 with X-Not-Started puts the request back to its place in the queue at once; sends that did not start no longer use up attempts, and a queue without room looks again every 10 ms. Large pools are divided into subsets by rendezvous hashing when the dispatcher is given member ids (entry_node does not pass them yet).

--- a/bench/bench.hpp
+++ b/bench/bench.hpp
@@ -22,5 +22,6 @@
 
 void bench_routing(figures& out);
 void bench_queueing(figures& out);
+void bench_entry_nodes(figures& out);
 
 }  // namespace bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -8,15 +8,16 @@
 constexpr bench::bench_function families[] = {
     bench::bench_routing,
     bench::bench_queueing,
+    bench::bench_entry_nodes,
 };
 
 void print_table(const bench::figures& all)
 {
-    std::cout << std::left << std::setw(36) << "figure" << std::right << std::setw(14) << "value"
+    std::cout << std::left << std::setw(44) << "figure" << std::right << std::setw(14) << "value"
               << std::setw(10) << "unit" << std::setw(14) << "baseline" << std::setw(9) << "ratio"
               << "\n";
     for (const bench::figure& one : all) {
-        std::cout << std::left << std::setw(36) << one.name << std::right << std::setw(14) << one.value
+        std::cout << std::left << std::setw(44) << one.name << std::right << std::setw(14) << one.value
                   << std::setw(10) << one.unit << std::setw(14) << one.baseline << std::setw(9)
                   << (one.baseline > 0 ? one.value / one.baseline : 0) << "\n";
     }
--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -2,45 +2,116 @@
 
 #include "bench.hpp"
 
+#include "waxwingnotch/entry/upstreams.hpp"
+
+#include <algorithm>
 #include <chrono>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace bench {
 
 namespace {
 
+using namespace waxwingnotch;
+
 constexpr std::uint64_t seed = 20261204;
+constexpr std::uint32_t nodes = 8;
 constexpr int rounds = 20'000;
+constexpr int naive_rounds = 2'000;
+
+fleet_state make_fleet(std::size_t hosts, std::size_t pools)
+{
+    fleet_state state;
+    for (std::size_t index = 0; index < hosts; ++index) {
+        const std::string name = "host-" + std::to_string(index);
+        host_state& machine = state.hosts[name];
+        machine.spec.name = name;
+        machine.pool = "pool-" + std::to_string(index % pools);
+    }
+    return state;
+}
 
-/// Mean time of one decision among @p count candidates, in ns.
-double decision_ns(std::size_t count)
+/// Half of all slots are taken, as the last answers say.
+void load_hosts(const fleet_state& state, upstream_table& table)
 {
     std::mt19937_64 random(seed);
-    std::vector<std::string> names;
-    std::vector<waxwingnotch::route_candidate> candidates;
-    names.reserve(count);
-    for (std::size_t index = 0; index < count; ++index) {
-        names.push_back("host-" + std::to_string(index));
-        candidates.push_back({names.back(), 8, static_cast<std::uint32_t>(random() % 9), 0, 8});
+    for (const auto& [name, machine] : state.hosts) {
+        table.at(name).in_flight = static_cast<std::uint32_t>(random() % 8);
     }
+}
+
+/// Lists all hosts of the pool by a scan of the state, and chooses among them.
+std::size_t naive_choice(const upstream_query& query, const upstream_table& table)
+{
+    std::vector<route_candidate> found;
+    for (const auto& [name, machine] : query.state.hosts) {
+        const upstream* known = table.find(name);
+        if (machine.pool != query.pool || machine.phase != host_phase::serving || known == nullptr ||
+            known->listed_leaving || known->said_leaving || known->ejected_until > query.now_ms) {
+            continue;
+        }
+        const std::uint32_t share = machine.spec.connections / query.nodes;
+        found.push_back({name, machine.spec.slots, known->in_flight,
+                         busy_elsewhere(known->report, query.now_ms),
+                         share - std::min(share, known->in_flight)});
+    }
+    const auto choice = choose_upstream(found, query.random);
+    return choice ? found[choice->index].host.size() : 0;
+}
+
+template <class Decision>
+double mean_ns(int count, const Decision& decide)
+{
+    std::mt19937_64 random(seed);
     std::size_t sum = 0;
     const auto start = std::chrono::steady_clock::now();
-    for (int round = 0; round < rounds; ++round) {
-        const auto choice = waxwingnotch::choose_upstream(candidates, random());
-        sum += choice ? choice->index : 0;
+    for (int round = 0; round < count; ++round) {
+        sum += decide(random());
     }
     const std::chrono::duration<double, std::nano> took = std::chrono::steady_clock::now() - start;
-    return sum == 0 ? 0 : took.count() / rounds;
+    return sum == 0 ? 0 : took.count() / count;
+}
+
+void measure(figures& out, const std::string& name, std::size_t hosts, std::size_t pools)
+{
+    const fleet_state state = make_fleet(hosts, pools);
+    upstream_table table;
+    load_hosts(state, table);
+    const double naive = mean_ns(naive_rounds, [&](std::uint64_t random) {
+        return naive_choice({state, "pool-0", nodes, 0, random}, table);
+    });
+    const double indexed = mean_ns(rounds, [&](std::uint64_t random) {
+        const auto choice = table.choose({state, "pool-0", nodes, 0, random}, {});
+        return choice ? choice->host.size() : 0;
+    });
+    out.push_back({"routing_decision_ns_" + name, indexed, "ns", naive});
+}
+
+/// Time to build the index anew, which happens once a second at most but for changes of hosts.
+void measure_rebuild(figures& out)
+{
+    constexpr int rebuilds = 200;
+    const fleet_state state = make_fleet(2'100, 189);
+    upstream_table table;
+    load_hosts(state, table);
+    const double ns = mean_ns(rebuilds, [&](std::uint64_t /*random*/) {
+        table.hosts_changed();
+        return static_cast<std::size_t>(table.pool_slots(state, "pool-0", 0));
+    });
+    out.push_back({"routing_index_ns_2100", ns, "ns", 0});
 }
 
 }  // namespace
 
 void bench_routing(figures& out)
 {
-    for (const std::size_t count : {50U, 500U, 2'100U}) {
-        out.push_back({"routing_decision_ns_" + std::to_string(count), decision_ns(count), "ns", 0});
-    }
+    measure(out, "50", 50, 5);
+    measure(out, "500", 500, 50);
+    measure(out, "2100", 2'100, 189);
+    measure(out, "2100_one_pool", 2'100, 1);
+    measure_rebuild(out);
 }
 
 }  // namespace bench
--- a/include/waxwingnotch/decision/queue.hpp
+++ b/include/waxwingnotch/decision/queue.hpp
@@ -24,8 +24,8 @@
     std::uint32_t urgent_run = 7;      // urgent sends in a row while normal work could go
     std::int64_t long_factor = 4;      // long: expected to run this many times the service's median
     std::int64_t long_floor_ms = 500;  // and at least this long
-    double long_share = 0.75;          // slots of the pool that long work may take
-    double patient_share = 0.9;        // same, once long work has waited for `patience_ms`
+    double long_share = 0.75;          // slots of the pool that long work may take at once
+    double patient_share = 0.9;        // grows to this while long work waits for `patience_ms`
     std::int64_t patience_ms = 30'000;
 };
 
--- a/include/waxwingnotch/entry/dispatcher.hpp
+++ b/include/waxwingnotch/entry/dispatcher.hpp
@@ -32,7 +32,8 @@
     upstream_table& upstreams;
     claim_desk& claims;
     metrics& counters;
-    std::function<std::uint32_t()> alive_nodes;  // entry nodes that share the workers
+    std::function<std::uint32_t()> alive_nodes;     // entry nodes that share the workers
+    upstream_table::member_source member_ids = {};  // same, by id; empty: no subsets of large pools
 };
 
 /// Fixed values of a dispatcher.
@@ -41,6 +42,7 @@
     std::int64_t request_timeout_ms = 120'000;  // longest time a request may be in flight
     std::uint32_t max_in_flight = 4'096;        // requests held by this node
     std::uint64_t seed = 0;                     // of routing choices
+    std::string node_id = {};                   // among `member_ids`
 };
 
 /// The requests of one node.
@@ -86,6 +88,7 @@
     void enqueue(const active_ptr& item);
     void leave_queue(active_request& item);
     void pump_service(const std::string& service);
+    void wake_later();
     pool_use use_of(std::string_view pool, std::int64_t now);
     send_attempt try_send(const active_ptr& item, const pool_use& use);
     void log_route(const active_request& item, const route_view& route, const pool_use& use) const;
@@ -109,9 +112,12 @@
     std::map<std::string, service_queue> queues_;                 // by service
     std::map<std::string, long_work, std::less<>> long_running_;  // by pool
     request_traces traces_;
+    timer wake_;
+    bool wakes_ = false;  // wake_ is set
     counter& received_;
     counter& sent_;
     counter& retried_;
+    counter& full_;
     std::vector<counter*> ended_;  // by outcome
     histogram& waiting_;
     histogram& waiting_short_;
--- a/src/decision/queue.cpp
+++ b/src/decision/queue.cpp
@@ -41,7 +41,9 @@
 
 std::uint32_t long_slots(const queue_rules& rules, std::uint32_t slots, std::int64_t waited_ms)
 {
-    const double share = waited_ms >= rules.patience_ms ? rules.patient_share : rules.long_share;
+    const auto patience = static_cast<double>(std::max<std::int64_t>(1, rules.patience_ms));
+    const double worn = std::clamp(static_cast<double>(waited_ms) / patience, 0.0, 1.0);
+    const double share = rules.long_share + (rules.patient_share - rules.long_share) * worn;
     return std::max(1U, static_cast<std::uint32_t>(share * slots));
 }
 
--- a/src/decision/routing.cpp
+++ b/src/decision/routing.cpp
@@ -1,5 +1,8 @@
 #include "waxwingnotch/decision/routing.hpp"
 
+#include "waxwingnotch/base/hash.hpp"
+
+#include <algorithm>
 #include <vector>
 
 namespace waxwingnotch {
@@ -23,6 +26,13 @@
 
 }  // namespace
 
+std::uint32_t busy_elsewhere(const slot_report& report, std::int64_t now_ms)
+{
+    const std::int64_t age = std::clamp<std::int64_t>(now_ms - report.at_ms, 0, report_valid_ms);
+    const std::int64_t left = report.busy_elsewhere * (report_valid_ms - age);
+    return static_cast<std::uint32_t>((left + report_valid_ms - 1) / report_valid_ms);
+}
+
 std::optional<route_choice> choose_upstream(std::span<const route_candidate> candidates, std::uint64_t random)
 {
     std::vector<std::size_t> open;
@@ -49,4 +59,86 @@
     return route_choice{chosen, keep ? other : first, load_of(candidates[chosen])};
 }
 
+namespace {
+
+/// Two different candidates with room, as they are found.
+struct open_pair {
+    struct found {
+        std::size_t index = 0;
+        double load = 0;
+    };
+    std::optional<found> first;
+    std::optional<found> second;
+
+    void look_at(std::size_t index, const candidate_source& candidate)
+    {
+        if (first && first->index == index) {
+            return;
+        }
+        const std::optional<route_candidate> item = candidate(index);
+        if (item && has_room(*item)) {
+            (first ? second : first) = found{index, load_of(*item)};
+        }
+    }
+};
+
+std::uint64_t next_random(std::uint64_t& state)
+{
+    // SplitMix64: a full-period step and a finalizer.
+    state += 0x9e37'79b9'7f4a'7c15U;
+    std::uint64_t mixed = state;
+    mixed = (mixed ^ (mixed >> 30U)) * 0xbf58'476d'1ce4'e5b9U;
+    mixed = (mixed ^ (mixed >> 27U)) * 0x94d0'49bb'1331'11ebU;
+    return mixed ^ (mixed >> 31U);
+}
+
+}  // namespace
+
+std::optional<route_choice> sample_upstreams(std::size_t count, const candidate_source& candidate,
+                                             std::uint64_t random)
+{
+    if (count == 0) {
+        return std::nullopt;
+    }
+    constexpr int draws = 12;
+    open_pair pair;
+    for (int draw = 0; draw < draws && !pair.second; ++draw) {
+        pair.look_at(next_random(random) % count, candidate);
+    }
+    const std::size_t start = next_random(random) % count;
+    for (std::size_t step = 0; step < count && !pair.second; ++step) {
+        pair.look_at((start + step) % count, candidate);
+    }
+    if (!pair.first) {
+        return std::nullopt;
+    }
+    if (!pair.second) {
+        return route_choice{pair.first->index, std::nullopt, pair.first->load};
+    }
+    const bool keep = pair.first->load <= pair.second->load;
+    const open_pair::found& chosen = keep ? *pair.first : *pair.second;
+    return route_choice{chosen.index, keep ? pair.second->index : pair.first->index, chosen.load};
+}
+
+std::uint32_t nodes_per_worker(std::uint32_t connections, std::uint32_t needed)
+{
+    return std::max(1U, connections / std::max(1U, needed));
+}
+
+bool uses_worker(std::string_view node, std::span<const std::string> members, std::string_view host,
+                 std::uint32_t most)
+{
+    if (members.size() <= most) {
+        return true;
+    }
+    const std::uint64_t seed = stable_hash(host);
+    const std::uint64_t own = stable_hash(node, seed);
+    std::uint32_t ahead = 0;
+    for (const std::string& member : members) {
+        const std::uint64_t rank = stable_hash(member, seed);
+        ahead += member != node && (rank > own || (rank == own && member < node)) ? 1 : 0;
+    }
+    return ahead < most;
+}
+
 }  // namespace waxwingnotch
--- a/src/entry/active_request.hpp
+++ b/src/entry/active_request.hpp
@@ -17,7 +17,9 @@
     std::int64_t deadline_at = 0;  // monotonic ms; 0: none
     std::string claim;             // key held in the log; empty: none
     std::int64_t claimed_at = 0;   // monotonic ms
-    std::uint32_t attempts = 0;    // sends that may have started it
+    std::uint32_t attempts = 0;    // sends that may have started it, one under way included
+    std::uint32_t unstarted = 0;   // sends that failed before it started
+    std::uint32_t full = 0;        // refusals because the worker's slots were taken
     std::vector<std::string> tried;
     run_time_estimate expected;  // as of its last queueing
     bool expected_long = false;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -18,6 +18,8 @@
       received_(parts_.counters.make_counter("waxwingnotch_requests_total", "Requests received.")),
       sent_(parts_.counters.make_counter("waxwingnotch_sends_total", "Requests sent to upstreams.")),
       retried_(parts_.counters.make_counter("waxwingnotch_retries_total", "Repeated sends.")),
+      full_(parts_.counters.make_counter("waxwingnotch_full_refusals_total",
+                                         "Refusals by workers whose slots were taken.")),
       waiting_(parts_.counters.make_histogram("waxwingnotch_wait_ms", "Time from arrival to send, in ms.")),
       waiting_short_(parts_.counters.make_histogram("waxwingnotch_wait_short_ms",
                                                     "Same, of work that is not expected to be long, in ms.")),
@@ -28,6 +30,15 @@
         std::replace(name.begin(), name.end(), '-', '_');
         ended_.push_back(&parts_.counters.make_counter(name + "_total", "Requests that ended so."));
     }
+    parts_.view.on_verdict([this](const verdict& one) {
+        const bool of_claims = one.what == "claim" || one.what == "claim-end";
+        if (one.accepted && !of_claims) {
+            parts_.upstreams.hosts_changed();
+        }
+    });
+    if (parts_.member_ids) {
+        parts_.upstreams.use_members(options_.node_id, parts_.member_ids);
+    }
 }
 
 std::string dispatcher::admission_problem(const active_request& item, outcome& result) const
@@ -139,7 +150,7 @@
         const auto machine = parts_.view.state().hosts.find(host);
         const std::uint32_t slots =
             machine == parts_.view.state().hosts.end() ? 0 : machine->second.spec.slots;
-        parts_.upstreams.take_answer(host, slots, answer);
+        parts_.upstreams.take_answer(host, slots, answer, monotonic_ms());
         known.failures = 0;
         return;
     }
@@ -162,11 +173,21 @@
     const bool not_started =
         answered ? answer.header("X-Not-Started").value_or("") == "1" : !answer.bytes_sent;
     item->sent = item->sent || !not_started;
+    item->attempts -= not_started ? 1 : 0;
     if (item->finished) {
         pump();
         return;
     }
-    if (not_started) {
+    constexpr int too_many = 429;
+    if (not_started && answered && answer.status == too_many) {
+        // The table takes the worker for full for a while, so the request only goes back to its place.
+        ++item->full;
+        full_.add();
+        trace(*item, host + " refused it, because its slots are taken");
+        enqueue(item);
+    }
+    else if (not_started) {
+        ++item->unstarted;
         item->tried.push_back(host);
         try_again(item, answered ? "refused: " + answer.body : "no connection", false);
     }
@@ -206,14 +227,15 @@
         return;
     }
     constexpr std::uint32_t max_refusals = 20;
+    const std::uint32_t tries = started ? item->attempts : item->unstarted;
     const std::uint32_t most = started ? rule.max_attempts : max_refusals;
-    if (item->attempts >= most) {
+    if (tries >= most) {
         const outcome result = item->sent ? outcome::failed : outcome::not_run;
         finish(item, make_refusal(result, why, retry_after_ms));
         return;
     }
     retried_.add();
-    const std::int64_t base = rule.backoff_ms << std::min(item->attempts, 6U);
+    const std::int64_t base = rule.backoff_ms << std::min(tries, 6U);
     const auto jitter = static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(base + 1));
     item->backoff = parts_.loop.after(started ? base / 2 + jitter / 2 : jitter / 4, [this, item] {
         if (!item->finished) {
--- a/src/entry/dispatcher_queue.cpp
+++ b/src/entry/dispatcher_queue.cpp
@@ -10,11 +10,8 @@
 
 /// A routing decision with the inputs that decided it.
 struct dispatcher::route_view {
+    upstream_choice choice;
     std::string pool;
-    std::string host;
-    std::string runner_up;  // empty: there was no other host
-    double load = 0;
-    std::size_t candidates = 0;
     std::int64_t waited_ms = 0;
 };
 
@@ -52,9 +49,23 @@
     }
 }
 
+void dispatcher::wake_later()
+{
+    if (wakes_) {
+        return;
+    }
+    // Slots that other nodes free are not announced; a look costs one routing decision per service.
+    constexpr std::int64_t wake_ms = 10;
+    wakes_ = true;
+    wake_ = parts_.loop.after(wake_ms, [this] {
+        wakes_ = false;
+        pump();
+    });
+}
+
 pool_use dispatcher::use_of(std::string_view pool, std::int64_t now)
 {
-    const std::uint32_t slots = parts_.upstreams.pool_slots(parts_.view.state(), pool);
+    const std::uint32_t slots = parts_.upstreams.pool_slots(parts_.view.state(), pool, now);
     const auto running = long_running_.find(pool);
     return {slots / std::max(1U, parts_.alive_nodes()),
             running == long_running_.end() ? 0 : running->second.count(now)};
@@ -79,6 +90,7 @@
         if (try_send(item, use) != send_attempt::no_room) {
             continue;
         }
+        wake_later();
         if (item->tried.empty()) {
             break;
         }
@@ -104,29 +116,23 @@
         finish(item, make_refusal(outcome::not_run, "its claim is too old to be used", retry_after_ms));
         return send_attempt::ended;
     }
-    const std::uint32_t nodes = parts_.alive_nodes();
-    auto candidates = parts_.upstreams.candidates(state, service->pool, nodes, now, item->tried);
-    if (candidates.empty() && !item->tried.empty()) {
+    const upstream_query query{state, service->pool, parts_.alive_nodes(), now, random_()};
+    auto choice = parts_.upstreams.choose(query, item->tried);
+    if (!choice && !item->tried.empty() && !parts_.upstreams.any_serving(query, item->tried)) {
         item->tried.clear();
-        candidates = parts_.upstreams.candidates(state, service->pool, nodes, now, item->tried);
+        choice = parts_.upstreams.choose(query, item->tried);
     }
-    const auto choice = choose_upstream(candidates, random_());
     if (!choice) {
         return send_attempt::no_room;
     }
-    const route_view route{service->pool,
-                           std::string(candidates[choice->index].host),
-                           std::string(choice->runner_up ? candidates[*choice->runner_up].host : ""),
-                           choice->load,
-                           candidates.size(),
-                           now - item->arrived_at};
+    const route_view route{*choice, service->pool, now - item->arrived_at};
     log_route(*item, route, use);
-    trace(*item, "sent to " + route.host + " of pool " + route.pool + " at load " +
-                     std::to_string(route.load) +
-                     (route.runner_up.empty() ? std::string() : ", compared with " + route.runner_up) +
+    trace(*item, "sent to " + choice->host + " of pool " + route.pool + " at load " +
+                     std::to_string(choice->load) +
+                     (choice->runner_up.empty() ? std::string() : ", compared with " + choice->runner_up) +
                      "; expected to run " + std::to_string(item->expected.typical_ms) + " ms by " +
                      to_string(item->expected.basis));
-    if (item->attempts == 0) {
+    if (item->attempts + item->unstarted + item->full == 0) {
         waiting_.record(route.waited_ms);
         if (!item->expected_long) {
             waiting_short_.record(route.waited_ms);
@@ -136,7 +142,7 @@
     queue.order.take(item->number);
     queue.items.erase(item->number);
     item->queued = false;
-    send(item, route.host, state.hosts.at(route.host));
+    send(item, choice->host, state.hosts.at(choice->host));
     return send_attempt::sent;
 }
 
@@ -147,10 +153,10 @@
               {{"request", item.id},
                {"service", item.request.service},
                {"pool", route.pool},
-               {"host", route.host},
-               {"load", route.load},
-               {"runner_up", route.runner_up},
-               {"candidates", route.candidates},
+               {"host", route.choice.host},
+               {"load", route.choice.load},
+               {"runner_up", route.choice.runner_up},
+               {"pool_hosts", route.choice.pool_hosts},
                {"waited_ms", route.waited_ms},
                {"urgent", item.request.urgent},
                {"expected_ms", item.expected.typical_ms},
@@ -162,6 +168,8 @@
                {"long_slots", long_slots(queue_rules_, use.slots, route.waited_ms)},
                {"queued_behind", queues_.at(item.request.service).order.size() - 1},
                {"attempt", item.attempts + 1},
+               {"refused_full", item.full},
+               {"not_started", item.unstarted},
                {"rules", state.rules_document.version},
                {"inventory", state.inventory_document.version}});
 }
--- a/src/entry/upstreams.cpp
+++ b/src/entry/upstreams.cpp
@@ -17,37 +17,109 @@
     return found == upstreams_.end() ? nullptr : &found->second;
 }
 
-std::vector<route_candidate> upstream_table::candidates(const fleet_state& state, std::string_view pool,
-                                                        std::uint32_t nodes, std::int64_t now_ms,
-                                                        const std::vector<std::string>& exclude) const
+void upstream_table::use_members(std::string self, member_source members)
 {
-    static const upstream untouched;
-    std::vector<route_candidate> found;
+    self_ = std::move(self);
+    members_ = std::move(members);
+    stale_ = true;
+}
+
+void upstream_table::rebuild(const fleet_state& state)
+{
+    pools_.clear();
     for (const auto& [name, machine] : state.hosts) {
-        const bool serves = machine.pool == pool && machine.phase == host_phase::serving &&
-                            machine.condition != host_condition::down;
-        if (!serves || std::find(exclude.begin(), exclude.end(), name) != exclude.end()) {
-            continue;
-        }
-        const upstream* known = find(name);
-        const upstream& here = known != nullptr ? *known : untouched;
-        if (here.listed_leaving || here.said_leaving || here.ejected_until > now_ms) {
-            continue;
-        }
-        const std::uint32_t share = std::max(1U, machine.spec.connections / std::max(1U, nodes));
-        found.push_back({name, machine.spec.slots, here.in_flight, here.busy_elsewhere,
-                         share > here.in_flight ? share - here.in_flight : 0});
+        pool_index& pool = pools_[machine.pool];
+        pool.hosts.push_back({name, &at(name)});
+        pool.slots += available(machine) ? machine.spec.slots : 0;
+    }
+    if (!members_) {
+        return;
+    }
+    const std::vector<std::string> members = members_();
+    for (auto& [name, pool] : pools_) {
+        keep_subset(state, members, pool);
     }
-    return found;
 }
 
-std::uint32_t upstream_table::pool_slots(const fleet_state& state, std::string_view pool) const
+void upstream_table::keep_subset(const fleet_state& state, const std::vector<std::string>& members,
+                                 pool_index& pool) const
 {
-    std::uint32_t slots = 0;
-    for (const auto& [name, machine] : state.hosts) {
-        slots += machine.pool == pool && available(machine) ? machine.spec.slots : 0;
+    if (pool.hosts.size() < subset_pool_hosts) {
+        return;
+    }
+    std::erase_if(pool.hosts, [&](const pool_host& item) {
+        const host& spec = state.hosts.at(item.name).spec;
+        const std::uint32_t most = nodes_per_worker(spec.connections, spec.slots);
+        pool.subset = pool.subset || members.size() > most;
+        return !uses_worker(self_, members, item.name, most);
+    });
+}
+
+const upstream_table::pool_index& upstream_table::index_of(const fleet_state& state, std::string_view pool,
+                                                           std::int64_t now_ms)
+{
+    static const pool_index nothing;
+    if (stale_ || now_ms - indexed_at_ >= index_valid_ms) {
+        rebuild(state);
+        stale_ = false;
+        indexed_at_ = now_ms;
     }
-    return slots;
+    const auto found = pools_.find(pool);
+    return found == pools_.end() ? nothing : found->second;
+}
+
+std::optional<route_candidate> upstream_table::candidate(const upstream_query& query, const pool_index& pool,
+                                                         const pool_host& item,
+                                                         const std::vector<std::string>& exclude)
+{
+    const upstream& here = *item.known;
+    if (here.listed_leaving || here.said_leaving || here.ejected_until > query.now_ms) {
+        return std::nullopt;
+    }
+    const auto found = query.state.hosts.find(item.name);
+    if (found == query.state.hosts.end()) {
+        return std::nullopt;
+    }
+    const host_state& machine = found->second;
+    const bool serves = machine.pool == query.pool && machine.phase == host_phase::serving &&
+                        machine.condition != host_condition::down;
+    if (!serves || std::find(exclude.begin(), exclude.end(), item.name) != exclude.end()) {
+        return std::nullopt;
+    }
+    const std::uint32_t most = nodes_per_worker(machine.spec.connections, machine.spec.slots);
+    const std::uint32_t users = pool.subset ? std::min(query.nodes, most) : query.nodes;
+    const std::uint32_t share = std::max(1U, machine.spec.connections / std::max(1U, users));
+    return route_candidate{item.name, machine.spec.slots, here.in_flight,
+                           busy_elsewhere(here.report, query.now_ms),
+                           share > here.in_flight ? share - here.in_flight : 0};
+}
+
+std::optional<upstream_choice> upstream_table::choose(const upstream_query& query,
+                                                      const std::vector<std::string>& exclude)
+{
+    const pool_index& pool = index_of(query.state, query.pool, query.now_ms);
+    const auto choice = sample_upstreams(
+        pool.hosts.size(),
+        [&](std::size_t index) { return candidate(query, pool, pool.hosts[index], exclude); }, query.random);
+    if (!choice) {
+        return std::nullopt;
+    }
+    return upstream_choice{pool.hosts[choice->index].name,
+                           choice->runner_up ? pool.hosts[*choice->runner_up].name : std::string(),
+                           choice->load, pool.hosts.size()};
+}
+
+bool upstream_table::any_serving(const upstream_query& query, const std::vector<std::string>& exclude)
+{
+    const pool_index& pool = index_of(query.state, query.pool, query.now_ms);
+    return std::any_of(pool.hosts.begin(), pool.hosts.end(), [&](const pool_host& item) {
+        return candidate(query, pool, item, exclude).has_value();
+    });
+}
+
+std::uint32_t upstream_table::pool_slots(const fleet_state& state, std::string_view pool, std::int64_t now_ms)
+{
+    return index_of(state, pool, now_ms).slots;
 }
 
 void upstream_table::take_list(const std::vector<listed_host>& hosts)
@@ -61,13 +133,19 @@
     }
 }
 
-void upstream_table::take_answer(std::string_view host, std::uint32_t slots, const http_answer& answer)
+void upstream_table::take_answer(std::string_view host, std::uint32_t slots, const http_answer& answer,
+                                 std::int64_t now_ms)
 {
+    constexpr int too_many = 429;
     upstream& known = at(host);
-    if (const auto text = answer.header("X-Free-Slots")) {
+    if (answer.status == too_many) {
+        // The refusal counts more than the number of free slots that comes with it.
+        known.report = {slots > known.in_flight ? slots - known.in_flight : 0, now_ms};
+    }
+    else if (const auto text = answer.header("X-Free-Slots")) {
         const auto free = static_cast<std::uint32_t>(std::strtoul(text->c_str(), nullptr, 10));
         const std::uint32_t busy = slots > free ? slots - free : 0;
-        known.busy_elsewhere = busy > known.in_flight ? busy - known.in_flight : 0;
+        known.report = {busy > known.in_flight ? busy - known.in_flight : 0, now_ms};
     }
     known.said_leaving = answer.header("X-Leaving").value_or("") == "1";
 }
--- a/tests/decision/queue_test.cpp
+++ b/tests/decision/queue_test.cpp
@@ -38,8 +38,9 @@
         if (long_head == nullptr) {
             return chosen;
         }
-        const bool patient = now - long_head->queued_at >= rules.patience_ms;
-        const double share = patient ? rules.patient_share : rules.long_share;
+        const auto waited = static_cast<double>(std::min(now - long_head->queued_at, rules.patience_ms));
+        const double grown = waited / static_cast<double>(rules.patience_ms);
+        const double share = rules.long_share + (rules.patient_share - rules.long_share) * grown;
         const auto most = std::max(1U, static_cast<std::uint32_t>(share * pool.slots));
         if (pool.long_in_flight >= most) {
             return chosen;
--- /dev/null
+++ b/tests/entry/dispatcher_test.cpp
@@ -0,0 +1,106 @@
+#include "waxwingnotch/entry/dispatcher.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace waxwingnotch {
+
+namespace {
+
+/// A dispatcher with one worker on loopback, both behind real sockets. The test says how the worker answers.
+class one_worker : public ::testing::Test {
+protected:
+    one_worker()
+    {
+        worker_.handle([this](const http_exchange_ptr& exchange) { work(exchange); });
+        front_.handle([this](const http_exchange_ptr& exchange) {
+            requests_.submit(exchange, read_request(*exchange).value());
+        });
+        fleet_state state;
+        state.next_offset = 1;
+        state.promises.services = {{"s", "p"}};
+        host_state& machine = state.hosts["h1"];
+        machine.pool = "p";
+        machine.spec.name = "h1";
+        machine.spec.address = "127.0.0.1:" + std::to_string(worker_.listen("127.0.0.1", 0).value());
+        view_.replace(std::move(state));
+        front_address_ = "127.0.0.1:" + std::to_string(front_.listen("127.0.0.1", 0).value());
+    }
+
+    void work(const http_exchange_ptr& exchange)
+    {
+        sends_.push_back(exchange->body());
+        const std::string id = exchange->header("X-Task-Id").value_or("");
+        if (sends_.size() <= refusals_) {
+            exchange->reply(429, {{"X-Not-Started", "1"}, {"X-Free-Slots", "0"}}, "no free slot");
+            return;
+        }
+        ++starts_;
+        tasks_.push_back(loop_.after(run_ms_, [exchange, id] {
+            exchange->reply(200, {{"X-Task-Id", id}, {"X-Free-Slots", "8"}}, exchange->body());
+        }));
+    }
+
+    /// Sends one request and waits for its answer.
+    http_answer ask(const std::string& body, http_headers headers)
+    {
+        http_call call;
+        call.method = "POST";
+        call.address = front_address_;
+        call.path = "/v1/services/s/requests";
+        call.headers = std::move(headers);
+        call.body = body;
+        call.timeout_ms = 60'000;
+        http_answer kept;
+        client_.send(call, [&](const http_answer& answer) {
+            kept = answer;
+            loop_.stop();
+        });
+        loop_.run();
+        return kept;
+    }
+
+    std::size_t refusals_ = 0;  // of the first sends
+    std::int64_t run_ms_ = 1;
+    std::vector<std::string> sends_;
+    std::size_t starts_ = 0;
+
+private:
+    event_loop loop_;
+    metrics counters_;
+    http_client client_{loop_};
+    fleet_view view_;
+    log_appender appender_{loop_, client_, {"127.0.0.1:1", "n", 1, [] {
+                                                return std::int64_t{0};
+                                            }}};
+    peer_mesh mesh_{loop_, {"n", {}}, {}};
+    upstream_table upstreams_;
+    claim_desk claims_{loop_, "n", view_, appender_, mesh_};
+    dispatcher requests_{{loop_, client_, view_, upstreams_, claims_, counters_,
+                          [] {
+                              return 1U;
+                          }},
+                         {"n-1"}};
+    http_server worker_{loop_};
+    http_server front_{loop_};
+    std::string front_address_;
+    std::vector<timer> tasks_;
+};
+
+}  // namespace
+
+// Guards against a worker that is taken for full for good, against refusals that use up the attempts of a
+// request, and against a second start.
+TEST_F(one_worker, refusals_for_lack_of_slots_only_cost_time)
+{
+    refusals_ = 30;
+    const http_answer answer = ask("order", {{"X-Non-Idempotent", "true"}});
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, "order");
+    EXPECT_EQ(sends_.size(), 31U);
+    EXPECT_EQ(starts_, 1U);
+}
+
+}  // namespace waxwingnotch
