Refuse work that cannot make its deadline before it is sent

Cause: a request was sent as long as its deadline had not passed, even when its kind always runs longer than the time left, and took a slot for nothing.

Change: run_time_table::misses_deadline compares the time left with the lower decile of the newest run times of the kind. The dispatcher asks it on queueing and before the send, answers "not-run" with the figures in the reason, and writes a "late" line with its inputs. Work that was sent before is never refused so.

--- a/bench/queueing.cpp
+++ b/bench/queueing.cpp
@@ -34,6 +34,8 @@
     std::int64_t ran_ms = 0;       // true run time
     std::int64_t declared_ms = 0;  // 0: not declared
     std::string_view kind;
+    double median_ms = 0;    // of its kind
+    double deadline_ms = 0;  // 0: none
 };
 
 /// Kinds of work. Two of them are long with a heavy tail; the rest is short but for stragglers.
@@ -80,6 +82,7 @@
             left -= kinds[index++].share;
         }
         item.ran_ms = std::max<std::int64_t>(1, std::llround(run_time_of(kinds[index], random)));
+        item.median_ms = kinds[index].median_ms;
         item.kind = uniform(random) < 0.2 ? "" : kinds[index].name;
         const double honesty = uniform(random);
         const double said = honesty < 0.2 ? std::pow(10, 1 + 4 * uniform(random))
@@ -135,6 +138,10 @@
     /// @return index of the job to start, or none
     virtual std::optional<std::size_t> next(double now) = 0;
     virtual void done(std::size_t index, const job& item, double now) = 0;
+    /// The job was refused.
+    virtual void leave(std::size_t /*index*/) {}
+    /// @return true if @p item is refused instead of being started
+    virtual bool refuses(const job& /*item*/, double /*now*/) { return false; }
 };
 
 class fifo_policy : public policy {
@@ -191,6 +198,15 @@
         table_.learn({"service", item.kind, item.declared_ms}, item.ran_ms, static_cast<std::int64_t>(now));
     }
 
+    void leave(std::size_t index) override { long_.end(index); }
+
+protected:
+    run_time_estimate estimate(const job& item) const
+    {
+        return table_.estimate({"service", item.kind, item.declared_ms});
+    }
+    const run_time_table& table() const { return table_; }
+
 private:
     bool knows_;
     queue_rules rules_;
@@ -200,14 +216,60 @@
     std::int64_t typical_ms_ = 0;
 };
 
+/// What is done about deadlines that have not passed yet.
+enum class lateness {
+    ignored,    // baseline: only work whose deadline has passed is refused
+    estimated,  // the product: by learned run times
+    known,      // oracle: by the true run time
+};
+
+class deadline_policy : public ordered_policy {
+public:
+    explicit deadline_policy(lateness how) : ordered_policy(false), how_(how) {}
+
+    bool refuses(const job& item, double now) override
+    {
+        if (how_ == lateness::known) {
+            return now + static_cast<double>(item.ran_ms) > item.deadline_ms;
+        }
+        return how_ == lateness::estimated &&
+               table().misses_deadline(estimate(item), static_cast<std::int64_t>(item.deadline_ms),
+                                       static_cast<std::int64_t>(now));
+    }
+
+private:
+    lateness how_;
+};
+
 // ---- The loop ----
 
 struct waits {
     std::vector<double> of_short;
     double mean_long = 0;
     double longest_long = 0;
+    std::size_t in_time = 0;          // work that ended by its deadline
+    std::size_t refused_wrongly = 0;  // work that would have ended by its deadline if it had been started
+    double busy_ms = 0;               // slot time
+    double wasted_ms = 0;             // slot time of work that missed its deadline
 };
 
+/// Counts a decision about work with a deadline. @return true if the work is refused
+bool refused(waits& result, policy& order, const job& item, double now)
+{
+    if (item.deadline_ms == 0) {
+        return false;
+    }
+    const bool makes_it = now + static_cast<double>(item.ran_ms) <= item.deadline_ms;
+    if (now >= item.deadline_ms || order.refuses(item, now)) {
+        result.refused_wrongly += makes_it ? 1 : 0;
+        return true;
+    }
+    result.in_time += makes_it ? 1 : 0;
+    result.wasted_ms += makes_it ? 0 : static_cast<double>(item.ran_ms);
+    result.busy_ms += static_cast<double>(item.ran_ms);
+    return false;
+}
+
 struct running_job {
     double ends_ms = 0;
     std::size_t index = 0;
@@ -238,6 +300,10 @@
                 break;
             }
             const job& item = work[*index];
+            if (refused(result, order, item, now)) {
+                order.leave(*index);
+                continue;
+            }
             const double waited = now - item.arrives_ms;
             running.push({now + static_cast<double>(item.ran_ms), *index});
             if (item.ran_ms <= short_ms) {
@@ -279,6 +345,38 @@
     out.push_back({"long_wait_max_" + name, ours.longest_long, "ms", plain.longest_long});
 }
 
+/// Deadlines of 1.2 to 6 times the median of the kind after the arrival.
+void set_deadlines(std::vector<job>& work)
+{
+    std::mt19937_64 random(seed);
+    std::uniform_real_distribution<double> slack(1.2, 6);
+    for (job& item : work) {
+        item.deadline_ms = item.arrives_ms + item.median_ms * slack(random);
+    }
+}
+
+void measure_deadlines(figures& out, const std::string& name, double load, bool burst)
+{
+    std::vector<job> work = make_arrivals(load, burst);
+    set_deadlines(work);
+    deadline_policy ignoring(lateness::ignored);
+    deadline_policy estimating(lateness::estimated);
+    deadline_policy knowing(lateness::known);
+    const waits plain = run(work, ignoring);
+    const waits ours = run(work, estimating);
+    const waits best = run(work, knowing);
+    const auto share = [](std::size_t count) {
+        return static_cast<double>(count) / job_count;
+    };
+    out.push_back({"deadline_made_" + name, share(ours.in_time), "share", share(plain.in_time)});
+    out.push_back(
+        {"deadline_made_" + name + "_vs_oracle", share(ours.in_time), "share", share(best.in_time)});
+    out.push_back(
+        {"deadline_wasted_" + name, ours.wasted_ms / ours.busy_ms, "share", plain.wasted_ms / plain.busy_ms});
+    out.push_back(
+        {"deadline_wrong_" + name, share(ours.refused_wrongly), "share", share(plain.refused_wrongly)});
+}
+
 }  // namespace
 
 void bench_queueing(figures& out)
@@ -287,6 +385,9 @@
     measure(out, "080", 0.8, false);
     measure(out, "095", 0.95, false);
     measure(out, "burst", 0, true);
+    measure_deadlines(out, "095", 0.95, false);
+    measure_deadlines(out, "120", 1.2, false);
+    measure_deadlines(out, "burst", 0, true);
 }
 
 }  // namespace bench
--- a/include/waxwingnotch/decision/run_time.hpp
+++ b/include/waxwingnotch/decision/run_time.hpp
@@ -30,7 +30,7 @@
     std::size_t window = 31;          // newest run times that an entry keeps; odd, so that a median exists
     std::size_t trusted_samples = 5;  // an entry with fewer is passed over
     std::int64_t unknown_ms = 1'000;  // estimate of work of which nothing is known
-    std::int64_t fresh_ms = 60'000;   // an older estimate refuses no work; see run_time_estimate::fresh
+    std::int64_t fresh_ms = 60'000;   // an older estimate refuses no work; see misses_deadline()
 };
 
 /// Where an estimate comes from, most specific first.
@@ -45,6 +45,7 @@
 /// Expected run time.
 struct run_time_estimate {
     std::int64_t typical_ms = 0;          // median
+    std::int64_t quick_ms = 0;            // lower decile; same as typical unless learned for the kind
     std::int64_t service_typical_ms = 0;  // median of the whole service; 0: not learned
     std::int64_t learned_at = 0;          // newest run time behind it, ms; valid unless declared or nothing
     std::size_t samples = 0;
@@ -67,9 +68,11 @@
     /// because a shorter time says nothing about the whole run.
     void learn_at_least(const work_label& work, std::int64_t ran_ms, std::int64_t now_ms);
     run_time_estimate estimate(const work_label& work) const;
-    /// True if the estimate is learned and recent enough to refuse work by it. Work that is refused
-    /// teaches nothing, so a wrong estimate must lose its force with time.
-    bool fresh(const run_time_estimate& value, std::int64_t now_ms) const;
+    /// True if work that is started now cannot end by @p deadline_at unless it runs shorter than nine
+    /// tenths of its kind do. Only an estimate that is learned for the kind and recent decides: work that
+    /// is refused teaches nothing, so a wrong estimate must lose its force with time.
+    /// @param deadline_at 0: none, which is never missed
+    bool misses_deadline(const run_time_estimate& value, std::int64_t deadline_at, std::int64_t now_ms) const;
 
     std::size_t size() const { return entries_.size(); }
 
--- a/include/waxwingnotch/entry/dispatcher.hpp
+++ b/include/waxwingnotch/entry/dispatcher.hpp
@@ -86,6 +86,7 @@
     std::string admission_problem(const active_request& item, outcome& result) const;
     // The queue, in dispatcher_queue.cpp.
     void enqueue(const active_ptr& item);
+    bool refuse_late(const active_ptr& item, std::int64_t now);
     void leave_queue(active_request& item);
     void pump_service(const std::string& service);
     void wake_later();
--- a/src/decision/run_time.cpp
+++ b/src/decision/run_time.cpp
@@ -25,11 +25,19 @@
     return kind_key(work) + '\n' + std::to_string(declared_class(work.declared_ms));
 }
 
-std::int64_t median(std::vector<std::int64_t> values)
+/// @param tenths of the values that lie below the result
+std::int64_t quantile(std::vector<std::int64_t> values, std::size_t tenths)
 {
-    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-    std::nth_element(values.begin(), middle, values.end());
-    return *middle;
+    constexpr std::size_t whole = 10;
+    const auto place = values.begin() + static_cast<std::ptrdiff_t>(values.size() * tenths / whole);
+    std::nth_element(values.begin(), place, values.end());
+    return *place;
+}
+
+std::int64_t median(const std::vector<std::int64_t>& values)
+{
+    constexpr std::size_t half = 5;
+    return quantile(values, half);
 }
 
 std::int64_t geometric_mean(std::int64_t left, std::int64_t right)
@@ -120,16 +128,19 @@
     }
     if (source != nullptr) {
         value.typical_ms = median(source->ran_ms);
+        value.quick_ms = quantile(source->ran_ms, 1);
     }
     else if (service != nullptr) {
         source = service;
         value.basis = estimate_basis::service;
         value.typical_ms = work.declared_ms > 0 ? geometric_mean(work.declared_ms, value.service_typical_ms)
                                                 : value.service_typical_ms;
+        value.quick_ms = value.typical_ms;
     }
     else {
         value.basis = work.declared_ms > 0 ? estimate_basis::declared : estimate_basis::nothing;
         value.typical_ms = work.declared_ms > 0 ? work.declared_ms : rules_.unknown_ms;
+        value.quick_ms = value.typical_ms;
         return value;
     }
     value.samples = source->ran_ms.size();
@@ -137,10 +148,15 @@
     return value;
 }
 
-bool run_time_table::fresh(const run_time_estimate& value, std::int64_t now_ms) const
+bool run_time_table::misses_deadline(const run_time_estimate& value, std::int64_t deadline_at,
+                                     std::int64_t now_ms) const
 {
-    const bool learned = value.basis == estimate_basis::declared_class || value.basis == estimate_basis::kind;
-    return learned && now_ms - value.learned_at <= rules_.fresh_ms;
+    if (deadline_at == 0) {
+        return false;
+    }
+    const bool of_kind = value.basis == estimate_basis::declared_class || value.basis == estimate_basis::kind;
+    const bool usable = of_kind && now_ms - value.learned_at <= rules_.fresh_ms;
+    return now_ms >= deadline_at || (usable && now_ms + value.quick_ms > deadline_at);
 }
 
 }  // namespace waxwingnotch
--- a/src/entry/dispatcher_queue.cpp
+++ b/src/entry/dispatcher_queue.cpp
@@ -17,10 +17,13 @@
 
 void dispatcher::enqueue(const active_ptr& item)
 {
-    service_queue& queue = queues_[item->request.service];
     item->expected = run_times_.estimate(item->label());
     item->expected_long =
         expected_long(queue_rules_, item->expected.typical_ms, item->expected.service_typical_ms);
+    if (refuse_late(item, monotonic_ms())) {
+        return;
+    }
+    service_queue& queue = queues_[item->request.service];
     queue.order.push({.id = item->number,
                       .urgent = item->request.urgent,
                       .expected_long = item->expected_long,
@@ -31,6 +34,31 @@
     pump_service(item->request.service);
 }
 
+bool dispatcher::refuse_late(const active_ptr& item, std::int64_t now)
+{
+    // What may have started cannot be called "not run"; its time limit ends it.
+    if (item->sent || !run_times_.misses_deadline(item->expected, item->deadline_at, now)) {
+        return false;
+    }
+    const std::int64_t left = item->deadline_at - now;
+    log_event(log_level::info, "late",
+              {{"request", item->id},
+               {"service", item->request.service},
+               {"left_ms", left},
+               {"quick_ms", item->expected.quick_ms},
+               {"expected_ms", item->expected.typical_ms},
+               {"expected_by", to_string(item->expected.basis)},
+               {"samples", item->expected.samples},
+               {"learned_ms_ago", now - item->expected.learned_at},
+               {"waited_ms", now - item->arrived_at}});
+    finish(item, make_refusal(outcome::not_run,
+                              "it cannot make its deadline: " + std::to_string(left) +
+                                  " ms are left, and nine tenths of such work run longer than " +
+                                  std::to_string(item->expected.quick_ms) + " ms",
+                              retry_after_ms));
+    return true;
+}
+
 void dispatcher::leave_queue(active_request& item)
 {
     if (!item.queued) {
@@ -116,6 +144,9 @@
         finish(item, make_refusal(outcome::not_run, "its claim is too old to be used", retry_after_ms));
         return send_attempt::ended;
     }
+    if (refuse_late(item, now)) {
+        return send_attempt::ended;
+    }
     const upstream_query query{state, service->pool, parts_.alive_nodes(), now, random_()};
     auto choice = parts_.upstreams.choose(query, item->tried);
     if (!choice && !item->tried.empty() && !parts_.upstreams.any_serving(query, item->tried)) {
--- a/tests/decision/run_time_test.cpp
+++ b/tests/decision/run_time_test.cpp
@@ -30,7 +30,7 @@
         keys.push_back(item);
     }
 
-    std::optional<std::int64_t> median(const std::string& key) const
+    std::optional<std::int64_t> quantile(const std::string& key, std::size_t tenths) const
     {
         const auto found =
             std::find_if(keys.begin(), keys.end(), [&](auto& item) { return item.first == key; });
@@ -41,7 +41,7 @@
         std::vector<std::int64_t> newest(found->second.end() - static_cast<std::ptrdiff_t>(kept),
                                          found->second.end());
         std::sort(newest.begin(), newest.end());
-        return newest[newest.size() / 2];
+        return newest[newest.size() * tenths / 10];
     }
 };
 
@@ -73,12 +73,16 @@
         }
         const run_time_estimate guess = table.estimate(work);
         RC_ASSERT(table.size() <= rules.max_entries);
-        RC_ASSERT(guess.service_typical_ms == naive.median(key_of(work, 0)).value_or(0));
-        const auto exact = naive.median(key_of(work, 2));
-        const auto kind = naive.median(key_of(work, 1));
+        RC_ASSERT(guess.service_typical_ms == naive.quantile(key_of(work, 0), 5).value_or(0));
+        const auto exact = naive.quantile(key_of(work, 2), 5);
+        const auto kind = naive.quantile(key_of(work, 1), 5);
         RC_ASSERT((guess.basis == estimate_basis::declared_class) == exact.has_value());
         if (exact || kind) {
             RC_ASSERT(guess.typical_ms == exact.value_or(kind.value_or(0)));
+            const auto quick = naive.quantile(key_of(work, exact ? 2 : 1), 1);
+            RC_ASSERT(guess.quick_ms == quick.value_or(0));
+            const auto left = *rc::gen::inRange<std::int64_t>(1, 100'000);
+            RC_ASSERT(table.misses_deadline(guess, step + left, step) == (left < guess.quick_ms));
         }
     }
 }
@@ -105,8 +109,10 @@
     table.learn_at_least({"s", "k", 0}, 9'000, 2);
     const run_time_estimate guess = table.estimate({"s", "k", 0});
     EXPECT_EQ(guess.samples, 2U);
-    EXPECT_TRUE(table.fresh(guess, 60'002));
-    EXPECT_FALSE(table.fresh(guess, 60'003));
+    EXPECT_TRUE(table.misses_deadline(guess, 60'003, 60'002));
+    EXPECT_FALSE(table.misses_deadline(guess, 60'004, 60'003));
+    EXPECT_TRUE(table.misses_deadline(guess, 60'004, 60'004));
+    EXPECT_FALSE(table.misses_deadline(guess, 0, 60'002));
 }
 
 }  // namespace waxwingnotch
--- a/tests/entry/dispatcher_test.cpp
+++ b/tests/entry/dispatcher_test.cpp
@@ -103,4 +103,19 @@
     EXPECT_EQ(starts_, 1U);
 }
 
+// Guards against work that occupies a slot although it cannot end in time, and against "not run" for work
+// that was sent.
+TEST_F(one_worker, work_that_cannot_make_its_deadline_is_not_sent)
+{
+    run_ms_ = 50;
+    const http_headers kind = {{"X-Kind", "k"}};
+    for (int run = 0; run < 5; ++run) {
+        EXPECT_EQ(ask("early", kind).status, 200);
+    }
+    const http_answer late = ask("late", {{"X-Kind", "k"}, {"X-Deadline-Ms", "20"}});
+    EXPECT_EQ(late.status, 503);
+    EXPECT_EQ(late.header("X-Outcome").value_or(""), "not-run");
+    EXPECT_EQ(sends_, std::vector<std::string>(5, "early"));
+}
+
 }  // namespace waxwingnotch
