Let services of one pool take turns, and judge long work by the pool

Cause: the queues were served in the order of service names, so with two services in one pool the later one was sent only when the earlier queue was empty. Work counted as long only beside its own service, so a service of long work could fill a pool that it shares with short work. A saturated large pool was looked at with a search of the state for each host.

Change: pump() starts behind the service that was served last. Long work is judged by the least median of the pool's services. Full hosts are passed over before the state is searched. bench/queueing.cpp measures urgent work.

--- a/bench/queueing.cpp
+++ b/bench/queueing.cpp
@@ -36,6 +36,7 @@
     std::string_view kind;
     double median_ms = 0;    // of its kind
     double deadline_ms = 0;  // 0: none
+    bool urgent = false;
 };
 
 /// Kinds of work. Two of them are long with a heavy tail; the rest is short but for stragglers.
@@ -170,7 +171,10 @@
 /// The queue of the product, with learned run times or, as oracle, with the true ones.
 class ordered_policy : public policy {
 public:
-    explicit ordered_policy(bool knows) : knows_(knows), rules_(knows ? oracle_rules : queue_rules{}) {}
+    explicit ordered_policy(bool knows, bool sees_urgency = true)
+        : knows_(knows), sees_urgency_(sees_urgency), rules_(knows ? oracle_rules : queue_rules{})
+    {
+    }
 
     void arrive(std::size_t index, const job& item) override
     {
@@ -178,7 +182,7 @@
         const bool is_long = knows_ ? item.ran_ms > short_ms
                                     : expected_long(rules_, guess.typical_ms, guess.service_typical_ms);
         typical_ms_ = guess.service_typical_ms;
-        queue_.push({index, false, is_long, static_cast<std::int64_t>(item.arrives_ms),
+        queue_.push({index, sees_urgency_ && item.urgent, is_long, static_cast<std::int64_t>(item.arrives_ms),
                      knows_ ? item.ran_ms : guess.typical_ms});
     }
     std::optional<std::size_t> next(double now) override
@@ -209,6 +213,7 @@
 
 private:
     bool knows_;
+    bool sees_urgency_;
     queue_rules rules_;
     run_time_table table_;
     work_queue queue_{rules_};
@@ -245,6 +250,7 @@
 
 struct waits {
     std::vector<double> of_short;
+    std::vector<double> of_urgent;
     double mean_long = 0;
     double longest_long = 0;
     std::size_t in_time = 0;          // work that ended by its deadline
@@ -305,6 +311,9 @@
                 continue;
             }
             const double waited = now - item.arrives_ms;
+            if (item.urgent) {
+                result.of_urgent.push_back(waited);
+            }
             running.push({now + static_cast<double>(item.ran_ms), *index});
             if (item.ran_ms <= short_ms) {
                 result.of_short.push_back(waited);
@@ -316,13 +325,13 @@
         }
     }
     std::sort(result.of_short.begin(), result.of_short.end());
+    std::sort(result.of_urgent.begin(), result.of_urgent.end());
     return result;
 }
 
-double quantile(const waits& of, double share)
+double quantile(const std::vector<double>& sorted, double share)
 {
-    const auto last = static_cast<double>(of.of_short.size() - 1);
-    return of.of_short[static_cast<std::size_t>(share * last)] + latency_ms;
+    return sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))] + latency_ms;
 }
 
 void measure(figures& out, const std::string& name, double load, bool burst)
@@ -335,16 +344,36 @@
     const waits ours = run(work, learned);
     const waits best = run(work, knowing);
     for (const auto& [label, share] : {std::pair{"p50", 0.5}, {"p99", 0.99}, {"p999", 0.999}}) {
-        const double oracle = quantile(best, share);
+        const double oracle = quantile(best.of_short, share);
         const std::string figure_name = std::string("short_wait_") + label + "_" + name;
+        out.push_back({figure_name, quantile(ours.of_short, share) / oracle, "x_oracle",
+                       quantile(plain.of_short, share) / oracle});
         out.push_back(
-            {figure_name, quantile(ours, share) / oracle, "x_oracle", quantile(plain, share) / oracle});
-        out.push_back({figure_name + "_ms", quantile(ours, share), "ms", quantile(plain, share)});
+            {figure_name + "_ms", quantile(ours.of_short, share), "ms", quantile(plain.of_short, share)});
     }
     out.push_back({"long_wait_mean_" + name, ours.mean_long, "ms", plain.mean_long});
     out.push_back({"long_wait_max_" + name, ours.longest_long, "ms", plain.longest_long});
 }
 
+/// A tenth of the work is urgent; the baseline treats it like the rest.
+void measure_urgent(figures& out, const std::string& name, double load, bool burst)
+{
+    std::vector<job> work = make_arrivals(load, burst);
+    std::mt19937_64 random(seed);
+    for (job& item : work) {
+        item.urgent = random() % 10 == 0;
+    }
+    ordered_policy plain_order(false, false);
+    ordered_policy order(false);
+    const waits plain = run(work, plain_order);
+    const waits ours = run(work, order);
+    constexpr double p999 = 0.999;
+    out.push_back(
+        {"urgent_wait_p999_" + name, quantile(ours.of_urgent, p999), "ms", quantile(plain.of_urgent, p999)});
+    out.push_back({"urgent_short_wait_p999_" + name, quantile(ours.of_short, p999), "ms",
+                   quantile(plain.of_short, p999)});
+}
+
 /// Deadlines of 1.2 to 6 times the median of the kind after the arrival.
 void set_deadlines(std::vector<job>& work)
 {
@@ -385,6 +414,8 @@
     measure(out, "080", 0.8, false);
     measure(out, "095", 0.95, false);
     measure(out, "burst", 0, true);
+    measure_urgent(out, "095", 0.95, false);
+    measure_urgent(out, "burst", 0, true);
     measure_deadlines(out, "095", 0.95, false);
     measure_deadlines(out, "120", 1.2, false);
     measure_deadlines(out, "burst", 0, true);
--- a/include/waxwingnotch/decision/queue.hpp
+++ b/include/waxwingnotch/decision/queue.hpp
@@ -20,9 +20,10 @@
 struct queue_rules {
     std::int64_t aging = 5;  // each expected ms of run time yields to this many ms of waiting
     std::int64_t longest_bypass_ms =
-        60'000;                        // a request passes none of its urgency that came this much earlier
-    std::uint32_t urgent_run = 7;      // urgent sends in a row while normal work could go
-    std::int64_t long_factor = 4;      // long: expected to run this many times the service's median
+        60'000;                    // a request passes none of its urgency that came this much earlier
+    std::uint32_t urgent_run = 7;  // urgent sends in a row while normal work could go
+    std::int64_t long_factor =
+        4;  // long: expected to run this many times the median of the pool's shortest service
     std::int64_t long_floor_ms = 500;  // and at least this long
     double long_share = 0.75;          // slots of the pool that long work may take at once
     double patient_share = 0.9;        // grows to this while long work waits for `patience_ms`
@@ -44,9 +45,9 @@
     std::uint32_t long_in_flight = 0;  // of all services of the pool; see long_work
 };
 
-/// @return true if work counts as long beside the other work of its service
-/// @param service_typical_ms median of the service; 0: not learned
-bool expected_long(const queue_rules& rules, std::int64_t estimate_ms, std::int64_t service_typical_ms);
+/// @return true if work counts as long beside the other work of its pool
+/// @param typical_ms least median of the services that share the pool; 0: not learned
+bool expected_long(const queue_rules& rules, std::int64_t estimate_ms, std::int64_t typical_ms);
 
 /// @return slots that long work may take after it has waited for @p waited_ms; at least 1
 std::uint32_t long_slots(const queue_rules& rules, std::uint32_t slots, std::int64_t waited_ms);
@@ -54,8 +55,8 @@
 /// @return time that orders work of the same urgency: the smallest goes first
 std::int64_t order_time(const queue_rules& rules, const queued_work& work);
 
-/// @return run time, in ms, from which on work of the service counts as long
-std::int64_t long_from_ms(const queue_rules& rules, std::int64_t service_typical_ms);
+/// @return run time, in ms, from which on work counts as long
+std::int64_t long_from_ms(const queue_rules& rules, std::int64_t typical_ms);
 
 /// Counts the long work that runs in one pool: work that was expected to be long, and work that turned out
 /// to be, so that stragglers of short kinds use up the slots of long work and not those of short work.
--- a/include/waxwingnotch/decision/run_time.hpp
+++ b/include/waxwingnotch/decision/run_time.hpp
@@ -68,6 +68,8 @@
     /// because a shorter time says nothing about the whole run.
     void learn_at_least(const work_label& work, std::int64_t ran_ms, std::int64_t now_ms);
     run_time_estimate estimate(const work_label& work) const;
+    /// @return median of a whole service; 0: not learned
+    std::int64_t service_typical_ms(std::string_view service) const;
     /// True if work that is started now cannot end by @p deadline_at unless it runs shorter than nine
     /// tenths of its kind do. Only an estimate that is learned for the kind and recent decides: work that
     /// is refused teaches nothing, so a wrong estimate must lose its force with time.
--- a/include/waxwingnotch/entry/dispatcher.hpp
+++ b/include/waxwingnotch/entry/dispatcher.hpp
@@ -90,6 +90,7 @@
     void leave_queue(active_request& item);
     void pump_service(const std::string& service);
     void wake_later();
+    std::int64_t pool_typical_ms(const std::string& service) const;
     pool_use use_of(std::string_view pool, std::int64_t now);
     send_attempt try_send(const active_ptr& item, const pool_use& use);
     void log_route(const active_request& item, const route_view& route, const pool_use& use) const;
@@ -113,6 +114,7 @@
     std::map<std::string, service_queue> queues_;                 // by service
     std::map<std::string, long_work, std::less<>> long_running_;  // by pool
     request_traces traces_;
+    std::string last_served_;  // service of the last send
     timer wake_;
     bool wakes_ = false;  // wake_ is set
     counter& received_;
--- a/include/waxwingnotch/entry/upstreams.hpp
+++ b/include/waxwingnotch/entry/upstreams.hpp
@@ -81,6 +81,7 @@
     struct pool_host {
         std::string name;
         const upstream* known = nullptr;  // lives as long as the table
+        std::uint32_t slots = 0;
     };
     struct pool_index {
         std::vector<pool_host> hosts;  // of this node's subset
--- a/src/decision/queue.cpp
+++ b/src/decision/queue.cpp
@@ -5,14 +5,14 @@
 
 namespace waxwingnotch {
 
-std::int64_t long_from_ms(const queue_rules& rules, std::int64_t service_typical_ms)
+std::int64_t long_from_ms(const queue_rules& rules, std::int64_t typical_ms)
 {
-    return std::max(rules.long_floor_ms, rules.long_factor * service_typical_ms);
+    return std::max(rules.long_floor_ms, rules.long_factor * typical_ms);
 }
 
-bool expected_long(const queue_rules& rules, std::int64_t estimate_ms, std::int64_t service_typical_ms)
+bool expected_long(const queue_rules& rules, std::int64_t estimate_ms, std::int64_t typical_ms)
 {
-    return service_typical_ms > 0 && estimate_ms >= long_from_ms(rules, service_typical_ms);
+    return typical_ms > 0 && estimate_ms >= long_from_ms(rules, typical_ms);
 }
 
 void long_work::start(std::uint64_t id, std::int64_t turns_long_at)
--- a/src/decision/run_time.cpp
+++ b/src/decision/run_time.cpp
@@ -115,6 +115,12 @@
     return enough ? &*found->second : nullptr;
 }
 
+std::int64_t run_time_table::service_typical_ms(std::string_view service) const
+{
+    const entry* found = trusted(std::string(service));
+    return found != nullptr ? median(found->ran_ms) : 0;
+}
+
 run_time_estimate run_time_table::estimate(const work_label& work) const
 {
     const entry* service = trusted(service_key(work));
--- a/src/entry/active_request.hpp
+++ b/src/entry/active_request.hpp
@@ -21,7 +21,8 @@
     std::uint32_t unstarted = 0;   // sends that failed before it started
     std::uint32_t full = 0;        // refusals because the worker's slots were taken
     std::vector<std::string> tried;
-    run_time_estimate expected;  // as of its last queueing
+    run_time_estimate expected;        // as of its last queueing
+    std::int64_t pool_typical_ms = 0;  // least median of the services of its pool; 0: not learned
     bool expected_long = false;
     bool queued = false;
     std::string pool;          // of the last send
--- a/src/entry/dispatcher_queue.cpp
+++ b/src/entry/dispatcher_queue.cpp
@@ -18,8 +18,8 @@
 void dispatcher::enqueue(const active_ptr& item)
 {
     item->expected = run_times_.estimate(item->label());
-    item->expected_long =
-        expected_long(queue_rules_, item->expected.typical_ms, item->expected.service_typical_ms);
+    item->pool_typical_ms = pool_typical_ms(item->request.service);
+    item->expected_long = expected_long(queue_rules_, item->expected.typical_ms, item->pool_typical_ms);
     if (refuse_late(item, monotonic_ms())) {
         return;
     }
@@ -31,7 +31,7 @@
                       .estimate_ms = item->expected.typical_ms});
     queue.items.emplace(item->number, item);
     item->queued = true;
-    pump_service(item->request.service);
+    pump();
 }
 
 bool dispatcher::refuse_late(const active_ptr& item, std::int64_t now)
@@ -72,9 +72,32 @@
 
 void dispatcher::pump()
 {
-    for (const auto& [service, queue] : queues_) {
-        pump_service(service);
+    // Starts behind the service that was served last, so that services that share a pool take turns.
+    auto next = queues_.upper_bound(last_served_);
+    for (std::size_t left = queues_.size(); left > 0; --left) {
+        if (next == queues_.end()) {
+            next = queues_.begin();
+        }
+        if (!next->second.order.empty()) {
+            pump_service(next->first);
+        }
+        ++next;
+    }
+}
+
+std::int64_t dispatcher::pool_typical_ms(const std::string& service) const
+{
+    const std::vector<service_rule>& services = parts_.view.state().promises.services;
+    const service_rule* own = find_service(parts_.view.state(), service);
+    std::int64_t least = 0;
+    for (const service_rule& other : services) {
+        if (own == nullptr || other.pool != own->pool) {
+            continue;
+        }
+        const std::int64_t typical = run_times_.service_typical_ms(other.name);
+        least = least == 0 || (typical > 0 && typical < least) ? typical : least;
     }
+    return least;
 }
 
 void dispatcher::wake_later()
@@ -173,6 +196,7 @@
     queue.order.take(item->number);
     queue.items.erase(item->number);
     item->queued = false;
+    last_served_ = item->request.service;
     send(item, choice->host, state.hosts.at(choice->host));
     return send_attempt::sent;
 }
@@ -193,7 +217,7 @@
                {"expected_ms", item.expected.typical_ms},
                {"expected_by", to_string(item.expected.basis)},
                {"samples", item.expected.samples},
-               {"service_typical_ms", item.expected.service_typical_ms},
+               {"pool_typical_ms", item.pool_typical_ms},
                {"expected_long", item.expected_long},
                {"long_in_flight", use.long_in_flight},
                {"long_slots", long_slots(queue_rules_, use.slots, route.waited_ms)},
@@ -209,8 +233,7 @@
 {
     item.pool = pool;
     item.sent_at = monotonic_ms();
-    const std::int64_t turns_long =
-        item.expected_long ? 0 : long_from_ms(queue_rules_, item.expected.service_typical_ms);
+    const std::int64_t turns_long = item.expected_long ? 0 : long_from_ms(queue_rules_, item.pool_typical_ms);
     long_running_[pool].start(item.number, item.sent_at + turns_long);
 }
 
--- a/src/entry/upstreams.cpp
+++ b/src/entry/upstreams.cpp
@@ -29,7 +29,7 @@
     pools_.clear();
     for (const auto& [name, machine] : state.hosts) {
         pool_index& pool = pools_[machine.pool];
-        pool.hosts.push_back({name, &at(name)});
+        pool.hosts.push_back({name, &at(name), machine.spec.slots});
         pool.slots += available(machine) ? machine.spec.slots : 0;
     }
     if (!members_) {
@@ -98,9 +98,13 @@
                                                       const std::vector<std::string>& exclude)
 {
     const pool_index& pool = index_of(query.state, query.pool, query.now_ms);
-    const auto choice = sample_upstreams(
-        pool.hosts.size(),
-        [&](std::size_t index) { return candidate(query, pool, pool.hosts[index], exclude); }, query.random);
+    const auto open_candidate = [&](std::size_t index) -> std::optional<route_candidate> {
+        const pool_host& item = pool.hosts[index];
+        // Passes over full hosts before the state is searched: a saturated pool is looked at as a whole.
+        const std::uint32_t busy = item.known->in_flight + busy_elsewhere(item.known->report, query.now_ms);
+        return busy < item.slots ? candidate(query, pool, item, exclude) : std::nullopt;
+    };
+    const auto choice = sample_upstreams(pool.hosts.size(), open_candidate, query.random);
     if (!choice) {
         return std::nullopt;
     }
