--- a/bench/bench.hpp
+++ b/bench/bench.hpp
@@ -26,5 +26,7 @@
 void bench_retry(figures& out);
 void bench_limits(figures& out);
 void bench_never_runnable(figures& out);
+void bench_queueing(figures& out);
+void bench_entry_nodes(figures& out);
 
 }  // namespace bench
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -142,9 +142,12 @@
                 [this] {
                     const auto alive = mesh.members().alive_nodes(monotonic_ms()).size();
                     return static_cast<std::uint32_t>(alive);
+                },
+                [this] {
+                    return mesh.members().alive_nodes(monotonic_ms());
                 }},
                {options.node_id + "-" + std::to_string(incarnation), options.request_timeout_ms,
-                options.max_in_flight, static_cast<std::uint64_t>(incarnation)}),
+                options.max_in_flight, static_cast<std::uint64_t>(incarnation), options.node_id}),
       duties({loop, client, view, appender, [this](std::string_view duty) { return owns(duty); },
               [this] { return phase == node_phase::serving && follower.reachable(); },
               options.hosts_address}),
--- /dev/null
+++ b/tests/entry/dispatcher_test.cpp
@@ -0,0 +1,174 @@
+#include "waxwingnotch/entry/dispatcher.hpp"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace waxwingnotch {
+
+namespace {
+
+/// A dispatcher with one worker on loopback, both behind real sockets. The test says how the worker answers.
+class one_worker : public ::testing::Test {
+protected:
+    one_worker()
+    {
+        worker_.handle([this](const http_exchange_ptr& exchange) { work(exchange); });
+        front_.handle([this](const http_exchange_ptr& exchange) {
+            requests_.submit(exchange, read_request(*exchange).value());
+            ++arrived_;
+            start_held();
+        });
+        fleet_state state;
+        state.next_offset = 1;
+        state.promises.services = {{"a", "p"}, {"b", "p"}, {"s", "p"}};
+        host_state& machine = state.hosts["h1"];
+        machine.pool = "p";
+        machine.spec.name = "h1";
+        machine.spec.slots = 1;
+        machine.spec.address = "127.0.0.1:" + std::to_string(worker_.listen("127.0.0.1", 0).value());
+        view_.replace(std::move(state));
+        front_address_ = "127.0.0.1:" + std::to_string(front_.listen("127.0.0.1", 0).value());
+    }
+
+    void work(const http_exchange_ptr& exchange)
+    {
+        sends_.push_back(exchange->body());
+        const std::string id = exchange->header("X-Task-Id").value_or("");
+        if (sends_.size() <= refusals_) {
+            exchange->reply(429, {{"X-Not-Started", "1"}, {"X-Free-Slots", "0"}}, "no free slot");
+            return;
+        }
+        ++starts_;
+        held_.push_back([this, exchange, id] {
+            tasks_.push_back(loop_.after(run_ms_, [exchange, id] {
+                exchange->reply(200, {{"X-Task-Id", id}, {"X-Free-Slots", "1"}}, exchange->body());
+            }));
+        });
+        start_held();
+    }
+
+    /// Tasks run once all requests that the test announced have arrived.
+    void start_held()
+    {
+        if (arrived_ < announced_) {
+            return;
+        }
+        for (const auto& start : std::exchange(held_, {})) {
+            start();
+        }
+    }
+
+    /// Sends one request and waits for its answer.
+    http_answer ask(const std::string& body, http_headers headers)
+    {
+        http_answer kept;
+        send("s", body, std::move(headers), [&](const http_answer& answer) {
+            kept = answer;
+            loop_.stop();
+        });
+        loop_.run();
+        return kept;
+    }
+
+    /// Sends requests with their service as body and waits for all answers.
+    void ask_all(const std::vector<std::string>& services)
+    {
+        announced_ = services.size();
+        std::size_t answered = 0;
+        for (const std::string& service : services) {
+            send(service, service, {}, [&](const http_answer& answer) {
+                EXPECT_EQ(answer.status, 200);
+                if (++answered == services.size()) {
+                    loop_.stop();
+                }
+            });
+        }
+        loop_.run();
+    }
+
+    void send(const std::string& service, const std::string& body, http_headers headers, answer_handler done)
+    {
+        http_call call;
+        call.method = "POST";
+        call.address = front_address_;
+        call.path = "/v1/services/" + service + "/requests";
+        call.headers = std::move(headers);
+        call.body = body;
+        call.timeout_ms = 60'000;
+        client_.send(call, std::move(done));
+    }
+
+    std::size_t refusals_ = 0;  // of the first sends
+    std::int64_t run_ms_ = 1;
+    std::vector<std::string> sends_;
+    std::size_t starts_ = 0;
+    std::size_t announced_ = 0;  // requests that must arrive before tasks run
+
+private:
+    event_loop loop_;
+    metrics counters_;
+    http_client client_{loop_};
+    fleet_view view_;
+    log_appender appender_{loop_, client_, {"127.0.0.1:1", "n", 1, [] {
+                                                return std::int64_t{0};
+                                            }}};
+    peer_mesh mesh_{loop_, {"n", {}}, {}};
+    upstream_table upstreams_;
+    claim_desk claims_{loop_, "n", view_, appender_, mesh_};
+    dispatcher requests_{{loop_, client_, view_, upstreams_, claims_, counters_,
+                          [] {
+                              return 1U;
+                          }},
+                         {"n-1"}};
+    http_server worker_{loop_};
+    http_server front_{loop_};
+    std::string front_address_;
+    std::size_t arrived_ = 0;
+    std::vector<std::function<void()>> held_;
+    std::vector<timer> tasks_;
+};
+
+}  // namespace
+
+// Guards against a worker that is taken for full for good, against refusals that use up the attempts of a
+// request, and against a second start.
+TEST_F(one_worker, refusals_for_lack_of_slots_only_cost_time)
+{
+    refusals_ = 25;
+    const http_answer answer = ask("order", {{"X-Non-Idempotent", "true"}});
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, "order");
+    EXPECT_EQ(sends_.size(), 26U);
+    EXPECT_EQ(starts_, 1U);
+}
+
+// Guards against work that occupies a slot although it cannot end in time, and against "not run" for work
+// that was sent.
+TEST_F(one_worker, work_that_cannot_make_its_deadline_is_not_sent)
+{
+    run_ms_ = 50;
+    const http_headers kind = {{"X-Kind", "k"}};
+    for (int run = 0; run < 5; ++run) {
+        EXPECT_EQ(ask("early", kind).status, 200);
+    }
+    const http_answer late = ask("late", {{"X-Kind", "k"}, {"X-Deadline-Ms", "20"}});
+    EXPECT_EQ(late.status, 503);
+    EXPECT_EQ(late.header("X-Outcome").value_or(""), "not-run");
+    EXPECT_EQ(sends_, std::vector<std::string>(5, "early"));
+}
+
+// Guards against a service whose queue is served only when the other services of its pool have none.
+TEST_F(one_worker, services_of_one_pool_take_turns)
+{
+    ask_all({"a", "a", "a", "a", "b", "b", "b", "b"});
+    ASSERT_EQ(sends_.size(), 8U);
+    for (std::size_t send = 1; send < sends_.size(); ++send) {
+        EXPECT_NE(sends_[send], sends_[send - 1]) << send;
+    }
+}
+
+}  // namespace waxwingnotch
