Prove the promises under faults with real processes

The demo kills one node and stops another; nothing proved the promises under the other failures of the design page. tests/faults/run starts the log, the host list, 50 workers, a relay for links and three entry nodes, sends an open-loop load and injects faults that the seed chooses.

--- a/include/waxwingnotch/peer/peer_mesh.hpp
+++ b/include/waxwingnotch/peer/peer_mesh.hpp
@@ -78,6 +78,7 @@
     void drop(websocket_link* link);
     void beat();
     link_entry* link_to(std::string_view node);
+    void give_up_questions(std::string_view node);
     void settle_question(std::uint64_t id, const key_message& answer);
 
     struct question {
--- a/src/entry/claim_desk.cpp
+++ b/src/entry/claim_desk.cpp
@@ -59,11 +59,20 @@
         return;
     }
     log_event(log_level::info, "claim-rejected", {{"request", request_id}, {"reason", verdict.reason}});
+    // Repeats that came here meanwhile wait for the same answer.
+    const auto waiters = std::move(waiting_[key]);
+    waiting_.erase(key);
+    const claim_handler all = [done, waiters](const claim_result& result) {
+        done(result);
+        for (const auto& waiter : waiters) {
+            waiter(result.refusal);
+        }
+    };
     if (view_.state().claims.count(key) > 0) {
-        refer(key, done);
+        refer(key, all);
         return;
     }
-    done(refused(make_refusal(outcome::not_run, "claim rejected: " + verdict.reason, retry_after_ms)));
+    all(refused(make_refusal(outcome::not_run, "claim rejected: " + verdict.reason, retry_after_ms)));
 }
 
 void claim_desk::timed_out(const std::string& key)
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 
 #include <cassert>
+#include <csignal>
 
 namespace waxwingnotch {
 
@@ -73,6 +74,8 @@
 event_loop::event_loop() : base_(event_base_new())
 {
     assert(base_ != nullptr && "libevent found no usable backend");
+    // libevent writes without MSG_NOSIGNAL: a peer that closed must give an error, not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
 }
 
 event_loop::~event_loop()
--- a/src/net/websocket_link.cpp
+++ b/src/net/websocket_link.cpp
@@ -29,11 +29,23 @@
 
 result<socket_address> resolve(std::string_view address)
 {
+    // evutil_parse_sockaddr_port() refuses port 0, which asks for any free port.
+    const endpoint parts = parse_endpoint(address);
     socket_address resolved;
-    const std::string text(address);
-    resolved.size = sizeof resolved.storage;
-    if (evutil_parse_sockaddr_port(text.c_str(), resolved.native(), &resolved.size) != 0) {
-        return fail(error_code::invalid_argument, "not a numeric address: " + text);
+    auto* v4 = reinterpret_cast<sockaddr_in*>(&resolved.storage);
+    auto* v6 = reinterpret_cast<sockaddr_in6*>(&resolved.storage);
+    if (inet_pton(AF_INET, parts.ip.c_str(), &v4->sin_addr) == 1) {
+        v4->sin_family = AF_INET;
+        v4->sin_port = htons(parts.port);
+        resolved.size = sizeof *v4;
+    }
+    else if (inet_pton(AF_INET6, parts.ip.c_str(), &v6->sin6_addr) == 1) {
+        v6->sin6_family = AF_INET6;
+        v6->sin6_port = htons(parts.port);
+        resolved.size = sizeof *v6;
+    }
+    else {
+        return fail(error_code::invalid_argument, "not a numeric address: " + std::string(address));
     }
     return resolved;
 }
--- a/src/peer/peer_mesh.cpp
+++ b/src/peer/peer_mesh.cpp
@@ -58,8 +58,26 @@
         return;
     }
     closed_bytes_out_ += link->bytes_out();
-    dialling_.erase(found->second.node);
+    const std::string node = found->second.node;
+    dialling_.erase(node);
     links_.erase(found);
+    if (link_to(node) == nullptr) {
+        give_up_questions(node);
+    }
+}
+
+/// No answer can arrive any more; whoever asked must not wait for the time limit.
+void peer_mesh::give_up_questions(std::string_view node)
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, item] : questions_) {
+        if (item.node == node) {
+            ids.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : ids) {
+        loop_.defer([this, id] { settle_question(id, {}); });
+    }
 }
 
 void peer_mesh::take(websocket_link* link, const std::string& bytes)
--- a/standin/hosts.cpp
+++ b/standin/hosts.cpp
@@ -2,8 +2,6 @@
 
 #include "waxwingnotch/base/clock.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <map>
 
 namespace standin {
@@ -11,7 +9,6 @@
 namespace {
 
 using nlohmann::json;
-using waxwingnotch::event_loop;
 using waxwingnotch::http_exchange_ptr;
 
 /// What the list says about a host, now and after the lag.
@@ -20,32 +17,27 @@
     std::string state = "live";  // shown
     std::string next = "live";   // shown from `since + lag` on
     std::int64_t changed_at = 0;
-    std::int64_t reboots = 0;
 };
 
-class hosts_role : public role {
+class hosts_role {
 public:
-    explicit hosts_role(const hosts_options& options) : options_(options) {}
+    explicit hosts_role(std::int64_t lag_ms) : lag_ms_(lag_ms) {}
 
-    void handle(const http_exchange_ptr& exchange) override
+    void handle(const http_exchange_ptr& exchange)
     {
         const std::string& path = exchange->path();
         if (path == "/fault") {
-            const json body = json::parse(exchange->body(), nullptr, false);
-            down_ = body.is_object() && body.value("down", down_);
-            options_.lag_ms = body.is_object() ? body.value("lag_ms", options_.lag_ms) : options_.lag_ms;
-            exchange->reply(200, {}, "{}");
-            return;
+            take_faults(faults_, exchange);
         }
-        if (down_) {
+        else if (faults_.value("down", false)) {
             exchange->drop();
-            return;
         }
-        if (path == "/hosts" && exchange->method() == "GET") {
+        else if (path == "/hosts" && exchange->method() == "GET") {
             list(exchange);
-            return;
         }
-        change(exchange, path);
+        else {
+            change(exchange, path);
+        }
     }
 
 private:
@@ -53,8 +45,9 @@
     {
         const std::int64_t now = waxwingnotch::wall_ms();
         json items = json::array();
+        const std::int64_t lag_ms = faults_.value("lag_ms", lag_ms_);
         for (auto& [name, host] : hosts_) {
-            if (host.changed_at + options_.lag_ms <= now) {
+            if (host.changed_at + lag_ms <= now) {
                 host.state = host.next;
             }
             if (host.state != "gone") {
@@ -75,34 +68,29 @@
         }
         const std::string name = path.substr(prefix.size(), slash - prefix.size());
         const std::string action = path.substr(slash + 1);
-        static const std::map<std::string, std::string> states = {{"register", "live"}, {"drain", "live"},
-                                                                  {"reboot", "live"},   {"return", "live"},
-                                                                  {"leave", "leaving"}, {"gone", "gone"}};
+        static const std::map<std::string, std::string> states = {{"leave", "leaving"}, {"gone", "gone"}};
         const auto state = states.find(action);
-        if (state == states.end()) {
-            exchange->reply(404, {}, "unknown action");
-            return;
-        }
         listed_host& host = hosts_[name];
         if (action == "register") {
             host.address = exchange->body();
         }
-        host.reboots += action == "reboot" ? 1 : 0;
-        host.next = state->second;
+        host.next = state == states.end() ? "live" : state->second;
         host.changed_at = waxwingnotch::wall_ms();
-        exchange->reply(200, {{"Content-Type", "application/json"}}, json{{"reboots", host.reboots}}.dump());
+        exchange->reply(200, {{"Content-Type", "application/json"}}, "{}");
     }
 
-    hosts_options options_;
+    std::int64_t lag_ms_;
     std::map<std::string, listed_host> hosts_;
-    bool down_ = false;
+    json faults_ = json::object();  // down, lag_ms
 };
 
 }  // namespace
 
-std::unique_ptr<role> make_hosts(event_loop&, const hosts_options& options)
+role make_hosts(std::int64_t lag_ms)
 {
-    return std::make_unique<hosts_role>(options);
+    return [self = std::make_shared<hosts_role>(lag_ms)](const waxwingnotch::http_exchange_ptr& exchange) {
+        self->handle(exchange);
+    };
 }
 
 }  // namespace standin
--- a/standin/log.cpp
+++ b/standin/log.cpp
@@ -2,8 +2,6 @@
 
 #include "waxwingnotch/base/clock.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <deque>
 #include <list>
 
@@ -16,19 +14,13 @@
 using waxwingnotch::http_exchange_ptr;
 using waxwingnotch::timer;
 
+constexpr std::int64_t max_appends_per_s = 500;  // further appends get 429
+
 struct stored_record {
     std::int64_t appended_at = 0;
     std::string bytes;
 };
 
-/// Faults of the log; all off by default.
-struct log_faults {
-    bool down = false;                // connections are dropped without an effect
-    std::int64_t slow_ms = 0;         // answers are held back
-    std::int64_t lose_answers = 0;    // next appends take effect, their answers do not arrive
-    std::int64_t refuse_appends = 0;  // next appends are dropped without an effect
-};
-
 /// A reader that waits for the next record.
 struct waiting_reader {
     http_exchange_ptr exchange;
@@ -37,33 +29,32 @@
     timer timeout;
 };
 
-class log_role : public role {
+class log_role {
 public:
-    log_role(event_loop& loop, const log_options& options) : loop_(loop), options_(options) {}
+    log_role(event_loop& loop, std::int64_t retention) : loop_(loop), retention_(retention) {}
 
-    void handle(const http_exchange_ptr& exchange) override
+    void handle(const http_exchange_ptr& exchange)
     {
         if (exchange->path() == "/fault") {
             set_faults(exchange);
-            return;
         }
-        if (faults_.down) {
+        else if (exchange->path() == "/archive") {
+            answer(exchange, 0, end(), 0);
+        }
+        else if (faults_.value("down", false)) {
             exchange->drop();
-            return;
         }
-        if (faults_.slow_ms == 0) {
-            serve(exchange);
-            return;
+        else {
+            auto held = std::make_shared<timer>();
+            *held = loop_.after(faults_.value("slow_ms", 0), [this, exchange, held] {
+                serve(exchange);
+                held->cancel();
+            });
         }
-        auto held = std::make_shared<timer>();
-        *held = loop_.after(faults_.slow_ms, [this, exchange, held] {
-            serve(exchange);
-            held->cancel();
-        });
     }
 
 private:
-    std::int64_t end() const { return first_ + static_cast<std::int64_t>(records_.size()); }
+    std::int64_t end() const { return static_cast<std::int64_t>(records_.size()); }
 
     void serve(const http_exchange_ptr& exchange)
     {
@@ -80,24 +71,23 @@
 
     void set_faults(const http_exchange_ptr& exchange)
     {
-        const json body = json::parse(exchange->body(), nullptr, false);
-        if (body.is_discarded()) {
-            exchange->reply(400, {}, "not JSON");
-            return;
-        }
-        faults_.down = body.value("down", faults_.down);
-        faults_.slow_ms = body.value("slow_ms", faults_.slow_ms);
-        faults_.lose_answers = body.value("lose_answers", faults_.lose_answers);
-        faults_.refuse_appends = body.value("refuse_appends", faults_.refuse_appends);
-        options_.retention_records = body.value("retention_records", options_.retention_records);
-        if (body.value("disconnect_readers", false) || faults_.down) {
+        take_faults(faults_, exchange);
+        retention_ = faults_.value("retention_records", retention_);
+        if (faults_.value("down", false)) {
             for (waiting_reader& reader : readers_) {
                 reader.exchange->drop();
             }
             readers_.clear();
         }
         enforce_retention();
-        exchange->reply(200, {}, "{}");
+    }
+
+    /// True for as many calls as the fault says.
+    bool use_up(const char* fault)
+    {
+        const int left = faults_.value(fault, 0);
+        faults_[fault] = std::max(0, left - 1);
+        return left > 0;
     }
 
     void append(const http_exchange_ptr& exchange)
@@ -107,20 +97,18 @@
             second_ = now / 1000;
             appends_in_second_ = 0;
         }
-        if (++appends_in_second_ > options_.max_appends_per_s) {
+        if (++appends_in_second_ > max_appends_per_s) {
             exchange->reply(429, {}, "too many appends");
             return;
         }
-        if (faults_.refuse_appends > 0) {
-            --faults_.refuse_appends;
+        if (use_up("refuse_appends")) {
             exchange->drop();
             return;
         }
         const std::int64_t offset = end();
         records_.push_back({now, exchange->body()});
         enforce_retention();
-        if (faults_.lose_answers > 0) {
-            --faults_.lose_answers;
+        if (use_up("lose_answers")) {
             exchange->drop();
         }
         else {
@@ -129,13 +117,7 @@
         wake_readers();
     }
 
-    void enforce_retention()
-    {
-        while (static_cast<std::int64_t>(records_.size()) > options_.retention_records) {
-            records_.pop_front();
-            ++first_;
-        }
-    }
+    void enforce_retention() { first_ = std::max(first_, end() - retention_); }
 
     void read(const http_exchange_ptr& exchange)
     {
@@ -148,11 +130,11 @@
             at->timeout = loop_.after(wait_ms, [this, at] {
                 const waiting_reader reader = std::move(*at);
                 readers_.erase(at);
-                answer(reader.exchange, reader.from, reader.max);
+                answer(reader.exchange, reader.from, reader.max, first_);
             });
             return;
         }
-        answer(exchange, from, max);
+        answer(exchange, from, max, first_);
     }
 
     void wake_readers()
@@ -160,21 +142,22 @@
         const std::list<waiting_reader> readers = std::move(readers_);
         readers_.clear();
         for (const waiting_reader& reader : readers) {
-            answer(reader.exchange, reader.from, reader.max);
+            answer(reader.exchange, reader.from, reader.max, first_);
         }
     }
 
-    void answer(const http_exchange_ptr& exchange, std::int64_t from, std::int64_t max)
+    /// `/archive` reads from offset 0 whatever the faults and the retention are.
+    void answer(const http_exchange_ptr& exchange, std::int64_t from, std::int64_t max, std::int64_t first)
     {
-        const waxwingnotch::http_headers headers = {{"X-Log-First", std::to_string(first_)},
+        const waxwingnotch::http_headers headers = {{"X-Log-First", std::to_string(first)},
                                                     {"X-Log-End", std::to_string(end())}};
-        if (from < first_) {
+        if (from < first) {
             exchange->reply(410, headers, "offset is no longer kept");
             return;
         }
         json items = json::array();
         for (std::int64_t offset = from; offset < std::min(end(), from + max); ++offset) {
-            const stored_record& item = records_[static_cast<std::size_t>(offset - first_)];
+            const stored_record& item = records_[static_cast<std::size_t>(offset)];
             items.push_back(json::array(
                 {offset, item.appended_at, json::binary({item.bytes.begin(), item.bytes.end()})}));
         }
@@ -184,9 +167,11 @@
     }
 
     event_loop& loop_;
-    log_options options_;
-    log_faults faults_;
-    std::deque<stored_record> records_;
+    std::int64_t retention_;  // records
+    /// Faults, off by default: down (connections are dropped), slow_ms (answers are held back),
+    /// lose_answers (next appends take effect unanswered), refuse_appends (next ones take none).
+    json faults_ = json::object();
+    std::deque<stored_record> records_;  // all of them; those below first_ are gone for readers
     std::int64_t first_ = 0;
     std::int64_t second_ = 0;
     std::int64_t appends_in_second_ = 0;
@@ -195,9 +180,12 @@
 
 }  // namespace
 
-std::unique_ptr<role> make_log(event_loop& loop, const log_options& options)
+role make_log(event_loop& loop, std::int64_t retention)
 {
-    return std::make_unique<log_role>(loop, options);
+    return [self = std::make_shared<log_role>(loop, retention)](
+               const waxwingnotch::http_exchange_ptr& exchange) {
+        self->handle(exchange);
+    };
 }
 
 }  // namespace standin
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -18,6 +18,7 @@
 Usage:
   waxwingnotch-standin log [--listen=ADDRESS] [--port-file=FILE] [--retention=RECORDS]
   waxwingnotch-standin hosts [--listen=ADDRESS] [--port-file=FILE] [--lag-ms=MS]
+  waxwingnotch-standin relay [--listen=ADDRESS] [--port-file=FILE]
   waxwingnotch-standin worker --host=NAME [--listen=ADDRESS] [--port-file=FILE] [--slots=N]
   waxwingnotch-standin ports <count>
   waxwingnotch-standin --help
@@ -27,7 +28,7 @@
   --port-file=FILE     write the bound port to this file
   --retention=RECORDS  records that the log keeps [default: 1000000]
   --lag-ms=MS          how late a change shows in the host list [default: 1000]
-  --host=NAME          name of the worker's host
+  --host=NAME          name of the worker's host, for the list of processes
   --slots=N            tasks at a time [default: 8]
 )";
 
@@ -40,30 +41,24 @@
     std::vector<std::unique_ptr<waxwingnotch::http_server>> servers;
     for (long index = 0; index < count; ++index) {
         servers.push_back(std::make_unique<waxwingnotch::http_server>(loop));
-        const auto port = servers.back()->listen("127.0.0.1", 0);
-        if (!port) {
-            std::cerr << port.error().message << "\n";
-            return 1;
-        }
-        std::cout << port.value() << "\n";
+        std::cout << servers.back()->listen("127.0.0.1", 0).value() << "\n";
     }
     return 0;
 }
 
-std::unique_ptr<standin::role> make_role(waxwingnotch::event_loop& loop, arguments& given)
+standin::role make_role(waxwingnotch::event_loop& loop, arguments& given)
 {
     if (given["log"].asBool()) {
-        standin::log_options options;
-        options.retention_records = given["--retention"].asLong();
-        return standin::make_log(loop, options);
+        return standin::make_log(loop, given["--retention"].asLong());
     }
     if (given["hosts"].asBool()) {
-        return standin::make_hosts(loop, {given["--lag-ms"].asLong()});
+        return standin::make_hosts(given["--lag-ms"].asLong());
     }
-    standin::worker_options options;
-    options.host = given["--host"].asString();
-    options.slots = static_cast<std::uint32_t>(given["--slots"].asLong());
-    return standin::make_worker(loop, options);
+    if (given["relay"].asBool()) {
+        return standin::make_relay(loop);
+    }
+    const auto slots = static_cast<std::uint32_t>(given["--slots"].asLong());
+    return standin::make_worker(loop, slots);
 }
 
 /// Written under another name first, so that a reader never sees half a number.
@@ -83,9 +78,8 @@
         return print_free_ports(given["<count>"].asLong());
     }
     waxwingnotch::event_loop loop;
-    const auto role = make_role(loop, given);
     waxwingnotch::http_server server(loop);
-    server.handle([&](const waxwingnotch::http_exchange_ptr& exchange) { role->handle(exchange); });
+    server.handle(make_role(loop, given));
     const waxwingnotch::endpoint address = waxwingnotch::parse_endpoint(given["--listen"].asString());
     const auto port = server.listen(address.ip, address.port);
     if (!port) {
--- /dev/null
+++ b/standin/relay.cpp
@@ -0,0 +1,170 @@
+#include "standin.hpp"
+
+#include "waxwingnotch/net/address.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+
+#include <array>
+#include <list>
+#include <map>
+
+namespace standin {
+
+namespace {
+
+using nlohmann::json;
+using waxwingnotch::timer;
+
+/// A side of a relayed connection; bytes wait in its input buffer until they are passed on.
+struct relayed_side {
+    bufferevent* channel = nullptr;
+    bool ended = false;
+    timer later;
+};
+
+struct link;
+
+/// One relayed connection: side 0 dialled, side 1 is the target.
+struct relayed {
+    link* of = nullptr;
+    bool silent = false;  // for good
+    std::array<relayed_side, 2> sides;
+    timer closing;
+};
+
+/// A listener that passes connections on to its target. Faults are off by default.
+struct link {
+    waxwingnotch::event_loop& loop;
+    std::string target;
+    bool cut = false;                        // open connections are closed, new ones at once
+    std::array<bool, 2> mute{false, false};  // bytes are held: towards the target, back from it
+    std::int64_t delay_ms = 0;               // of bytes in both directions
+    std::list<relayed> open;
+};
+
+void close(relayed& item)
+{
+    bufferevent_free(item.sides[0].channel);
+    bufferevent_free(item.sides[1].channel);
+    item.of->open.remove_if([&](const relayed& other) { return &other == &item; });
+}
+
+/// Passes on what side @p from has sent, and then its end.
+void forward(relayed& item, std::size_t from)
+{
+    relayed_side& side = item.sides.at(from);
+    if (item.silent || item.of->mute.at(from)) {
+        return;
+    }
+    bufferevent_write_buffer(item.sides.at(1 - from).channel, bufferevent_get_input(side.channel));
+    if (side.ended) {
+        constexpr std::int64_t flush_ms = 20;
+        item.closing = item.of->loop.after(flush_ms, [&item] { close(item); });
+    }
+}
+
+/// What side @p From sends, or its end, is passed on after the delay of the link.
+template <std::size_t From>
+void on_side(void* argument, bool ended)
+{
+    auto& item = *static_cast<relayed*>(argument);
+    item.sides.at(From).ended = item.sides.at(From).ended || ended;
+    item.sides.at(From).later = item.of->loop.after(item.of->delay_ms, [&item] { forward(item, From); });
+}
+
+template <std::size_t From>
+void watch(relayed& item, evutil_socket_t socket)
+{
+    constexpr short over = BEV_EVENT_EOF | BEV_EVENT_ERROR;
+    bufferevent* channel = bufferevent_socket_new(item.of->loop.native(), socket, BEV_OPT_CLOSE_ON_FREE);
+    item.sides.at(From).channel = channel;
+    bufferevent_setcb(
+        channel, [](bufferevent*, void* self) { on_side<From>(self, false); }, nullptr,
+        [](bufferevent*, short what, void* self) { on_side<From>(self, (what & over) != 0); }, &item);
+    bufferevent_enable(channel, EV_READ | EV_WRITE);
+}
+
+void accept_connection(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* argument)
+{
+    auto& of = *static_cast<link*>(argument);
+    if (of.cut) {
+        evutil_closesocket(socket);
+        return;
+    }
+    relayed& item = of.open.emplace_back();
+    item.of = &of;
+    watch<0>(item, socket);
+    watch<1>(item, -1);
+    const waxwingnotch::endpoint to = waxwingnotch::parse_endpoint(of.target);
+    bufferevent_socket_connect_hostname(item.sides[1].channel, nullptr, AF_INET, to.ip.c_str(), to.port);
+}
+
+class relay_role {
+public:
+    explicit relay_role(waxwingnotch::event_loop& loop) : loop_(loop) {}
+
+    /// `POST /links/NAME` with the target as body opens a link; `POST /fault` names one in "link".
+    void handle(const waxwingnotch::http_exchange_ptr& exchange)
+    {
+        const std::string prefix = "/links/";
+        if (exchange->path().rfind(prefix, 0) == 0) {
+            const std::string name = exchange->path().substr(prefix.size());
+            exchange->reply(200, {}, std::to_string(open(name, exchange->body())));
+            return;
+        }
+        const json body = json::parse(exchange->body(), nullptr, false);
+        const auto found = links_.find(body.is_object() ? body.value("link", "") : "");
+        if (found != links_.end()) {
+            set_faults(found->second, body);
+        }
+        exchange->reply(found != links_.end() ? 200 : 404, {}, "{}");
+    }
+
+private:
+    int open(const std::string& name, const std::string& target)
+    {
+        link& item = links_.try_emplace(name, link{loop_, target, false, {}, 0, {}}).first->second;
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto* native = reinterpret_cast<sockaddr*>(&address);
+        evconnlistener* listener = evconnlistener_new_bind(loop_.native(), accept_connection, &item,
+                                                           LEV_OPT_CLOSE_ON_FREE, -1, native, sizeof address);
+        getsockname(evconnlistener_get_fd(listener), native, &size);
+        return ntohs(address.sin_port);
+    }
+
+    /// "silence_open" makes the connections that are open now silent for good.
+    static void set_faults(link& item, const json& body)
+    {
+        item.cut = body.value("cut", item.cut);
+        item.mute = {body.value("mute_there", item.mute[0]), body.value("mute_back", item.mute[1])};
+        item.delay_ms = body.value("delay_ms", item.delay_ms);
+        while (item.cut && !item.open.empty()) {
+            close(item.open.front());
+        }
+        for (relayed& one : item.open) {
+            one.silent = one.silent || body.value("silence_open", false);
+            forward(one, 0);
+            forward(one, 1);
+        }
+    }
+
+    waxwingnotch::event_loop& loop_;
+    std::map<std::string, link> links_;
+};
+
+}  // namespace
+
+role make_relay(waxwingnotch::event_loop& loop)
+{
+    return [self = std::make_shared<relay_role>(loop)](const waxwingnotch::http_exchange_ptr& exchange) {
+        self->handle(exchange);
+    };
+}
+
+}  // namespace standin
--- a/standin/worker.cpp
+++ b/standin/worker.cpp
@@ -2,8 +2,6 @@
 
 #include "waxwingnotch/base/clock.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <map>
 
 namespace standin {
@@ -16,36 +14,24 @@
 using waxwingnotch::http_headers;
 using waxwingnotch::timer;
 
-/// Faults of a worker; all off by default.
-struct worker_faults {
-    bool fail_all = false;          // starts every task and fails it
-    bool leaving = false;           // refuses new tasks
-    bool refuse = false;            // drops new connections' requests unread
-    bool silent_old = false;        // requests on connections from before never get an answer
-    bool wrong_id = false;          // echoes a foreign task id
-    std::int64_t lose_answers = 0;  // next tasks run, their answers do not arrive
-};
+constexpr std::int64_t usage_lag_ms = 1'000;
 
-/// A task, running or over. Kept as the execution record.
+/// A task, running or over.
 struct task {
-    std::string service;
-    std::string state = "running";  // running, done, failed, stopped
-    std::int64_t started_at = 0;
-    std::int64_t ended_at = 0;
-    std::int64_t starts = 0;  // more than 1: the same task ran twice
+    json record = json::object();  // of its execution: state is running, done, failed or stopped
     http_exchange_ptr exchange;
     timer end;
 };
 
-class worker_role : public role {
+class worker_role {
 public:
-    worker_role(event_loop& loop, worker_options options) : loop_(loop), options_(std::move(options)) {}
+    worker_role(event_loop& loop, std::uint32_t slots) : loop_(loop), slots_(slots) {}
 
-    void handle(const http_exchange_ptr& exchange) override
+    void handle(const http_exchange_ptr& exchange)
     {
         const std::string& path = exchange->path();
         if (path == "/fault") {
-            set_faults(exchange);
+            take_faults(faults_, exchange);
         }
         else if (path == "/records") {
             records(exchange);
@@ -65,36 +51,22 @@
     }
 
 private:
-    void set_faults(const http_exchange_ptr& exchange)
-    {
-        const json body = json::parse(exchange->body(), nullptr, false);
-        if (!body.is_object()) {
-            exchange->reply(400, {}, "not a JSON object");
-            return;
-        }
-        faults_.fail_all = body.value("fail_all", faults_.fail_all);
-        faults_.leaving = body.value("leaving", faults_.leaving);
-        faults_.refuse = body.value("refuse", faults_.refuse);
-        faults_.silent_old = body.value("silent_old", faults_.silent_old);
-        faults_.wrong_id = body.value("wrong_id", faults_.wrong_id);
-        faults_.lose_answers = body.value("lose_answers", faults_.lose_answers);
-        exchange->reply(200, {}, "{}");
-    }
+    bool on(const char* fault) const { return faults_.value(fault, false); }
 
     http_headers answer_headers(const std::string& id) const
     {
-        const std::uint32_t free = options_.slots > running_ ? options_.slots - running_ : 0;
-        http_headers headers = {{"X-Task-Id", faults_.wrong_id ? "another-task" : id},
-                                {"X-Host", options_.host},
+        const std::uint32_t free = slots_ > running_ ? slots_ - running_ : 0;
+        http_headers headers = {{"X-Task-Id", on("wrong_id") ? "another-task" : id},
                                 {"X-Free-Slots", std::to_string(free)}};
-        if (faults_.leaving) {
+        if (on("leaving")) {
             headers.emplace_back("X-Leaving", "1");
         }
         return headers;
     }
 
-    void refuse(const http_exchange_ptr& exchange, const std::string& id, int status, const char* why) const
+    void refuse(const http_exchange_ptr& exchange, const std::string& id, int status, const char* why)
     {
+        refused_.push_back({{"task", id}, {"at", waxwingnotch::wall_ms()}, {"reason", why}});
         http_headers headers = answer_headers(id);
         headers.emplace_back("X-Not-Started", "1");
         exchange->reply(status, headers, why);
@@ -108,16 +80,16 @@
         if (id.empty()) {
             exchange->reply(400, {{"X-Not-Started", "1"}}, "X-Task-Id is missing");
         }
-        else if (faults_.refuse) {
+        else if (on("refuse")) {
             exchange->drop();
         }
-        else if (faults_.leaving) {
+        else if (on("leaving")) {
             refuse(exchange, id, 503, "leaving");
         }
         else if (expires != 0 && now > expires) {
             refuse(exchange, id, 503, "expired");
         }
-        else if (running_ >= options_.slots) {
+        else if (running_ >= slots_) {
             refuse(exchange, id, 429, "no free slot");
         }
         else {
@@ -130,16 +102,20 @@
     {
         ++running_;
         task& item = tasks_[id];
-        item.service = exchange->header("X-Service").value_or("");
-        item.state = "running";
-        item.started_at = now;
-        ++item.starts;
         item.exchange = exchange;
         const json body = json::parse(exchange->body(), nullptr, false);
         const bool scripted = body.is_object() && body.contains("run_ms");
         const std::int64_t run_ms = scripted ? body.value("run_ms", std::int64_t{0}) : 1;
         const std::string answer = scripted ? body.value("answer", std::string()) : exchange->body();
-        const bool fails = faults_.fail_all || (body.is_object() && body.value("poison", false));
+        // More than one start: the same task ran twice.
+        item.record = {{"task", id},
+                       {"service", exchange->header("X-Service").value_or("")},
+                       {"answer", answer},
+                       {"state", "running"},
+                       {"started_at", now},
+                       {"ended_at", 0},
+                       {"starts", item.record.value("starts", 0) + 1}};
+        const bool fails = on("fail_all") || (body.is_object() && body.value("poison", false));
         const std::int64_t lease_ms = std::stoll(exchange->header("X-Lease-Ms").value_or("0"));
         const bool over = lease_ms > 0 && run_ms > lease_ms;
         item.end = loop_.after(over ? lease_ms : run_ms, [this, id, answer, fails, over] {
@@ -150,16 +126,16 @@
     void finish(const std::string& id, const char* state, int status, const std::string& answer)
     {
         task& item = tasks_[id];
-        if (item.state != "running") {
+        if (item.record.value("state", "") != "running") {
             return;
         }
         --running_;
-        item.state = state;
-        item.ended_at = waxwingnotch::wall_ms();
+        item.record["state"] = state;
+        item.record["ended_at"] = waxwingnotch::wall_ms();
         const http_exchange_ptr exchange = std::move(item.exchange);
         item.exchange.reset();
-        if (faults_.lose_answers > 0) {
-            --faults_.lose_answers;
+        if (const int lost = faults_.value("lose_answers", 0); lost > 0) {
+            faults_["lose_answers"] = lost - 1;
             exchange->drop();
             return;
         }
@@ -178,40 +154,38 @@
         if (exchange->method() == "DELETE") {
             finish(id, "stopped", 410, "stopped");
         }
-        const task& item = found->second;
-        exchange->reply(200, {}, json{{"state", item.state}, {"starts", item.starts}}.dump());
+        exchange->reply(200, {}, found->second.record.dump());
     }
 
     void usage(const http_exchange_ptr& exchange)
     {
         const std::int64_t now = waxwingnotch::wall_ms();
-        if (now - usage_at_ >= options_.usage_lag_ms) {
+        if (now - usage_at_ >= usage_lag_ms) {
             usage_at_ = now;
             reported_running_ = running_;
         }
-        exchange->reply(
-            200, {{"X-Host", options_.host}},
-            json{{"running", reported_running_}, {"slots", options_.slots}, {"at", usage_at_}}.dump());
+        exchange->reply(200, {},
+                        json{{"running", reported_running_}, {"slots", slots_}, {"at", usage_at_}}.dump());
     }
 
+    /// `/records`: executions, and refused tasks, which have no state.
     void records(const http_exchange_ptr& exchange) const
     {
-        json items = json::array();
+        json items = refused_;
         for (const auto& [id, item] : tasks_) {
-            items.push_back({{"task", id},
-                             {"service", item.service},
-                             {"state", item.state},
-                             {"started_at", item.started_at},
-                             {"ended_at", item.ended_at},
-                             {"starts", item.starts}});
+            items.push_back(item.record);
         }
         exchange->reply(200, {{"Content-Type", "application/json"}}, items.dump());
     }
 
     event_loop& loop_;
-    worker_options options_;
-    worker_faults faults_;
+    std::uint32_t slots_;
+    /// Faults, off by default: fail_all (starts and fails every task), leaving (refuses new tasks),
+    /// refuse (drops requests unread), wrong_id (echoes a foreign task id), lose_answers (next
+    /// tasks run, their answers do not arrive).
+    json faults_ = json::object();
     std::map<std::string, task> tasks_;
+    json refused_ = json::array();
     std::uint32_t running_ = 0;
     std::uint32_t reported_running_ = 0;
     std::int64_t usage_at_ = 0;
@@ -219,9 +193,12 @@
 
 }  // namespace
 
-std::unique_ptr<role> make_worker(event_loop& loop, const worker_options& options)
+role make_worker(event_loop& loop, std::uint32_t slots)
 {
-    return std::make_unique<worker_role>(loop, options);
+    return
+        [self = std::make_shared<worker_role>(loop, slots)](const waxwingnotch::http_exchange_ptr& exchange) {
+            self->handle(exchange);
+        };
 }
 
 }  // namespace standin
--- /dev/null
+++ b/tests/faults/checker.py
@@ -0,0 +1,355 @@
+"""Checks the promises P1 to P8 from records of a run. Shares no code with the product.
+
+Evidence is a dict:
+  log         [[offset, appended_at, bytes]], every record that the platform took
+  executions  {host: [{task, service, answer, state, started_at, ended_at, starts}]}
+  refusals    {host: [{task, at, reason}]}, tasks that a worker did not start
+  callers     [{token, node, service, key, non_idempotent, gives_up, sent_at, written_at, done_at,
+                status, outcome, request_id, body, whole, error}]
+  samples     [{at, node, incarnation, phase, next_offset, inventory, rules, pools}]
+  hosts       [{node, host, pool, epoch, phase, offset}], from explain
+  events      [{kind, node or host, since, until, ...}], the injected faults
+Times are wall-clock milliseconds of one machine.
+"""
+import hashlib
+import json
+
+import cbor2
+
+IN_FORCE_MS = 9_000
+LEAVE_MS = 5_000
+STALE_OFFSETS = 100_000
+KINDS = ["publish", "host", "condition", "wave", "claim", "claim_end", "snapshot_chunk", "snapshot_done",
+         "audit_segment"]
+MOVE, DRAIN, DRAINED, REBOOT, RESTORE, REMOVE = range(6)
+
+
+def claim_key(service, key):
+    return hashlib.sha256((service + "\0" + key).encode()).hexdigest()[:32]
+
+
+def apply_patch(document, patch):
+    """RFC 6902 with the operations that differences between versions consist of."""
+    for step in patch:
+        parts = [p.replace("~1", "/").replace("~0", "~") for p in step["path"].split("/")[1:]]
+        if not parts:
+            document = step["value"]
+            continue
+        at = document
+        for part in parts[:-1]:
+            at = at[int(part)] if isinstance(at, list) else at[part]
+        last = parts[-1]
+        if isinstance(at, list):
+            index = len(at) if last == "-" else int(last)
+            if step["op"] == "add":
+                at.insert(index, step["value"])
+            elif step["op"] == "remove":
+                del at[index]
+            else:
+                at[index] = step["value"]
+        elif step["op"] == "remove":
+            del at[last]
+        else:
+            at[last] = step["value"]
+    return document
+
+
+class Replay:
+    """An own fold over the raw log: who is where, which versions are in force, who claimed what."""
+
+    def __init__(self):
+        self.writers = {}
+        self.versions = {"inventory": 0, "rules": 0}
+        self.content = {"inventory": {}, "rules": {}}
+        self.hosts = {}
+        self.claims = {}       # key -> (writer, incarnation, request, ended)
+        self.granted = {}      # request -> (key, appended_at, offset)
+        self.publishes = []    # (kind, version, offset, appended_at)
+        self.drains = []       # (host, appended_at, until): accepted drains and removals
+        self.summaries = []    # by offset: {pool: [hosts, available, budget]}
+        self.history = {}      # (host, offset) -> (pool, epoch, phase)
+        self.violations = []
+
+    def budget(self, pool):
+        services = self.content["rules"].get("services", {}).values()
+        return max([s["min_hosts"] for s in services if s["pool"] == pool], default=0)
+
+    def available(self, pool):
+        return sum(1 for h in self.hosts.values()
+                   if h["pool"] == pool and h["phase"] == "serving" and h["condition"] == 0)
+
+    def note(self):
+        pools = self.content["inventory"].get("pools", {})
+        self.summaries.append({p: [sum(1 for h in self.hosts.values() if h["pool"] == p),
+                                   self.available(p), self.budget(p)] for p in pools})
+
+    def run(self, log):
+        for expected, (offset, appended_at, data) in enumerate(log):
+            if offset != expected:
+                self.violations.append(("log", f"offset {offset} where {expected} was expected"))
+            self.batch(offset, appended_at, data)
+            self.note()
+        return self
+
+    def batch(self, offset, appended_at, data):
+        try:
+            root = cbor2.loads(bytes(data))
+            writer, incarnation, seq, seen = root["w"], root["i"], root["s"], root["o"]
+        except (ValueError, KeyError, TypeError, EOFError):
+            return
+        last = self.writers.get(writer)
+        if seen + STALE_OFFSETS < offset or seen > offset:
+            return
+        if last and (incarnation < last[0] or (incarnation == last[0] and seq <= last[1])):
+            return
+        self.writers[writer] = (incarnation, seq)
+        for kind, body in root["r"]:
+            handler = getattr(self, "take_" + KINDS[kind], None)
+            if handler:
+                handler(body, (writer, incarnation), offset, appended_at)
+
+    def take_publish(self, body, _author, offset, appended_at):
+        kind = ["inventory", "rules"][body["kind"]]
+        if body["replaces"] != self.versions[kind]:
+            return
+        content = json.loads(body["content"])
+        if body["is_patch"]:
+            content = apply_patch(json.loads(json.dumps(self.content[kind])), content)
+        text = json.dumps(content, separators=(",", ":"), ensure_ascii=False, sort_keys=True)
+        if hashlib.sha256(text.encode()).hexdigest() != body["content_hash"]:
+            return
+        self.versions[kind] += 1
+        self.content[kind] = content
+        self.publishes.append((kind, self.versions[kind], offset, appended_at))
+        if kind == "inventory":
+            listed = content["hosts"]
+            for name, host in self.hosts.items():
+                host["removed"] = name not in listed
+            for name, spec in listed.items():
+                if name not in self.hosts:
+                    self.hosts[name] = {"pool": spec["pool"], "epoch": 1, "phase": "serving",
+                                        "condition": 0, "removed": False}
+                    self.history[name, offset] = (spec["pool"], 1, "serving")
+
+    def take_condition(self, body, *_):
+        if body["host"] in self.hosts:
+            self.hosts[body["host"]]["condition"] = body["condition"]
+
+    def take_host(self, body, _author, offset, appended_at):
+        host = self.hosts.get(body["host"])
+        if not host or host["epoch"] != body["epoch"] or host["pool"] != body["pool"]:
+            return
+        action, phase, pool = body["action"], host["phase"], host["pool"]
+        takes_out = action in (MOVE, DRAIN) and phase == "serving" and host["condition"] == 0
+        if takes_out and self.available(pool) - 1 < self.budget(pool):
+            return
+        pools = self.content["inventory"]["pools"]
+        if action == MOVE:
+            if body["to_pool"] not in pools or body["to_pool"] == pool:
+                return
+            host["pool"] = body["to_pool"]
+        else:
+            wanted, becomes = {DRAIN: (["serving"], "draining"), DRAINED: (["draining"], "drained"),
+                               REBOOT: (["drained"], "rebooting"),
+                               RESTORE: (["draining", "drained", "rebooting"], "serving"),
+                               REMOVE: (["drained"], "gone")}[action]
+            gone = action == REMOVE and host["condition"] == 2
+            if (phase not in wanted and not gone) or (action == REMOVE and not host["removed"]):
+                return
+            host["phase"] = becomes
+        host["epoch"] += 1
+        if action == DRAIN:
+            self.drains.append([body["host"], appended_at, None])
+        if action == RESTORE:
+            for drain in self.drains:
+                if drain[0] == body["host"] and drain[2] is None:
+                    drain[2] = appended_at
+        self.history[body["host"], offset] = (host["pool"], host["epoch"], host["phase"])
+        if action == REMOVE:
+            del self.hosts[body["host"]]
+
+    def take_claim(self, body, author, offset, appended_at):
+        if body["key"] not in self.claims:
+            self.claims[body["key"]] = [*author, body["request_id"], False]
+            self.granted[body["request_id"]] = (body["key"], appended_at, offset)
+
+    def take_claim_end(self, body, author, *_):
+        claim = self.claims.get(body["key"])
+        if not claim or claim[:2] != list(author) or claim[2] != body["request_id"] or claim[3]:
+            return
+        if body["end"] == 0:
+            del self.claims[body["key"]]
+        else:
+            claim[3] = True
+
+
+class Checker:
+    def __init__(self, evidence):
+        self.e = evidence
+        self.found = []
+        self.replay = Replay().run(evidence["log"])
+        self.runs = [dict(r, host=h) for h, rs in evidence["executions"].items() for r in rs]
+        self.by_task = {}
+        self.by_token = {}
+        for run in self.runs:
+            self.by_task.setdefault(run["task"], []).append(run)
+            self.by_token.setdefault(run["answer"], []).append(run)
+
+    def violation(self, promise, text):
+        self.found.append(f"{promise}: {text}")
+
+    def events(self, *kinds):
+        return [e for e in self.e["events"] if e["kind"] in kinds]
+
+    def run(self):
+        for promise, text in self.replay.violations:
+            self.violation(promise, text)
+        for check in (self.budgets, self.one_pool, self.answers, self.not_run, self.at_most_once,
+                      self.leaving, self.planned_stop, self.versions):
+            check()
+        return self.found
+
+    def budgets(self):
+        """P1: every node's pools stand, at every sampled offset, as the checker's replay has them."""
+        for s in self.e["samples"]:
+            if not 0 < s["next_offset"] <= len(self.replay.summaries):
+                continue
+            summary = self.replay.summaries[s["next_offset"] - 1]
+            for pool, (_, available, budget) in s["pools"].items():
+                own = summary.get(pool, [0, 0, 0])
+                if [available, budget] != own[1:]:
+                    self.violation("P1", f"{s['node']} counts {available} available of budget {budget} in "
+                                   f"{pool} after offset {s['next_offset'] - 1}, the log gives {own[1:]}")
+                    return
+
+    def one_pool(self):
+        """P2: every host is in the one pool that the log gives it, with the same epoch everywhere."""
+        for s in self.e["samples"]:
+            if 0 < s["next_offset"] <= len(self.replay.summaries):
+                own = {p: v[0] for p, v in self.replay.summaries[s["next_offset"] - 1].items()}
+                if own != {p: v[0] for p, v in s["pools"].items()}:
+                    self.violation("P2", f"{s['node']} places hosts as {s['pools']} after offset "
+                                   f"{s['next_offset'] - 1}, the log gives {own}")
+                    break
+        for h in self.e["hosts"]:
+            own = self.replay.history.get((h["host"], h["offset"]))
+            if own != (h["pool"], h["epoch"], h["phase"]):
+                self.violation("P2", f"{h['node']} has {h['host']} as {h['pool']}, {h['epoch']}, "
+                               f"{h['phase']} since offset {h['offset']}, the log gives {own}")
+
+    def excused(self, c):
+        """The caller's node was killed while the request was open."""
+        return c["gives_up"] or any(e["node"] == c["node"] and e["since"] <= c["done_at"] and
+                                    e["until"] >= c["sent_at"] for e in self.events("kill"))
+
+    def answers(self):
+        """P3: each caller has its own whole answer, once; "done" stands on an execution."""
+        owners = {}
+        for c in self.e["callers"]:
+            label = f"{c['token']} at {c['node']}"
+            if c["error"]:
+                if not self.excused(c) and c["error"] != "refused":
+                    self.violation("P3", f"{label} got no answer: {c['error']}")
+                continue
+            if not c["whole"]:
+                self.violation("P3", f"{label} got a torn answer or more than one")
+            if c["outcome"] not in ("done", "failed", "not-run", "unknown", "never", "already-ran"):
+                self.violation("P3", f"{label} got the outcome {c['outcome']} with status {c['status']}")
+            if c["outcome"] == "done" and c["body"] != c["token"]:
+                self.violation("P3", f"{label} got another answer: {c['body'][:80]}")
+            if c["outcome"] == "done" and not any(r["state"] == "done" for r in self.by_token.get(c["token"], [])):
+                self.violation("P3", f"{label} got 'done' and never ran")
+            if c["request_id"] and owners.setdefault(c["request_id"], c) is not c:
+                self.violation("P3", f"two callers got request id {c['request_id']}")
+
+    def not_run(self):
+        """P4: told "not run" (or "never"), and no worker started it."""
+        for c in self.e["callers"]:
+            if c["error"] or c["outcome"] not in ("not-run", "never"):
+                continue
+            if self.by_task.get(c["request_id"]) or (not c["key"] and self.by_token.get(c["token"])):
+                self.violation("P4", f"{c['token']} was told {c['outcome']} by {c['node']} and ran")
+            # A node that has folded the claim knows that the key may have run, and must say so. One that
+            # cannot read the log, or refuses at the door while it catches up (no request id), may say
+            # "not run" of this request alone (design page, sections 4 and 5).
+            claims = [(self.replay.granted[r["task"]][2], r) for r in self.by_token.get(c["token"], [])
+                      if r["started_at"] < c["sent_at"] and r["task"] in self.replay.granted]
+            knew = [r for offset, r in claims if any(
+                s["node"] == c["node"] and s["at"] < c["sent_at"] and s["next_offset"] > offset
+                for s in self.e["samples"])]
+            if c["key"] and c["request_id"] and knew:
+                self.violation("P4", f"key {c['key']} was told {c['outcome']} by {c['node']} at {c['done_at']} "
+                               f"after it had started at {knew[0]['started_at']} on {knew[0]['host']}")
+
+    def at_most_once(self):
+        """P5: one start over all workers, and with a key only under an accepted claim."""
+        seen = {}
+        for c in self.e["callers"]:
+            if c["non_idempotent"]:
+                seen[c["token"]] = c
+        for token, c in seen.items():
+            runs = self.by_token.get(token, [])
+            starts = sum(r["starts"] for r in runs)
+            if starts > 1:
+                self.violation("P5", f"{token} started {starts} times: "
+                               f"{[(r['host'], r['task'], r['started_at']) for r in runs]}")
+            for r in runs if c["key"] else []:
+                key, at, _ = self.replay.granted.get(r["task"], (None, 0, 0))
+                if key != claim_key(c["service"], c["key"]) or at > r["started_at"]:
+                    self.violation("P5", f"{token} started as {r['task']} without an accepted claim")
+
+    def leaving(self):
+        """P6: no task reaches a worker later than 5 s after it began to leave."""
+        spans = [(e["host"], e["since"], e["until"]) for e in self.events("leaving")]
+        spans += [(host, since, until or float("inf")) for host, since, until in self.replay.drains]
+        for host, since, until in spans:
+            starts = [(r["started_at"], r["task"]) for r in self.e["executions"].get(host, [])]
+            refused = [(r["at"], r["task"]) for r in self.e["refusals"].get(host, [])]
+            late = [x for x in starts + refused if since + LEAVE_MS < x[0] < until]
+            if late:
+                self.violation("P6", f"{host} left at {since} and was sent {len(late)} tasks, first {late[0]}")
+
+    def planned_stop(self):
+        """P7: a planned stop exits with 0, and what reached the node before it closed is answered."""
+        for e in self.events("stop"):
+            if e["exit_code"] != 0:
+                self.violation("P7", f"{e['node']} stopped with exit code {e['exit_code']}")
+            for c in self.e["callers"]:
+                here = c["node"] == e["node"] and c["written_at"] and e["started_at"] <= c["written_at"]
+                if here and c["written_at"] < e["since"] + e["notice_ms"] and c["error"] and not c["gives_up"]:
+                    self.violation("P7", f"{c['token']} at {c['node']} was cut: {c['error']}")
+
+    def deadline(self, node, start):
+        """When a version must be in force: 9 s after the last fault that kept this node from the log."""
+        at = start
+        for e in sorted(self.events("log", "kill", "stop", "pause", "log-link", "peer-link"),
+                        key=lambda e: e["since"]):
+            ours = e.get("node") in (None, node)
+            if ours and e["since"] <= at + IN_FORCE_MS and e["until"] > at:
+                at = e["until"]
+        return at + IN_FORCE_MS
+
+    def versions(self):
+        """P8: versions in force never go back on a node and are in force within 9 s."""
+        for e in self.events("race"):
+            if e["codes"].count(0) > 1:
+                self.violation("P8", "two operators replaced the same version")
+        for node in sorted({s["node"] for s in self.e["samples"]}):
+            own = [s for s in self.e["samples"] if s["node"] == node]
+            for kind in ("inventory", "rules"):
+                served, last = 0, (None, 0)
+                for s in own:
+                    back = s["incarnation"] == last[0] and s[kind] < last[1]
+                    if back or (s["phase"] == "serving" and s[kind] < served):
+                        self.violation("P8", f"{node} went back to {kind} version {s[kind]} at {s['at']}")
+                        break
+                    last = (s["incarnation"], s[kind])
+                    served = max(served, s[kind] if s["phase"] == "serving" else 0)
+                for name, version, offset, appended_at in self.replay.publishes:
+                    limit = self.deadline(node, appended_at)
+                    if name != kind or limit == float("inf"):
+                        continue
+                    first = next((s["at"] for s in own if s["at"] >= appended_at and s[kind] >= version), None)
+                    if first is None or first > limit:
+                        self.violation("P8", f"{kind} version {version} of offset {offset}, appended at "
+                                       f"{appended_at}, was in force on {node} at {first}, due {limit}")
