--- a/include/waxwingnotch/entry/claim_desk.hpp
+++ b/include/waxwingnotch/entry/claim_desk.hpp
@@ -53,6 +53,7 @@
 
     void settled(const std::string& key, const std::string& request_id, const settlement& verdict);
     void timed_out(const std::string& key);
+    claim_handler with_waiters(const std::string& key, const claim_handler& done);
     void release(const std::string& key, const std::string& request_id);
     void refer(const std::string& key, claim_handler done);
     void refer_to_owner(const claim_state& owner, const std::string& key, claim_handler done);
--- a/src/entry/claim_desk.cpp
+++ b/src/entry/claim_desk.cpp
@@ -59,15 +59,7 @@
         return;
     }
     log_event(log_level::info, "claim-rejected", {{"request", request_id}, {"reason", verdict.reason}});
-    // Repeats that came here meanwhile wait for the same answer.
-    const auto waiters = std::move(waiting_[key]);
-    waiting_.erase(key);
-    const claim_handler all = [done, waiters](const claim_result& result) {
-        done(result);
-        for (const auto& waiter : waiters) {
-            waiter(result.refusal);
-        }
-    };
+    const claim_handler all = with_waiters(key, done);
     if (view_.state().claims.count(key) > 0) {
         refer(key, all);
         return;
@@ -86,14 +78,28 @@
         abandoned_[key] = found->second.request_id;
     }
     pending_.erase(found);
-    const caller_answer answer = make_refusal(
-        outcome::not_run, "the platform's log does not answer; the key is not claimed", retry_after_ms);
-    done(refused(answer));
+    const claim_handler all = with_waiters(key, done);
+    const auto claim = view_.state().claims.find(key);
+    if (claim != view_.state().claims.end()) {
+        // A peer has relayed another request's claim; the own one can only be rejected.
+        refer_to_owner(claim->second, key, all);
+        return;
+    }
+    all(refused(make_refusal(outcome::not_run, "the platform's log does not answer; the key is not claimed",
+                             retry_after_ms)));
+}
+
+/// Repeats that came here while @p key was pending get the same answer as @p done.
+claim_handler claim_desk::with_waiters(const std::string& key, const claim_handler& done)
+{
     const auto waiters = std::move(waiting_[key]);
     waiting_.erase(key);
-    for (const auto& waiter : waiters) {
-        waiter(answer);
-    }
+    return [done, waiters](const claim_result& result) {
+        done(result);
+        for (const auto& waiter : waiters) {
+            waiter(result.refusal);
+        }
+    };
 }
 
 void claim_desk::release(const std::string& key, const std::string& request_id)
@@ -150,12 +156,16 @@
         waiting_[key].push_back([done](const caller_answer& answer) { done(refused(answer)); });
         return;
     }
-    if (abandoned_.count(key) > 0) {
+    const auto claim = view_.state().claims.find(key);
+    const auto abandoned = abandoned_.find(key);
+    const bool unused = abandoned != abandoned_.end() && (claim == view_.state().claims.end() ||
+                                                          claim->second.request_id == abandoned->second);
+    if (unused) {
         done(refused(
             make_refusal(outcome::not_run, "an unused claim of this key is being released", retry_after_ms)));
         return;
     }
-    refer_to_owner(view_.state().claims.at(key), key, std::move(done));
+    refer_to_owner(claim->second, key, std::move(done));
 }
 
 void claim_desk::refer_to_owner(const claim_state& owner, const std::string& key, claim_handler done)
