--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -221,7 +221,7 @@
         c["done_at"] = now()
         self.callers.append(c)
 
-    def load(self, seed, seconds, rate):
+    def load(self, seed, seconds, rate, hasty_repeats=False):
         """Open loop: a request starts when its time has come, whatever became of the earlier ones."""
         rng = random.Random(f"load {seed}")
         due, number = time.monotonic(), 0
@@ -236,14 +236,15 @@
                 arguments = self.draw(rng, number)
                 if arguments["key"] and rng.random() < 0.6:
                     for _ in range(rng.randint(1, 2)):
-                        again = dict(arguments, deadline_ms=0, give_up_ms=0)
+                        again = dict(arguments, give_up_ms=0,
+                                     deadline_ms=rng.randint(5, 150) if hasty_repeats else 0)
                         repeats.append((due + rng.choice([0.005, 0.05, 0.5, 3.0]) * rng.random(), again))
                     repeats.sort(key=lambda item: item[0])
             time.sleep(max(0.0, due - time.monotonic()))
-            nodes = [n for n in NODES if self.healthy.get(n)]
-            node = rng.choice(nodes or NODES)
-            if rng.random() < 0.05:
-                node = rng.choice(NODES)  # a caller that does not heed the balancer
+            # The same draws whatever the nodes' health is, so that the seed fixes the load.
+            pick, heedless = rng.random(), rng.random() < 0.05  # heedless of the balancer
+            nodes = [n for n in NODES if self.healthy.get(n) or heedless] or NODES
+            node = nodes[int(pick * len(nodes))]
             thread = threading.Thread(target=self.request, args=(node,), kwargs=arguments, daemon=True)
             thread.start()
             self.threads.append(thread)
