--- a/src/fleet/audit_json.cpp
+++ b/src/fleet/audit_json.cpp
@@ -1,15 +1,11 @@
 #include "fleet/audit_json.hpp"
 
-#include "fleet/record_json.hpp"
-
 #include <nlohmann/json.hpp>
 
 namespace waxwingnotch {
 
 using nlohmann::json;
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(audit_entry, offset, at, what, subject, from, to, reason, by, basis)
-
 std::string audit_entries_to_json(const std::vector<audit_entry>& entries)
 {
     return json(entries).dump(-1, ' ', false, json::error_handler_t::replace);
--- a/src/fleet/audit_json.hpp
+++ b/src/fleet/audit_json.hpp
@@ -2,6 +2,8 @@
 /// Canonical JSON of audit entries; segments hash this text.
 #pragma once
 
+#include "fleet/record_json.hpp"
+
 #include "waxwingnotch/base/result.hpp"
 #include "waxwingnotch/fleet/state.hpp"
 
@@ -11,6 +13,8 @@
 
 namespace waxwingnotch {
 
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(audit_entry, offset, at, what, subject, from, to, reason, by, basis)
+
 /// @return a JSON array; equal entries give equal bytes
 std::string audit_entries_to_json(const std::vector<audit_entry>& entries);
 
--- a/src/fleet/record_json.hpp
+++ b/src/fleet/record_json.hpp
@@ -12,8 +12,8 @@
 template <class Enum>
 void read_enum(const nlohmann::json& body, const char* key, Enum& value, Enum last)
 {
-    const auto number = body.at(key).get<int>();
-    if (number < 0 || number > static_cast<int>(last)) {
+    const auto number = body.at(key).get<std::int64_t>();
+    if (number < 0 || number > static_cast<std::int64_t>(last)) {
         throw nlohmann::json::other_error::create(500, std::string("bad value of ") + key, &body);
     }
     value = static_cast<Enum>(number);
--- a/src/fleet/records.cpp
+++ b/src/fleet/records.cpp
@@ -1,5 +1,6 @@
 #include "waxwingnotch/fleet/records.hpp"
 
+#include "fleet/cbor_reader.hpp"
 #include "fleet/record_json.hpp"
 
 #include "waxwingnotch/base/hash.hpp"
@@ -58,7 +59,7 @@
 result<batch> decode(std::string_view bytes)
 {
     try {
-        const json root = json::from_cbor(bytes.begin(), bytes.end());
+        const json root = read_cbor(bytes);
         batch value;
         root.at("w").get_to(value.writer);
         root.at("i").get_to(value.incarnation);
