--- a/src/cli/remote.cpp
+++ b/src/cli/remote.cpp
@@ -4,6 +4,7 @@
 #include "waxwingnotch/base/hash.hpp"
 #include "waxwingnotch/cli/cli.hpp"
 #include "waxwingnotch/platform/log_follower.hpp"
+#include "waxwingnotch/platform/snapshot_loader.hpp"
 
 #include <unistd.h>
 
@@ -51,10 +52,32 @@
     return entries.value().empty();
 }
 
+result<fleet_state> load_snapshot(const std::string& address)
+{
+    event_loop loop;
+    http_client client(loop);
+    snapshot_loader loader(client, address);
+    result<fleet_state> outcome = fleet_state{};
+    loader.load([&](result<fleet_state> state) {
+        outcome = std::move(state);
+        loop.stop();
+    });
+    loop.run();
+    return outcome;
+}
+
 result<void> fold_to_end(const std::string& address, log_fold& folded, std::vector<verdict>& verdicts)
 {
     while (true) {
         const auto ended = fold_more(address, folded, verdicts);
+        if (!ended && ended.error().code == error_code::gone) {
+            auto snapshot = load_snapshot(address);
+            if (!snapshot || snapshot.value().next_offset <= folded.state.next_offset) {
+                return snapshot ? ended.error() : snapshot.error();
+            }
+            folded.state = std::move(snapshot.value());
+            continue;
+        }
         if (!ended) {
             return ended.error();
         }
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -10,6 +10,8 @@
 #include "waxwingnotch/net/address.hpp"
 #include "waxwingnotch/platform/host_list.hpp"
 #include "waxwingnotch/platform/log_follower.hpp"
+#include "waxwingnotch/platform/log_keeper.hpp"
+#include "waxwingnotch/platform/snapshot_loader.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -23,6 +25,7 @@
 constexpr std::int64_t tick_ms = 100;
 constexpr std::int64_t pause_ms = 1'000;         // a loop gap longer than this counts as a pause
 constexpr std::int64_t peer_wait_ms = 1'500;     // wait for peers that do not answer
+constexpr std::int64_t reload_ms = 2'000;        // between two searches for a snapshot
 constexpr std::int64_t lonely_start_ms = 4'000;  // a start without log and peers waits this long
 constexpr int exit_planned = 0;
 constexpr int exit_cannot_listen = 1;
@@ -68,6 +71,10 @@
     void tick();
     bool caught_up(std::int64_t now) const;
 
+    // State from elsewhere than the log's records
+    void take_state(result<fleet_state> state, const char* source);
+    void recover(std::int64_t first_kept);
+
     // Answers to the other parts
     heartbeat self() const;
     node_status status() const;
@@ -89,6 +96,8 @@
     log_appender appender;
     peer_mesh mesh;
     log_follower follower;
+    snapshot_loader loader;
+    log_keeper keeper;
     host_list hosts;
     upstream_table upstreams;
     claim_desk claims;
@@ -100,6 +109,7 @@
     std::int64_t started_at = 0;      // monotonic ms
     std::int64_t catch_up_since = 0;  // monotonic ms; the log must have answered after this
     std::int64_t last_tick = 0;       // monotonic ms
+    std::int64_t reload_at = 0;       // monotonic ms; no search for a snapshot before
     std::int64_t stop_at = 0;         // monotonic ms; drain limit
     std::int64_t close_at = 0;        // monotonic ms; the listener closes
     int exit_code = exit_planned;
@@ -122,7 +132,8 @@
                     mesh.want(view.state().next_offset);
                 }
             },
-            [] { return std::string(); }, [](const state_message&) {},
+            [this] { return encode_state(view.state()); },
+            [this](const state_message& message) { take_state(decode_state(message.bytes), "peer"); },
             [this](const ask_key_message& question, const std::function<void(key_message)>& reply) {
                 claims.answer_question(question, reply);
             }}),
@@ -130,10 +141,17 @@
                {[this] { return view.state().next_offset; },
                 [this](std::span<const log_entry> entries) { view.take(entries); },
                 [this](std::int64_t first_kept) {
-                    log_event(log_level::error, "log-gone",
-                              {{"wanted", view.state().next_offset}, {"first_kept", first_kept}});
-                    mesh.want(view.state().next_offset);
+                    recover(first_kept);
                 }}),
+      loader(client, options.log_address),
+      keeper({options.node_id, incarnation, options.retention_ms},
+             {[this]() -> const fleet_state& { return view.state(); },
+              [this](std::string_view duty) { return owns(duty); },
+              [this] { return phase == node_phase::serving && follower.reachable(); },
+              [this](record item, settlement_handler done) {
+                  appender.propose(std::move(item), std::move(done));
+              },
+              wall_ms}),
       hosts(loop, client, options.hosts_address,
             [this](const std::vector<listed_host>& list) { upstreams.take_list(list); }),
       claims(loop, options.node_id, view, appender, mesh),
@@ -218,6 +236,7 @@
     follower.start();
     hosts.start();
     duties.start();
+    keeper.start(loop);
     ticker = loop.every(tick_ms, [this] { tick(); });
     on_term = loop.on_signal(SIGTERM, [this] { stop_soon("SIGTERM"); });
     on_int = loop.on_signal(SIGINT, [this] { stop_soon("SIGINT"); });
@@ -244,6 +263,34 @@
     return now - catch_up_since > lonely_start_ms;
 }
 
+void entry_node::parts::take_state(result<fleet_state> state, const char* source)
+{
+    if (!state) {
+        log_event(log_level::error, "state-unusable",
+                  {{"source", source}, {"reason", state.error().message}});
+        return;
+    }
+    const std::int64_t before = view.state().next_offset;
+    view.replace(std::move(state.value()));
+    log_event(log_level::info, "state-taken",
+              {{"source", source}, {"before", before}, {"offset", view.state().next_offset}});
+}
+
+/// Records that this node needs are gone: the newest snapshot or a peer has what they led to,
+/// whichever answers first.
+void entry_node::parts::recover(std::int64_t first_kept)
+{
+    const std::int64_t now = monotonic_ms();
+    if (loader.busy() || now < reload_at) {
+        return;
+    }
+    reload_at = now + reload_ms;
+    log_event(log_level::error, "log-gone",
+              {{"wanted", view.state().next_offset}, {"first_kept", first_kept}});
+    mesh.want(view.state().next_offset);
+    loader.load([this](result<fleet_state> state) { take_state(std::move(state), "snapshot"); });
+}
+
 void entry_node::parts::tick()
 {
     const std::int64_t now = monotonic_ms();
