Seal audit entries and carry them beyond retention

Cause: nobody sealed audit entries, so that every decision vanished from the log with retention, and `audit` showed what the log still had without saying what it had not.

Change: audit_keeper seals open entries and appends each segment again before its newest copy is older than half the retention; `audit` reads the segments at their offsets, verifies the chain, names what is missing and exits with 1 then. The fold checks `previous` of copies: a copy with the boundary between `previous` and `entries` moved had the right hash and took the place of the readable one. Commands log to standard error; the first trial had a log line between the lines of `audit`.

Without the carrying, the set of lost segments (ends in a timeout), the sealing by age, the hash check or the check of `previous`, one of them fails.

Conclusion: decisions outlive retention, and a gap is stated.

--- a/src/cli/audit.cpp
+++ b/src/cli/audit.cpp
@@ -47,26 +47,31 @@
 
 int run_audit(const arguments& given)
 {
-    const auto folded = fold_log(text_of(given, "--log"));
+    const std::string address = text_of(given, "--log");
+    const auto folded = fold_log(address);
     if (!folded) {
-        std::cerr << folded.error().message << "\n";
-        return exit_unavailable;
+        const bool lost = folded.error().code == error_code::not_found;
+        std::cerr << (lost ? "missing: every decision; " : "") << folded.error().message << "\n";
+        return lost ? exit_findings : exit_unavailable;
     }
+    const audit_report report = read_audit(address, folded.value().state);
     const std::string host = text_of(given, "--host");
     const bool json = given.at("--json").asBool();
     std::size_t shown = 0;
-    for (const audit_entry& entry : folded.value().audit) {
+    for (const audit_entry& entry : report.entries) {
         if (!host.empty() && entry.subject != host) {
             continue;
         }
         json ? print_json(entry) : print_text(entry);
         ++shown;
     }
+    for (const std::string& what : report.missing) {
+        std::cerr << "missing: " << what << "\n";
+    }
     if (shown == 0) {
         std::cerr << "no decision on record" << (host.empty() ? "" : " for host '" + host + "'") << "\n";
-        return exit_findings;
     }
-    return exit_ok;
+    return shown == 0 || !report.missing.empty() ? exit_findings : exit_ok;
 }
 
 int run_drain(const arguments& given)
--- a/src/cli/remote.cpp
+++ b/src/cli/remote.cpp
@@ -1,9 +1,10 @@
 #include "cli/remote.hpp"
 
 #include "waxwingnotch/base/clock.hpp"
-#include "waxwingnotch/base/hash.hpp"
+#include "waxwingnotch/base/log.hpp"
 #include "waxwingnotch/cli/cli.hpp"
 #include "waxwingnotch/platform/log_follower.hpp"
+#include "waxwingnotch/platform/segment_reader.hpp"
 #include "waxwingnotch/platform/snapshot_loader.hpp"
 
 #include <unistd.h>
@@ -36,24 +37,25 @@
         return entries.error();
     }
     for (const log_entry& entry : entries.value()) {
-        const std::size_t before = folded.state.open_audit.size();
-        const std::size_t segments = folded.state.segments.size();
-        for (const verdict& one : apply(folded.state, entry)) {
-            verdicts.push_back(one);
-        }
-        // An entry that seals a segment takes decisions out; those were copied before.
-        const std::size_t from = folded.state.segments.size() == segments ? before : 0;
-        for (std::size_t at = from; at < folded.state.open_audit.size(); ++at) {
-            if (folded.state.open_audit[at].offset == entry.offset) {
-                folded.audit.push_back(folded.state.open_audit[at]);
-            }
-        }
+        std::vector<verdict> more = apply(folded.state, entry);
+        std::move(more.begin(), more.end(), std::back_inserter(verdicts));
     }
     return entries.value().empty();
 }
 
+/// Sends log lines to standard error; without it they would stand between the lines of the output.
+void log_to_standard_error()
+{
+    static const bool done = [] {
+        init_log({log_level::warning, "", ""});
+        return true;
+    }();
+    static_cast<void>(done);
+}
+
 result<fleet_state> load_snapshot(const std::string& address)
 {
+    log_to_standard_error();
     event_loop loop;
     http_client client(loop);
     snapshot_loader loader(client, address);
@@ -113,6 +115,21 @@
     return folded;
 }
 
+audit_report read_audit(const std::string& address, const fleet_state& state)
+{
+    event_loop loop;
+    http_client client(loop);
+    std::vector<result<audit_segment>> copies;
+    while (copies.size() < state.segments.size()) {
+        read_segment(client, address, state, copies.size(), [&](const result<audit_segment>& copy) {
+            copies.push_back(copy);
+            loop.stop();
+        });
+        loop.run();
+    }
+    return verify_audit(state, copies);
+}
+
 append_result append_and_wait(const std::string& address, const std::string& author, record item,
                               log_fold& folded)
 {
--- a/src/cli/remote.hpp
+++ b/src/cli/remote.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "waxwingnotch/base/result.hpp"
+#include "waxwingnotch/fleet/audit.hpp"
 #include "waxwingnotch/fleet/fold.hpp"
 #include "waxwingnotch/net/http_client.hpp"
 
@@ -14,16 +15,18 @@
 /// Sends one call and runs a loop of its own until the answer is there.
 http_answer fetch(const http_call& call);
 
-/// What the log says from a point on.
+/// What the log says.
 struct log_fold {
     fleet_state state;
-    std::vector<audit_entry> audit;  // every accepted decision that the log still has
 };
 
-/// Folds the platform's log up to its end.
-/// @return the state, or `unavailable`
+/// Folds the platform's log up to its end, from a snapshot if the log has lost its first records.
+/// @return the state, `unavailable`, or `not_found` if the log has neither its first records nor a snapshot
 result<log_fold> fold_log(const std::string& address);
 
+/// Reads the audit segments of @p state by their offsets and verifies them.
+audit_report read_audit(const std::string& address, const fleet_state& state);
+
 /// What became of a record that a command appended.
 struct append_result {
     int exit_code = 0;
--- a/src/cli/usage.hpp
+++ b/src/cli/usage.hpp
@@ -137,6 +137,8 @@
 
 constexpr const char* usage_audit =
     R"(Lists the accepted decisions from the platform's log: moves, drains, publications.
+Verifies the hash chain of the sealed ones. What is missing or was changed is named on
+standard error, and the exit code is 1.
 
 Usage:
   waxwingnotch audit --log=ADDRESS [--host=NAME] [--json]
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -8,6 +8,7 @@
 #include "waxwingnotch/entry/controller.hpp"
 #include "waxwingnotch/entry/dispatcher.hpp"
 #include "waxwingnotch/net/address.hpp"
+#include "waxwingnotch/platform/audit_keeper.hpp"
 #include "waxwingnotch/platform/host_list.hpp"
 #include "waxwingnotch/platform/log_follower.hpp"
 #include "waxwingnotch/platform/log_keeper.hpp"
@@ -79,6 +80,7 @@
     heartbeat self() const;
     node_status status() const;
     bool owns(std::string_view duty) const;
+    keeper_ports keeper_view();
 
     // HTTP
     void handle(const http_exchange_ptr& exchange);
@@ -98,6 +100,7 @@
     log_follower follower;
     snapshot_loader loader;
     log_keeper keeper;
+    audit_keeper audit;
     host_list hosts;
     upstream_table upstreams;
     claim_desk claims;
@@ -144,14 +147,8 @@
                     recover(first_kept);
                 }}),
       loader(client, options.log_address),
-      keeper({options.node_id, incarnation, options.retention_ms},
-             {[this]() -> const fleet_state& { return view.state(); },
-              [this](std::string_view duty) { return owns(duty); },
-              [this] { return phase == node_phase::serving && follower.reachable(); },
-              [this](record item, settlement_handler done) {
-                  appender.propose(std::move(item), std::move(done));
-              },
-              wall_ms}),
+      keeper({options.node_id, incarnation, options.retention_ms}, keeper_view()),
+      audit(client, options.log_address, {options.node_id, incarnation, options.retention_ms}, keeper_view()),
       hosts(loop, client, options.hosts_address,
             [this](const std::vector<listed_host>& list) { upstreams.take_list(list); }),
       claims(loop, options.node_id, view, appender, mesh),
@@ -208,6 +205,16 @@
     return duty_owner(duty, mesh.members().alive_nodes(monotonic_ms())) == options.node_id;
 }
 
+keeper_ports entry_node::parts::keeper_view()
+{
+    return {
+        [this]() -> const fleet_state& { return view.state(); },
+        [this](std::string_view duty) { return owns(duty); },
+        [this] { return phase == node_phase::serving && follower.reachable(); },
+        [this](record item, settlement_handler done) { appender.propose(std::move(item), std::move(done)); },
+        wall_ms};
+}
+
 result<void> entry_node::parts::listen()
 {
     const endpoint callers = parse_endpoint(options.listen_address);
@@ -237,6 +244,7 @@
     hosts.start();
     duties.start();
     keeper.start(loop);
+    audit.start(loop);
     ticker = loop.every(tick_ms, [this] { tick(); });
     on_term = loop.on_signal(SIGTERM, [this] { stop_soon("SIGTERM"); });
     on_int = loop.on_signal(SIGINT, [this] { stop_soon("SIGINT"); });
--- a/src/fleet/fold_audit.cpp
+++ b/src/fleet/fold_audit.cpp
@@ -7,6 +7,11 @@
 
 namespace {
 
+std::string chain_before(const fleet_state& state, std::int64_t index)
+{
+    return index == 0 ? std::string() : state.segments[static_cast<std::size_t>(index) - 1].hash;
+}
+
 /// A segment that is in the index already: its newer copy replaces the older one.
 std::string carry_forward(fleet_state& state, const record_origin& origin, const audit_segment& item)
 {
@@ -27,14 +32,15 @@
         return "segment does not have the hash that it states";
     }
     const auto count = static_cast<std::int64_t>(state.segments.size());
-    if (item.index >= 0 && item.index < count) {
-        return carry_forward(state, origin, item);
-    }
-    if (item.index != count) {
+    if (item.index < 0 || item.index > count) {
         return "segment " + std::to_string(count) + " is next";
     }
-    if (item.previous != (count == 0 ? std::string() : state.segments.back().hash)) {
-        return "segment does not follow the last one";
+    // The hash alone does not tell where `previous` ends, so a copy is checked for it as well.
+    if (item.previous != chain_before(state, item.index)) {
+        return "segment does not follow the one before it";
+    }
+    if (item.index < count) {
+        return carry_forward(state, origin, item);
     }
     const auto entries = audit_entries_from_json(item.entries);
     if (!entries || entries.value().empty() || entries.value().size() > state.open_audit.size()) {
--- /dev/null
+++ b/src/platform/audit_keeper.cpp
@@ -0,0 +1,79 @@
+#include "waxwingnotch/platform/audit_keeper.hpp"
+
+#include "waxwingnotch/base/log.hpp"
+#include "waxwingnotch/platform/segment_reader.hpp"
+
+namespace waxwingnotch {
+
+audit_keeper::audit_keeper(http_client& client, std::string address, keeper_options options,
+                           keeper_ports ports)
+    : client_(client), address_(std::move(address)), options_(std::move(options)), ports_(std::move(ports))
+{
+}
+
+void audit_keeper::start(event_loop& loop)
+{
+    ticker_ = loop.every(interval_ms, [this] { tick(); });
+}
+
+void audit_keeper::tick()
+{
+    if (busy_ || !ports_.ready() || !ports_.owns("audit")) {
+        return;
+    }
+    const fleet_state& state = ports_.state();
+    const std::int64_t now = ports_.now_ms();
+    if (const auto segment = segment_due(state, now, options_.retention_ms)) {
+        append("audit-sealed", *segment);
+    }
+    else if (const auto index = segment_to_carry(state, now, options_.retention_ms, lost_)) {
+        carry(*index);
+    }
+}
+
+void audit_keeper::append(const char* what, const audit_segment& segment)
+{
+    busy_ = true;
+    const std::int64_t index = segment.index;
+    const std::size_t bytes = segment.entries.size();
+    ports_.propose(segment, [this, what, index, bytes](const settlement& outcome) {
+        busy_ = false;
+        log_event(outcome.accepted ? log_level::info : log_level::warning, what,
+                  {{"segment", index},
+                   {"bytes", bytes},
+                   {"accepted", outcome.accepted},
+                   {"reason", outcome.reason}});
+    });
+}
+
+void audit_keeper::carry(std::size_t index)
+{
+    busy_ = true;
+    const std::int64_t offset = ports_.state().segments[index].offset;
+    read_segment(client_, address_, ports_.state(), index,
+                 [this, index, offset](const result<audit_segment>& copy) {
+                     busy_ = false;
+                     // Another owner may have appended a newer copy meanwhile.
+                     if (ports_.state().segments[index].offset == offset) {
+                         take_copy(index, copy);
+                     }
+                 });
+}
+
+void audit_keeper::take_copy(std::size_t index, const result<audit_segment>& copy)
+{
+    if (!copy && copy.error().code == error_code::unavailable) {
+        return;
+    }
+    const auto entries = copy ? check_segment(ports_.state(), index, copy.value())
+                              : result<std::vector<audit_entry>>(copy.error());
+    if (!entries) {
+        lost_.insert(index);
+        log_event(log_level::error, "audit-segment-lost",
+                  {{"segment", index}, {"reason", entries.error().message}});
+        return;
+    }
+    append("audit-carried", copy.value());
+}
+
+}  // namespace waxwingnotch
--- a/tests/platform/fake_log.hpp
+++ b/tests/platform/fake_log.hpp
@@ -26,7 +26,7 @@
     std::int64_t append(std::string bytes)
     {
         const auto offset = static_cast<std::int64_t>(entries.size());
-        entries.push_back({offset, 1'000 + offset, std::move(bytes)});
+        entries.push_back({offset, now++, std::move(bytes)});
         return offset;
     }
     std::int64_t append(const std::string& writer, std::int64_t seq, record item)
@@ -37,6 +37,7 @@
 
     std::string address;
     std::vector<log_entry> entries;
+    std::int64_t now = 1'000;  // append time of the next record, ms
     std::int64_t first_kept = 0;
     std::int64_t trim_at_read = -1;  // from this read on ...
     std::int64_t trim_to = 0;        // ... retention has removed what is below
