Show what a publication would do before it is published

Cause: an operator saw the moves that a new inventory or new rules cause only after they were in force.

Nothing is appended. Exit codes are those of publish; 1 if the log would refuse the version.

Conclusion: the preview uses the planner and the fold themselves, so it cannot differ from them on the same state. Steps that are due without the publication are shown too and not marked.

--- a/src/cli/publish.cpp
+++ b/src/cli/publish.cpp
@@ -1,11 +1,14 @@
 #include "cli/commands.hpp"
 #include "cli/remote.hpp"
 
+#include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/hash.hpp"
 #include "waxwingnotch/cli/cli.hpp"
 #include "waxwingnotch/config/json.hpp"
 #include "waxwingnotch/config/parse.hpp"
+#include "waxwingnotch/decision/preview.hpp"
 
+#include <algorithm>
 #include <iostream>
 
 namespace waxwingnotch {
@@ -51,6 +54,61 @@
     return item;
 }
 
+std::string duration_text(std::int64_t ms)
+{
+    constexpr std::int64_t minute_ms = 60'000;
+    constexpr std::int64_t hour_ms = 60 * minute_ms;
+    if (ms >= 2 * hour_ms) {
+        return std::to_string(ms / hour_ms) + " h";
+    }
+    return ms < minute_ms ? std::to_string(ms / 1000) + " s" : std::to_string(ms / minute_ms) + " min";
+}
+
+void print_step(std::size_t number, const preview_step& step)
+{
+    const host_record& item = step.item;
+    std::cout << "step " << number << " after " << duration_text(step.after_ms) << ": "
+              << to_string(item.action) << " " << item.host << " in " << item.pool
+              << (item.to_pool.empty() ? "" : " to " + item.to_pool) << "\n    " << item.reason << "\n";
+    if (!item.alternatives.empty()) {
+        std::cout << "    chosen: " << item.alternatives << "\n";
+    }
+    std::cout << "    authority: inventory " << item.basis.inventory_version << ", rules "
+              << item.basis.rules_version << ", " << item.basis.author << "\n";
+}
+
+void print_pool(const preview_pool& item)
+{
+    std::cout << "pool " << item.name << ": budget " << item.budget_before << " -> " << item.budget_after
+              << ", available " << item.available_before << " -> " << item.available_after << ", least "
+              << item.available_least
+              << (item.available_least < item.budget_after ? "; below its budget" : "") << "\n";
+}
+
+/// Shows what would follow; appends nothing.
+int show_preview(const fleet_state& state, const publish_record& item)
+{
+    const std::int64_t now_ms = std::max(state.log_time, wall_ms());
+    const preview shown = preview_publication(state, item, now_ms);
+    if (!shown.refusal.empty()) {
+        std::cerr << "would not be accepted: " << shown.refusal << "\n";
+        return exit_findings;
+    }
+    for (std::size_t at = 0; at < shown.steps.size(); ++at) {
+        print_step(at + 1, shown.steps[at]);
+    }
+    for (const preview_pool& pool : shown.pools) {
+        print_pool(pool);
+    }
+    std::cout << shown.steps.size() << " steps" << (shown.complete ? "" : " and more") << ", about "
+              << duration_text(shown.duration_ms);
+    if (shown.drain_limit_ms > 0) {
+        std::cout << ", and up to " << duration_text(shown.drain_limit_ms) << " more while tasks end";
+    }
+    std::cout << "; nothing was published\n";
+    return exit_ok;
+}
+
 }  // namespace
 
 int run_publish(const arguments& given)
@@ -80,6 +138,9 @@
                   << " is in force, not " << item.replaces << "\n";
         return exit_conflict;
     }
+    if (given.at("--dry-run").asBool()) {
+        return show_preview(state, item);
+    }
     const append_result done = append_and_wait(address, item.author, item, folded.value());
     if (done.exit_code != exit_ok) {
         std::cerr << "not published: " << done.reason << "\n";
--- a/src/cli/usage.hpp
+++ b/src/cli/usage.hpp
@@ -71,7 +71,7 @@
 
 Usage:
   waxwingnotch publish (--inventory=FILE | --rules=FILE) --log=ADDRESS --author=NAME --replaces=VERSION
-                       [--note=TEXT]
+                       [--note=TEXT] [--dry-run]
   waxwingnotch publish --help
 
 Options:
@@ -81,8 +81,13 @@
   --author=NAME       on whose authority; shown to auditors
   --replaces=VERSION  version that this one was made from; 0 for the first
   --note=TEXT         why; shown to auditors [default: ]
+  --dry-run           show what would follow and append nothing
   --help              show this text
 
+A dry run lists each move and drain with its reason, the pools touched, the number of steps and
+an estimate of the time, from the state that the log has now. Steps that are due anyway are
+among them. Exit code 1 if the log would refuse the version.
+
 If another version is in force, nothing changes, its author is named, and the exit code is 4.
 To back out, publish the old content again as a new version.
 )";
