--- a/bench/bench.hpp
+++ b/bench/bench.hpp
@@ -28,5 +28,6 @@
 void bench_never_runnable(figures& out);
 void bench_queueing(figures& out);
 void bench_entry_nodes(figures& out);
+void bench_placement(figures& out);
 
 }  // namespace bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -6,8 +6,9 @@
 namespace {
 
 constexpr bench::bench_function families[] = {
-    bench::bench_gaps,   bench::bench_routing,        bench::bench_worker_health, bench::bench_retry,
-    bench::bench_limits, bench::bench_never_runnable, bench::bench_queueing,      bench::bench_entry_nodes,
+    bench::bench_gaps,     bench::bench_routing,     bench::bench_worker_health,
+    bench::bench_retry,    bench::bench_limits,      bench::bench_never_runnable,
+    bench::bench_queueing, bench::bench_entry_nodes, bench::bench_placement,
 };
 
 void print_table(const bench::figures& all)
--- a/slopes/main.cpp
+++ b/slopes/main.cpp
@@ -16,6 +16,7 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <set>
 #include <sstream>
 
 namespace {
@@ -171,11 +172,11 @@
     });
     slope("plan_all_pools", "us", host_counts, [](std::size_t hosts) {
         const fleet all(hosts);
-        return microseconds([&] {
-            for (const pool& item : all.state.machines.pools) {
-                plan_pool(all.state, item.name, all.state.log_time);
-            }
-        });
+        std::set<std::string> pools;
+        for (const pool& item : all.state.machines.pools) {
+            pools.insert(item.name);
+        }
+        return microseconds([&] { plan_pools(all.state, pools, all.state.log_time); });
     });
 }
 
