Bound the cost of watching hosts, share who leaves, and end undecided repeats as unknown

Causes: (1) a node probed every host of its pools each second: at 2,100 workers and 8 nodes 262 probes a second, 58 us each, with about 280 bytes on the wire, far over 8 KB/s.

Change: (1) at most 8 regular and 32 urgent probes a second, oldest first; what fails requests or probes is urgent. (2) Heartbeats carry the hosts that said that they leave; usage reports carry the same word, and each node asks such a host again every 5 s. (3) A request whose claim is undecided ends as unknown.

--- a/include/waxwingnotch/entry/controller.hpp
+++ b/include/waxwingnotch/entry/controller.hpp
@@ -6,6 +6,7 @@
 
 #include "waxwingnotch/decision/wave.hpp"
 #include "waxwingnotch/entry/fleet_view.hpp"
+#include "waxwingnotch/entry/upstreams.hpp"
 #include "waxwingnotch/net/http_client.hpp"
 #include "waxwingnotch/platform/log_appender.hpp"
 
@@ -26,6 +27,7 @@
     std::function<bool(std::string_view duty)> owns;  // is this node the owner of the duty?
     std::function<bool()> proposes;                   // may this node propose now?
     std::string hosts_address;                        // platform's host API
+    upstream_table& upstreams;                        // what requests and workers' answers showed
 };
 
 /// Watches and proposes.
@@ -49,6 +51,8 @@
     };
 
     void step();
+    void start_probes(const std::set<std::string>& own_pools);
+    bool looks_wrong(const std::string& host, const host_state& machine) const;
     void probe(const std::string& host, const host_state& machine);
     void take_probe(const std::string& host, const http_answer& answer);
     void report(const std::string& host, host_condition condition, const std::string& evidence);
--- a/include/waxwingnotch/entry/upstreams.hpp
+++ b/include/waxwingnotch/entry/upstreams.hpp
@@ -83,6 +83,10 @@
     /// Takes over what a worker's answer says of its slots and of leaving.
     void take_answer(std::string_view host, std::uint32_t slots, const http_answer& answer,
                      std::int64_t now_ms);
+    /// Takes over whether a worker says in its usage report that it is leaving.
+    void take_usage(std::string_view host, const http_answer& answer);
+    /// @return hosts that said that they are leaving, in name order
+    std::vector<std::string> said_leaving() const;
 
 private:
     struct pool_host {
--- a/include/waxwingnotch/peer/membership.hpp
+++ b/include/waxwingnotch/peer/membership.hpp
@@ -19,10 +19,11 @@
     std::string node;
     std::int64_t incarnation = 0;
     std::string data_centre;
-    std::int64_t offset = 0;         // next offset of its fold
-    std::int64_t log_end = -1;       // log's end that it knows
-    bool serving = false;            // takes new requests
-    std::vector<std::string> heard;  // nodes that it heard directly within the suspicion time
+    std::int64_t offset = 0;           // next offset of its fold
+    std::int64_t log_end = -1;         // log's end that it knows
+    bool serving = false;              // takes new requests
+    std::vector<std::string> heard;    // nodes that it heard directly within the suspicion time
+    std::vector<std::string> leaving;  // hosts that told it that they are leaving
 };
 
 /// One entry node as this node sees it.
--- a/include/waxwingnotch/peer/peer_mesh.hpp
+++ b/include/waxwingnotch/peer/peer_mesh.hpp
@@ -25,6 +25,7 @@
 /// What the owner of a mesh provides.
 struct mesh_handlers {
     std::function<heartbeat()> self;                                  // this node, now
+    std::function<void(const heartbeat& beat)> heard;                 // from a peer; may be empty
     std::function<void(std::span<const log_entry> entries)> records;  // from a peer; may overlap
     std::function<std::string()> encode_state;                        // for a peer that is far behind
     std::function<void(const state_message& message)> state;          // from a peer
--- a/slopes/main.cpp
+++ b/slopes/main.cpp
@@ -232,7 +232,7 @@
         return static_cast<double>(encode(batch{"entry-1", 1, 1, 0, items}).size());
     });
     slope("beat_bytes", "bytes", {2, 4, 8, 16}, [](std::size_t nodes) {
-        heartbeat beat{"entry-1", 1'796'360'586'335, "obihiro", 1'000'000, 1'000'000, true, {}};
+        heartbeat beat{"entry-1", 1'796'360'586'335, "obihiro", 1'000'000, 1'000'000, true, {}, {}};
         for (std::size_t at = 1; at < nodes; ++at) {
             beat.heard.push_back("entry-" + std::to_string(at));
         }
--- a/src/entry/active_request.hpp
+++ b/src/entry/active_request.hpp
@@ -16,6 +16,7 @@
     std::int64_t arrived_at = 0;   // monotonic ms
     std::int64_t deadline_at = 0;  // monotonic ms; 0: none
     std::string claim;             // key held in the log; empty: none
+    std::string wanted_claim;      // key asked of the claim desk, until it answers; empty: none
     std::int64_t claimed_at = 0;   // monotonic ms
     std::uint32_t attempts = 0;    // sends that may have started it, one under way included
     std::uint32_t unstarted = 0;   // sends that failed before it started
--- a/src/entry/controller.cpp
+++ b/src/entry/controller.cpp
@@ -3,6 +3,7 @@
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/log.hpp"
 #include "waxwingnotch/decision/placement.hpp"
+#include "waxwingnotch/decision/probing.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -48,11 +49,7 @@
             own_pools.insert(item.name);
         }
     }
-    for (const auto& [name, machine] : state.hosts) {
-        if (own_pools.count(machine.pool) > 0) {
-            probe(name, machine);
-        }
-    }
+    start_probes(own_pools);
     if (!parts_.proposes()) {
         return;
     }
@@ -67,6 +64,29 @@
     }
 }
 
+bool controller::looks_wrong(const std::string& host, const host_state& machine) const
+{
+    const auto known = probes_.find(host);
+    const upstream* seen = parts_.upstreams.find(host);
+    return machine.phase != host_phase::serving || machine.condition != host_condition::up ||
+           (known != probes_.end() && known->second.unanswered > 0) ||
+           (seen != nullptr && seen->failures > 0);
+}
+
+void controller::start_probes(const std::set<std::string>& own_pools)
+{
+    std::vector<probe_candidate> candidates;
+    for (const auto& [name, machine] : parts_.view.state().hosts) {
+        if (own_pools.count(machine.pool) > 0 && !probes_[name].under_way) {
+            candidates.push_back({name, probes_[name].called_at, looks_wrong(name, machine)});
+        }
+    }
+    for (const std::size_t index : choose_probes(candidates, probe_rates{})) {
+        const std::string host(candidates[index].host);
+        probe(host, parts_.view.state().hosts.at(host));
+    }
+}
+
 void controller::probe(const std::string& host, const host_state& machine)
 {
     probe_state& known = probes_[host];
@@ -102,6 +122,7 @@
         return;
     }
     known->second.unanswered = 0;
+    parts_.upstreams.take_usage(host, answer);
     const auto body = nlohmann::json::parse(answer.body, nullptr, false);
     known->second.sight.idle = body.is_object() && body.value("running", 1) == 0;
     known->second.sight.last_answered_call = known->second.called_at;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -98,7 +98,9 @@
         return;
     }
     const std::string key = claim_key(item->request.service, item->request.idempotency_key);
+    item->wanted_claim = key;
     parts_.claims.claim(key, item->id, [this, item, key](const claim_result& claimed) {
+        item->wanted_claim.clear();
         if (!claimed.granted) {
             finish(item, claimed.refusal);
             return;
@@ -328,7 +330,9 @@
         return false;
     }
     const active_ptr item = found->second;
-    const bool may_have_run = item->sent || item->call != 0;
+    // Before the log's verdict nobody knows whether an earlier request with this key has run.
+    const bool undecided = !item->wanted_claim.empty();
+    const bool may_have_run = item->sent || item->call != 0 || undecided;
     const call_id call = item->call;
     finish(item, make_refusal(may_have_run ? outcome::unknown : outcome::not_run, why, retry_after_ms));
     parts_.client.cancel(call);
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -7,6 +7,7 @@
 #include "waxwingnotch/entry/claim_desk.hpp"
 #include "waxwingnotch/entry/controller.hpp"
 #include "waxwingnotch/entry/dispatcher.hpp"
+#include "waxwingnotch/entry/leaving_watch.hpp"
 #include "waxwingnotch/net/address.hpp"
 #include "waxwingnotch/platform/audit_keeper.hpp"
 #include "waxwingnotch/platform/host_list.hpp"
@@ -107,6 +108,7 @@
     claim_desk claims;
     dispatcher requests;
     controller duties;
+    leaving_watch leaving;
     http_server server;
 
     node_phase phase = node_phase::catching_up;
@@ -130,7 +132,7 @@
                     return view.state().next_offset;
                 }}),
       mesh(loop, {options.node_id, options.peers},
-           {[this] { return self(); },
+           {[this] { return self(); }, [this](const heartbeat& beat) { leaving.hear(beat.leaving); },
             [this](std::span<const log_entry> entries) {
                 if (!view.take(entries)) {
                     mesh.want(view.state().next_offset);
@@ -164,9 +166,9 @@
                {options.node_id + "-" + std::to_string(incarnation), options.request_timeout_ms,
                 options.max_in_flight, static_cast<std::uint64_t>(incarnation), options.node_id}),
       duties({loop, client, view, appender, [this](std::string_view duty) { return owns(duty); },
-              [this] { return phase == node_phase::serving && follower.reachable(); },
-              options.hosts_address}),
-      server(loop)
+              [this] { return phase == node_phase::serving && follower.reachable(); }, options.hosts_address,
+              upstreams}),
+      leaving(loop, client, view, upstreams), server(loop)
 {
     view.on_applied([this](std::span<const log_entry> entries) {
         mesh.keep(entries);
@@ -195,6 +197,7 @@
     beat.log_end = follower.log_end();
     beat.serving = phase == node_phase::serving;
     beat.heard = mesh.members().heard_directly(monotonic_ms());
+    beat.leaving = leaving.told();
     return beat;
 }
 
@@ -247,6 +250,7 @@
     follower.start();
     hosts.start();
     duties.start();
+    leaving.start();
     keeper.start(loop);
     audit.start(loop);
     ticker = loop.every(tick_ms, [this] { tick(); });
--- a/src/entry/upstreams.cpp
+++ b/src/entry/upstreams.cpp
@@ -175,4 +175,24 @@
     known.said_leaving = answer.header("X-Leaving").value_or("") == "1";
 }
 
+void upstream_table::take_usage(std::string_view host, const http_answer& answer)
+{
+    const bool leaving = answer.header("X-Leaving").value_or("") == "1";
+    const upstream* known = find(host);
+    if (leaving || known != nullptr) {
+        at(host).said_leaving = leaving;
+    }
+}
+
+std::vector<std::string> upstream_table::said_leaving() const
+{
+    std::vector<std::string> hosts;
+    for (const auto& [name, known] : upstreams_) {
+        if (known.said_leaving) {
+            hosts.push_back(name);
+        }
+    }
+    return hosts;
+}
+
 }  // namespace waxwingnotch
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -6,7 +6,9 @@
 
 using nlohmann::json;
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(heartbeat, node, incarnation, data_centre, offset, log_end, serving, heard)
+// Fields that an older node does not send take their defaults.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(heartbeat, node, incarnation, data_centre, offset, log_end,
+                                                serving, heard, leaving)
 
 namespace {
 
--- a/src/peer/peer_mesh.cpp
+++ b/src/peer/peer_mesh.cpp
@@ -111,6 +111,9 @@
     else if (const auto* beat = std::get_if<beat_message>(&message)) {
         members_.hear(beat->self, monotonic_ms());
         expect(beat->self.offset);
+        if (handlers_.heard) {
+            handlers_.heard(beat->self);
+        }
     }
     else if (const auto* records = std::get_if<records_message>(&message)) {
         handlers_.records(records->entries);
--- a/standin/worker.cpp
+++ b/standin/worker.cpp
@@ -164,7 +164,7 @@
             usage_at_ = now;
             reported_running_ = running_;
         }
-        exchange->reply(200, {},
+        exchange->reply(200, answer_headers(""),
                         json{{"running", reported_running_}, {"slots", slots_}, {"at", usage_at_}}.dump());
     }
 
--- a/tests/peer/membership_test.cpp
+++ b/tests/peer/membership_test.cpp
@@ -9,8 +9,8 @@
 TEST(membership, a_report_of_another_member_keeps_it_alive)
 {
     membership table("a");
-    table.hear({"b", 1, "dc", 0, 0, true, {}}, 0);
-    table.hear({"c", 1, "dc", 0, 0, true, {"b"}}, 5'000);
+    table.hear({"b", 1, "dc", 0, 0, true, {}, {}}, 0);
+    table.hear({"c", 1, "dc", 0, 0, true, {"b"}, {}}, 5'000);
     EXPECT_TRUE(table.alive("b", 6'000));
     EXPECT_FALSE(table.alive("b", 9'000));
 }
@@ -19,8 +19,8 @@
 TEST(membership, an_older_incarnation_is_ignored)
 {
     membership table("a");
-    table.hear({"b", 2, "dc", 7, 0, true, {}}, 0);
-    table.hear({"b", 1, "dc", 99, 0, true, {}}, 10);
+    table.hear({"b", 2, "dc", 7, 0, true, {}, {}}, 0);
+    table.hear({"b", 1, "dc", 99, 0, true, {}, {}}, 10);
     EXPECT_EQ(table.find("b")->offset, 7);
 }
 
