Take replacements from pools that keep their target

Change: among donors, one whose pool keeps its target comes first. Pools below budget that wait for hosts expected back take their own home hosts before any target is restored.

--- a/src/decision/placement.cpp
+++ b/src/decision/placement.cpp
@@ -26,6 +26,7 @@
     donor_kind kind = donor_kind::spare;
     bool moves_later = false;       // causes a move that is not needed otherwise
     bool unfit = false;             // smaller than the pool's smallest home host
+    bool costs_target = false;      // its pool falls short of its target without it
     std::uint32_t headroom = 0;     // of its pool; larger is better
     std::uint32_t rack_losses = 0;  // hosts down in its rack: it may be the next
     std::uint32_t same_rack = 0;    // hosts of the pool in its rack
@@ -33,10 +34,10 @@
 
     bool better_than(const donor& other) const
     {
-        return std::tie(kind, moves_later, unfit, other.headroom, rack_losses, same_rack, same_centre,
-                        machine->spec.name) < std::tie(other.kind, other.moves_later, other.unfit, headroom,
-                                                       other.rack_losses, other.same_rack, other.same_centre,
-                                                       other.machine->spec.name);
+        return std::tie(kind, costs_target, moves_later, unfit, other.headroom, rack_losses, same_rack,
+                        same_centre, machine->spec.name) <
+               std::tie(other.kind, other.costs_target, other.moves_later, other.unfit, headroom,
+                        other.rack_losses, other.same_rack, other.same_centre, other.machine->spec.name);
     }
 };
 
@@ -67,7 +68,12 @@
             }
         }
         for (const pool_capacity* item : mine) {
-            while (item->missing_for_budget() > 0 && restore_budget(*item)) {
+            while (item->missing_for_budget() > 0 && restore_budget(*item, donor_kind::headroom)) {
+            }
+        }
+        for (const pool_capacity* item : mine) {
+            // Its own hosts need no second move, so they need not wait for those expected back.
+            while (item->available < item->budget && restore_budget(*item, donor_kind::home)) {
             }
         }
         for (const pool_capacity* item : mine) {
@@ -173,6 +179,7 @@
             kind == donor_kind::headroom ? machine.spec.pool == machine.pool : index_.is_awaited(machine);
         item.unfit =
             machine.spec.memory_gb < shape.memory_gb || machine.spec.accelerators < shape.accelerators;
+        item.costs_target = here.available + here.returning + here.in_wave + here.held <= here.target;
         item.headroom = kind == donor_kind::headroom ? here.available - here.budget : 0;
         item.rack_losses = index_.lost_in_rack(machine.spec.rack);
         const std::string_view centre = index_.data_centre_of(machine.spec.rack);
@@ -187,8 +194,10 @@
     }
 
     /// Moves the best donor into @p pool.
+    /// @param last kind of donor that may be taken
     /// @return false if there is none
-    bool replace(const pool_capacity& pool, bool budget_broken, const std::string& need)
+    bool replace(const pool_capacity& pool, bool budget_broken, const std::string& need,
+                 donor_kind last = donor_kind::headroom)
     {
         const pool_shape shape = shape_of(pool);
         std::optional<donor> best;
@@ -202,7 +211,7 @@
             }
             for (const host_state* machine : here.members) {
                 const auto kind = kind_of(*machine, here, pool, budget_broken);
-                if (!kind) {
+                if (!kind || *kind > last) {
                     continue;
                 }
                 ++considered;
@@ -232,11 +241,12 @@
         return "rules version " + std::to_string(state_.rules_document.version);
     }
 
-    bool restore_budget(const pool_capacity& pool)
+    bool restore_budget(const pool_capacity& pool, donor_kind last)
     {
         return replace(pool, true,
                        "pool " + std::string(pool.name) + " has " + std::to_string(pool.available) +
-                           " hosts and " + rules_name() + " promise " + std::to_string(pool.budget));
+                           " hosts and " + rules_name() + " promise " + std::to_string(pool.budget),
+                       last);
     }
 
     bool restore_target(const pool_capacity& pool)
