Make the fault scenarios catch three more weakened mechanisms

Trials with weakened copies of the product passed where they should fail: a stop that cuts what is in flight (no request was long enough to be open then), a fold that accepts a publication against an older version (the command line checks first), and a node that serves before it has caught up (it caught up within one sample).

--- a/tests/faults/checker.py
+++ b/tests/faults/checker.py
@@ -67,6 +67,7 @@
         self.publishes = []    # (kind, version, offset, appended_at)
         self.drains = []       # (host, appended_at, until): accepted drains and removals
         self.summaries = []    # by offset: {pool: [hosts, available, budget]}
+        self.in_force = []     # by offset: versions
         self.history = {}      # (host, offset) -> (pool, epoch, phase)
         self.violations = []
 
@@ -89,6 +90,7 @@
                 self.violations.append(("log", f"offset {offset} where {expected} was expected"))
             self.batch(offset, appended_at, data)
             self.note()
+            self.in_force.append(dict(self.versions))
         return self
 
     def batch(self, offset, appended_at, data):
@@ -341,6 +343,12 @@
             for kind in ("inventory", "rules"):
                 served, last = 0, (None, 0)
                 for s in own:
+                    if 0 < s["next_offset"] <= len(self.replay.in_force):
+                        accepted = self.replay.in_force[s["next_offset"] - 1][kind]
+                        if s[kind] != accepted:
+                            self.violation("P8", f"{node} has {kind} version {s[kind]} after offset "
+                                           f"{s['next_offset'] - 1}, the log gives {accepted}")
+                            break
                     back = s["incarnation"] == last[0] and s[kind] < last[1]
                     if back or (s["phase"] == "serving" and s[kind] < served):
                         self.violation("P8", f"{node} went back to {kind} version {s[kind]} at {s['at']}")
--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -158,10 +158,15 @@
 
     def append(self, writer, records):
         """Appends a batch as a controller that decided on an older state."""
-        end = len(cbor2.loads(call(self.addresses["log"], "GET", "/archive")[1]))
-        batch = {"w": writer, "i": now(), "s": 1, "o": end, "r": records}
+        batch = {"w": f"{writer}:{now()}", "i": now(), "s": 1, "o": len(self.archive()), "r": records}
         call(self.addresses["log"], "POST", "/log/records", cbor2.dumps(batch))
 
+    def archive(self):
+        return cbor2.loads(call(self.addresses["log"], "GET", "/archive")[1])
+
+    def in_flight(self, node):
+        return json.loads(call(self.addresses[node], "GET", "/v1/log-info")[1])["in_flight"]
+
     def fault(self, name, **settings):
         call(self.addresses[name], "POST", "/fault", json.dumps(settings))
 
@@ -266,7 +271,7 @@
     def settled(self):
         """All nodes serve and have folded the whole log."""
         try:
-            end = len(cbor2.loads(call(self.addresses["log"], "GET", "/archive")[1]))
+            end = len(self.archive())
             pages = [self.sample(node) for node in NODES if self.processes[node].poll() is None]
         except (OSError, ValueError, http.client.HTTPException):
             return False
@@ -284,7 +289,7 @@
 
         records = {h: json.loads(call(self.addresses[h], "GET", "/records")[1]) for h in self.workers}
         self.stopping.set()
-        return {"log": cbor2.loads(call(self.addresses["log"], "GET", "/archive")[1]),
+        return {"log": self.archive(),
                 "executions": {h: [r for r in rs if "state" in r] for h, rs in records.items()},
                 "refusals": {h: [r for r in rs if "state" not in r] for h, rs in records.items()},
                 "callers": list(self.callers), "samples": list(self.samples), "hosts": hosts,
