Return hosts and pause waves by command, stop cancelled tasks, refuse words for numbers

Causes: an operator could drain a host but not return it, and had no command for the wave; a cancelled request ran on at its worker; an option that needs a number ended the process by an uncaught exception (exit code 134) when it got a word.

--- a/include/waxwingnotch/entry/dispatcher.hpp
+++ b/include/waxwingnotch/entry/dispatcher.hpp
@@ -108,6 +108,7 @@
     void judge_worker(const active_ptr& item, const std::string& host, const http_answer& answer);
     void try_again(const active_ptr& item, const std::string& why, bool started);
     void abandon(const std::string& request_id);
+    void stop_task(const active_request& item);
     void finish(const active_ptr& item, const caller_answer& answer);
     void trace(const active_request& item, std::string text);
 
--- a/src/cli/audit.cpp
+++ b/src/cli/audit.cpp
@@ -74,49 +74,4 @@
     return shown == 0 || !report.missing.empty() ? exit_findings : exit_ok;
 }
 
-int run_drain(const arguments& given)
-{
-    if (given.at("node").asBool()) {
-        http_call call;
-        call.method = "POST";
-        call.address = given.at("--node").isStringList() ? given.at("--node").asStringList().front()
-                                                         : given.at("--node").asString();
-        call.path = "/v1/drain";
-        const http_answer answer = fetch(call);
-        if (answer.outcome != call_outcome::answered || answer.status != 202) {
-            std::cerr << "entry node " << call.address << " does not answer\n";
-            return answer.bytes_sent ? exit_unknown : exit_unavailable;
-        }
-        std::cout << "entry node " << call.address << " is draining\n";
-        return exit_ok;
-    }
-    const std::string address = text_of(given, "--log");
-    auto folded = fold_log(address);
-    if (!folded) {
-        std::cerr << folded.error().message << "\n";
-        return exit_unavailable;
-    }
-    const fleet_state& state = folded.value().state;
-    const std::string name = given.at("<name>").asString();
-    const auto found = state.hosts.find(name);
-    if (found == state.hosts.end()) {
-        std::cerr << "unknown host '" << name << "'\n";
-        return exit_findings;
-    }
-    host_record item;
-    item.action = host_action::drain;
-    item.host = name;
-    item.pool = found->second.pool;
-    item.epoch = found->second.epoch;
-    item.reason = text_of(given, "--reason");
-    item.basis = {state.inventory_document.version, state.rules_document.version, text_of(given, "--author")};
-    const append_result done = append_and_wait(address, item.basis.author, item, folded.value());
-    if (done.exit_code != exit_ok) {
-        std::cerr << "not draining: " << done.reason << "\n";
-        return done.exit_code;
-    }
-    std::cout << "host " << name << " of pool " << item.pool << " is draining\n";
-    return exit_ok;
-}
-
 }  // namespace waxwingnotch
--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -4,6 +4,7 @@
 #include "cli/usage.hpp"
 
 #include <iostream>
+#include <stdexcept>
 
 namespace waxwingnotch {
 
@@ -21,6 +22,7 @@
     {"publish", usage_publish, run_publish}, {"watch", usage_watch, run_watch},
     {"status", usage_status, run_status},    {"explain", usage_explain, run_explain},
     {"audit", usage_audit, run_audit},       {"drain", usage_drain, run_drain},
+    {"restore", usage_restore, run_restore}, {"wave", usage_wave, run_wave},
 };
 
 int run_one(const command_row& command, const std::vector<std::string>& words)
@@ -29,6 +31,13 @@
         const arguments given = docopt::docopt_parse(command.usage, words, true, false);
         return command.run(given);
     }
+    catch (const std::logic_error& problem) {
+        // docopt converts numbers by std::stol(), which throws these for anything else.
+        std::cerr << "waxwingnotch " << command.name
+                  << ": an option that needs an integer has another value (" << problem.what() << ")\n\n"
+                  << command.usage;
+        return exit_usage;
+    }
     catch (const docopt::DocoptExitHelp&) {
         std::cout << command.usage;
         return exit_ok;
--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -19,6 +19,8 @@
 int run_explain(const arguments& given);
 int run_audit(const arguments& given);
 int run_drain(const arguments& given);
+int run_restore(const arguments& given);
+int run_wave(const arguments& given);
 
 /// @return the text of an option, or an empty one if it was not given
 std::string text_of(const arguments& given, const std::string& option);
--- a/src/cli/usage.hpp
+++ b/src/cli/usage.hpp
@@ -23,6 +23,8 @@
   explain   why a host is in its pool, or what happened to a request
   audit     every move of a host, with the authority that it rests on
   drain     ask a host or an entry node to leave
+  restore   return a drained host to its pool
+  wave      pause or resume the maintenance wave
 
 Exit codes:
   0  done
@@ -174,4 +176,38 @@
 The drain of a host is refused with exit code 4 if a service would fall below its budget.
 )";
 
+constexpr const char* usage_restore =
+    R"(Returns a host that is draining or drained to its pool.
+
+Usage:
+  waxwingnotch restore host <name> --log=ADDRESS --author=NAME --reason=TEXT
+  waxwingnotch restore --help
+
+Options:
+  --log=ADDRESS   ip:port of the platform's log
+  --author=NAME   on whose authority; shown to auditors
+  --reason=TEXT   why; shown to auditors
+  --help          show this text
+
+A host that serves already is refused with exit code 4.
+)";
+
+constexpr const char* usage_wave =
+    R"(Pauses or resumes the maintenance wave that is open.
+
+Usage:
+  waxwingnotch wave (pause | resume) --log=ADDRESS --author=NAME --reason=TEXT
+  waxwingnotch wave --help
+
+Options:
+  --log=ADDRESS   ip:port of the platform's log
+  --author=NAME   on whose authority; shown to auditors
+  --reason=TEXT   why; shown to auditors
+  --help          show this text
+
+A paused wave takes out no further host; hosts that are out are finished. A wave that stopped itself
+goes on after a resume, which accepts the trouble that the pause named. Without an open wave the
+exit code is 4.
+)";
+
 }  // namespace waxwingnotch
--- a/src/entry/active_request.hpp
+++ b/src/entry/active_request.hpp
@@ -28,6 +28,7 @@
     bool expected_long = false;
     bool queued = false;
     std::string pool;          // of the last send
+    std::string host;          // of the last send
     std::int64_t sent_at = 0;  // monotonic ms; of the last send
     call_id call = 0;          // under way; 0: none
     bool sent = false;         // some send may have started it
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -136,6 +136,7 @@
     // A kept connection that the worker has closed could not tell whether it read the request.
     call.reuse = !item->request.non_idempotent;
     ++item->attempts;
+    item->host = host;
     ++parts_.upstreams.at(host).in_flight;
     sent_.add();
     note_start(*item, service->pool);
@@ -162,7 +163,9 @@
         ++known.failures;
         known.ejected_until = monotonic_ms() + std::min(pause, longest_eject_ms);
         log_event(log_level::warning, "eject",
-                  {{"host", host}, {"reason", "connection refused"}, {"for_ms", pause}});
+                  {{"host", host},
+                   {"reason", "connection refused"},
+                   {"for_ms", std::min(pause, longest_eject_ms)}});
     }
 }
 
@@ -336,9 +339,26 @@
     const call_id call = item->call;
     finish(item, make_refusal(may_have_run ? outcome::unknown : outcome::not_run, why, retry_after_ms));
     parts_.client.cancel(call);
+    if (call != 0) {
+        stop_task(*item);
+    }
     return true;
 }
 
+void dispatcher::stop_task(const active_request& item)
+{
+    const auto machine = parts_.view.state().hosts.find(item.host);
+    if (machine == parts_.view.state().hosts.end()) {
+        return;
+    }
+    http_call call;
+    call.method = "DELETE";
+    call.address = machine->second.spec.address;
+    call.path = "/tasks/" + item.id;
+    // Best effort: the lease ends the task in any case.
+    parts_.client.send(call, [](const http_answer&) {});
+}
+
 void dispatcher::abandon(const std::string& request_id)
 {
     const auto found = requests_.find(request_id);
