Test how replacements spread over racks and data centres

Change: a test with three cases in which the rack, the data centre and the losses decide.

Conclusion: every key of the choice that concerns failure domains is covered; size and headroom of a donor have no test of their own.

--- a/tests/decision/placement_test.cpp
+++ b/tests/decision/placement_test.cpp
@@ -236,6 +236,40 @@
     }
 }
 
+// Guards against a replacement that shares a rack or a data centre with the hosts that are left, or
+// stands in a rack that is failing, and so would have to be replaced next.
+TEST(placement, a_replacement_spreads_over_racks_and_data_centres)
+{
+    inventory machines;
+    machines.data_centres = {{"dc-1", "region"}, {"dc-2", "region"}};
+    machines.racks = {{"a", "dc-1"}, {"b", "dc-1"}, {"c", "dc-1"}, {"d", "dc-2"}, {"e", "dc-2"}};
+    machines.pools = {{"pool-0", false}, {"spare", true}};
+    for (const char* rack : {"a", "a", "b", "e"}) {
+        const std::string number = std::to_string(machines.hosts.size());
+        machines.hosts.push_back({"host-" + number, "127.0.0.1:1", rack, "pool-0"});
+    }
+    for (const char* rack : {"a", "b", "c", "d", "d"}) {
+        const std::string number = std::to_string(machines.hosts.size());
+        machines.hosts.push_back({"host-" + number, "127.0.0.1:1", rack, "spare"});
+    }
+    // What is lost besides host-3, and the spare that is best then.
+    const std::vector<std::pair<std::vector<const char*>, const char*>> cases = {
+        {{}, "host-7"}, {{"host-8"}, "host-6"}, {{"host-8", "host-6"}, "host-5"}};
+    for (const auto& [lost, best] : cases) {
+        fleet_driver fleet;
+        fleet.publish(machines);
+        fleet.publish(make_rules(1, 2));
+        fleet.condition("host-3", host_condition::down);
+        for (const char* host : lost) {
+            fleet.condition(host, host_condition::down);
+        }
+        fleet.now += 31'000;
+        const auto plan = fleet_driver::planned(fleet);
+        ASSERT_EQ(plan.size(), 1U);
+        EXPECT_EQ(plan[0].host, best);
+    }
+}
+
 // Guards against an inventory that cannot take effect because a pool stands at its budget.
 TEST(placement, a_removed_host_is_replaced_first_where_the_budget_needs_it)
 {
