--- a/tests/faults/checker.py
+++ b/tests/faults/checker.py
@@ -132,6 +132,12 @@
                     self.hosts[name] = {"pool": spec["pool"], "epoch": 1, "phase": "serving",
                                         "condition": 0, "removed": False}
                     self.history[name, offset] = (spec["pool"], 1, "serving")
+                    self.end_drains(name, appended_at)
+
+    def end_drains(self, host, appended_at):
+        for drain in self.drains:
+            if drain[0] == host and drain[2] is None:
+                drain[2] = appended_at
 
     def take_condition(self, body, *_):
         if body["host"] in self.hosts:
@@ -163,9 +169,7 @@
         if action == DRAIN:
             self.drains.append([body["host"], appended_at, None])
         if action == RESTORE:
-            for drain in self.drains:
-                if drain[0] == body["host"] and drain[2] is None:
-                    drain[2] = appended_at
+            self.end_drains(body["host"], appended_at)
         self.history[body["host"], offset] = (host["pool"], host["epoch"], host["phase"])
         if action == REMOVE:
             del self.hosts[body["host"]]
--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -159,7 +159,15 @@
     def append(self, writer, records):
         """Appends a batch as a controller that decided on an older state."""
         batch = {"w": f"{writer}:{now()}", "i": now(), "s": 1, "o": len(self.archive()), "r": records}
-        call(self.addresses["log"], "POST", "/log/records", cbor2.dumps(batch))
+
+        def appended():
+            # A repeat after a lost answer is dropped by the fold: writer, incarnation and seq are the same.
+            try:
+                return call(self.addresses["log"], "POST", "/log/records", cbor2.dumps(batch))[0] == 200
+            except (OSError, http.client.HTTPException):
+                return False
+        if not wait_until(60, appended):
+            raise RuntimeError(f"the log took no batch of {writer} in 60 s")
 
     def archive(self):
         return cbor2.loads(call(self.addresses["log"], "GET", "/archive")[1])
