Admit requests by quota, queue and expected wait in the serve role

Cause: decision/limits was finished, but nothing called it. A team could take every slot, a full queue answered 503, and work was queued although the work ahead used up its deadline.

Change: the dispatcher asks admission_control before a request joins, and counts it until it ends. A full queue and a quota answer 429, a wait beyond half of the time left answers 503, each with Retry-After and a `refuse` log line that holds the inputs. A request whose team runs its whole share steps out of the order until one of its team ends or a round begins. Urgent work that holds half of the slots lets normal work go first. Other rules, or a missing beat, give the static division. A non-idempotent repeat of a key that the node knows asks for its claim before admission may refuse it, so that "not run" is never said of a key that ran.

Conclusion: quotas and admission are in force.

--- a/include/waxwingnotch/decision/limits.hpp
+++ b/include/waxwingnotch/decision/limits.hpp
@@ -97,8 +97,9 @@
     std::string_view service;
     std::string_view team;
     bool urgent = false;
-    std::int64_t run_estimate_ms = 0;   // 0: unknown; the same in all calls of a request
-    std::int64_t deadline_left_ms = 0;  // 0: none
+    std::int64_t run_estimate_ms = 0;               // 0: unknown; the same in all calls of a request
+    std::int64_t deadline_left_ms = 0;              // 0: none
+    std::optional<std::int64_t> least_run_ms = {};  // that a deadline must leave; nothing: the estimate
 };
 
 /// What this node may use of the service's pool.
@@ -151,6 +152,7 @@
     bool may_start(const admission_request& request, std::optional<std::uint32_t> team_share) const;
 
     void started(const admission_request& request);     // waiting -> running
+    void returned(const admission_request& request);    // running -> waiting, to be sent again
     void left_queue(const admission_request& request);  // waiting -> gone
     /// Counts a running request as gone.
     /// @param ran_ms how long it ran, if it ran to its end; corrects later estimates
@@ -163,6 +165,8 @@
     std::vector<std::pair<std::string, std::uint32_t>> take_demand();
 
 private:
+    std::int64_t needed_run_ms(const admission_request& request) const;
+
     struct work {
         std::uint32_t count = 0;
         std::int64_t run_ms = 0;  // sum of the estimates
--- a/include/waxwingnotch/decision/queue.hpp
+++ b/include/waxwingnotch/decision/queue.hpp
@@ -43,6 +43,7 @@
 struct pool_use {
     std::uint32_t slots = 0;           // this node's share
     std::uint32_t long_in_flight = 0;  // of all services of the pool; see long_work
+    bool hold_urgent = false;          // urgent work holds its share of the slots; normal work goes first
 };
 
 /// @return true if work counts as long beside the other work of its pool
@@ -88,6 +89,7 @@
     void remove(std::uint64_t id);
 
     std::size_t size() const { return work_.size(); }
+    bool urgent_waits() const { return !lanes_[1][0].empty() || !lanes_[1][1].empty(); }
     bool empty() const { return work_.empty(); }
 
 private:
--- a/include/waxwingnotch/entry/dispatcher.hpp
+++ b/include/waxwingnotch/entry/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "waxwingnotch/entry/caller_request.hpp"
 #include "waxwingnotch/entry/claim_desk.hpp"
 #include "waxwingnotch/entry/fleet_view.hpp"
+#include "waxwingnotch/entry/quota_desk.hpp"
 #include "waxwingnotch/entry/request_trace.hpp"
 #include "waxwingnotch/entry/upstreams.hpp"
 #include "waxwingnotch/net/http_client.hpp"
@@ -65,6 +66,13 @@
     /// Sends what can be sent now. Call when capacity may have changed.
     void pump();
 
+    /// Begins a round of the division of quotas, if the wall clock is in a new one.
+    void begin_round(std::int64_t wall_now_ms);
+    /// Takes another node's heartbeat.
+    void hear(const heartbeat& beat) { quotas_.hear(beat, parts_.view.state()); }
+    /// @return what the teams want here, for this node's heartbeat
+    const demand_summary& demand() const { return quotas_.demand(); }
+
     std::size_t in_flight() const { return requests_.size(); }
     const request_traces& traces() const { return traces_; }
     std::vector<std::string> open_requests() const;
@@ -87,6 +95,15 @@
     };
 
     std::string admission_problem(const active_request& item, outcome& result);
+    // Admission, in dispatcher_admission.cpp.
+    static admission_request admission_view(const active_request& item);
+    std::optional<caller_answer> refuse_admission(active_request& item);
+    bool repeats_key(const active_request& item) const;
+    void count_start(active_request& item);
+    void count_end(active_request& item, std::optional<std::int64_t> ran_ms);
+    void count_gone(active_request& item);
+    void park(const active_ptr& item);
+    void release_parked(std::string_view team);
     // The queue, in dispatcher_queue.cpp.
     void enqueue(const active_ptr& item);
     bool refuse_late(const active_ptr& item, std::int64_t now);
@@ -120,6 +137,8 @@
     run_time_table run_times_;
     std::map<std::string, service_queue> queues_;                 // by service
     std::map<std::string, long_work, std::less<>> long_running_;  // by pool
+    quota_desk quotas_;
+    std::map<std::string, std::vector<active_ptr>, std::less<>> parked_;  // by team; wait for its share
     request_traces traces_;
     never_judge never_;
     retry_budget retries_;
--- a/include/waxwingnotch/peer/membership.hpp
+++ b/include/waxwingnotch/peer/membership.hpp
@@ -10,10 +10,18 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace waxwingnotch {
 
+/// What the teams wanted at a node in a round of the division of quotas; see quota_shares.
+struct demand_summary {
+    std::int64_t round = -1;  // -1: none
+    std::int64_t rules = 0;   // version whose list of teams the indices mean
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> slots_by_team;  // by ascending index
+};
+
 /// What a node tells of itself in each heartbeat.
 struct heartbeat {
     std::string node;
@@ -23,6 +31,7 @@
     std::int64_t log_end = -1;       // log's end that it knows
     bool serving = false;            // takes new requests
     std::vector<std::string> heard;  // nodes that it heard directly within the suspicion time
+    demand_summary demand = {};
 };
 
 /// One entry node as this node sees it.
--- a/include/waxwingnotch/peer/peer_mesh.hpp
+++ b/include/waxwingnotch/peer/peer_mesh.hpp
@@ -28,6 +28,8 @@
     std::function<void(std::span<const log_entry> entries)> records;  // from a peer; may overlap
     std::function<std::string()> encode_state;                        // for a peer that is far behind
     std::function<void(const state_message& message)> state;          // from a peer
+    std::function<void()> beat_due = {};                              // before a heartbeat is sent
+    std::function<void(const heartbeat& beat)> beat = {};             // from a peer
     /// Answers a question; the reply may come later.
     std::function<void(const ask_key_message& question, std::function<void(key_message)> reply)> ask_key;
 };
@@ -42,6 +44,8 @@
 class peer_mesh {
 public:
     static constexpr std::int64_t beat_interval_ms = 500;
+    static constexpr std::int64_t beat_delay_ms =
+        10;  // after the start of an interval, so that an early timer is in it
     static constexpr std::int64_t redial_ms = 500;
     static constexpr std::int64_t gap_wait_ms = 200;       // for the log, before a peer is asked
     static constexpr std::size_t kept_records = 4'096;     // for peers that missed some
--- a/src/decision/limits.cpp
+++ b/src/decision/limits.cpp
@@ -47,7 +47,12 @@
     const auto found = services_.find(request.service);
     const bool idle =
         found == services_.end() || found->second.running[0].count + found->second.running[1].count == 0;
-    return deadline_left_ms <= 0 || (!idle && corrected_run_ms(request) >= deadline_left_ms);
+    return deadline_left_ms <= 0 || (!idle && needed_run_ms(request) >= deadline_left_ms);
+}
+
+std::int64_t admission_control::needed_run_ms(const admission_request& request) const
+{
+    return request.least_run_ms ? *request.least_run_ms : corrected_run_ms(request);
 }
 
 double admission_control::correction(const service_use& use)
@@ -104,7 +109,7 @@
     verdict.team_held = asking == nullptr ? 0 : asking->waiting + asking->running;
     verdict.team_share = team_share.value_or(0);
     verdict.expected_wait_ms = expected_wait(use, request.urgent, load);
-    const std::int64_t run_ms = corrected_run_ms(request);
+    const std::int64_t run_ms = needed_run_ms(request);
     const std::int64_t spare = std::max<std::int64_t>(0, request.deadline_left_ms - run_ms);
     verdict.longest_wait_ms = static_cast<std::int64_t>(static_cast<double>(spare) * usable_wait);
     // A share of 0 lets a request wait for the next rounds of the division.
@@ -161,6 +166,17 @@
     }
 }
 
+void admission_control::returned(const admission_request& request)
+{
+    ended(request, std::nullopt);
+    work& queue = services_.find(request.service)->second.waiting[request.urgent ? 1 : 0];
+    ++queue.count;
+    queue.run_ms += estimate_of(request);
+    if (team_use* known = team(request.team)) {
+        ++known->waiting;
+    }
+}
+
 void admission_control::left_queue(const admission_request& request)
 {
     const auto service = services_.find(request.service);
--- a/src/decision/queue.cpp
+++ b/src/decision/queue.cpp
@@ -89,7 +89,7 @@
     if (!urgent && !normal) {
         return std::nullopt;
     }
-    const bool urgent_goes = urgent && (!normal || urgent_run_ < rules_.urgent_run);
+    const bool urgent_goes = urgent && (!normal || (!pool.hold_urgent && urgent_run_ < rules_.urgent_run));
     return work_.at(urgent_goes ? urgent->second : normal->second);
 }
 
--- a/src/entry/active_request.hpp
+++ b/src/entry/active_request.hpp
@@ -8,6 +8,13 @@
 
 constexpr std::int64_t retry_after_ms = 1'000;  // told to callers whose request did not run
 
+/// How admission counts a request.
+enum class slot_use {
+    none,     // not admitted, or over
+    waiting,  // admitted, not sent
+    running,  // sent
+};
+
 struct dispatcher::active_request {
     std::uint64_t number = 0;  // in order of arrival
     std::string id;
@@ -26,15 +33,21 @@
     std::int64_t pool_typical_ms = 0;  // least median of the services of its pool; 0: not learned
     bool expected_long = false;
     bool queued = false;
-    std::string pool;          // of the last send
-    std::int64_t sent_at = 0;  // monotonic ms; of the last send
-    call_id call = 0;          // under way; 0: none
-    bool sent = false;         // some send may have started it
+    slot_use use = slot_use::none;
+    std::int64_t admitted_estimate_ms = 0;  // as of its admission
+    std::string pool;                       // of the last send
+    std::int64_t sent_at = 0;               // monotonic ms; of the last send
+    call_id call = 0;                       // under way; 0: none
+    bool sent = false;                      // some send may have started it
     bool finished = false;
     timer limit;
     timer backoff;
 
     work_label label() const { return {request.service, request.kind, request.run_time_ms}; }
+    queued_work queue_entry() const
+    {
+        return {number, request.urgent, expected_long, arrived_at, expected.typical_ms};
+    }
 };
 
 }  // namespace waxwingnotch
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -15,6 +15,7 @@
 
 dispatcher::dispatcher(dispatcher_parts parts, dispatcher_options options)
     : parts_(std::move(parts)), options_(std::move(options)), random_(options_.seed),
+      quotas_(options_.node_id),
       received_(parts_.counters.make_counter("waxwingnotch_requests_total", "Requests received.")),
       sent_(parts_.counters.make_counter("waxwingnotch_sends_total", "Requests sent to upstreams.")),
       retried_(parts_.counters.make_counter("waxwingnotch_retries_total", "Repeated sends.")),
@@ -60,11 +61,6 @@
     if (requests_.size() > options_.max_in_flight) {
         return "this entry node holds " + std::to_string(options_.max_in_flight) + " requests";
     }
-    const auto queue = queues_.find(item.request.service);
-    if (queue != queues_.end() && queue->second.order.size() >= service->queue_limit) {
-        return "queue of service '" + service->name + "' is full with " +
-               std::to_string(service->queue_limit) + " requests";
-    }
     return {};
 }
 
@@ -86,6 +82,13 @@
         finish(item, make_refusal(result, std::move(problem), retry_after_ms));
         return;
     }
+    // "Not run" would be false for a key that ran, so a repeat asks for its claim first.
+    if (!repeats_key(*item)) {
+        if (const auto refusal = refuse_admission(*item)) {
+            finish(item, *refusal);
+            return;
+        }
+    }
     exchange->on_closed([this, id = item->id] { abandon(id); });
     const std::int64_t limit = item->request.deadline_ms > 0
                                    ? std::min(item->request.deadline_ms, options_.request_timeout_ms)
@@ -111,6 +114,10 @@
             return;
         }
         trace(*item, "claimed its key");
+        if (const auto refusal = refuse_admission(*item)) {
+            finish(item, *refusal);
+            return;
+        }
         enqueue(item);
     });
 }
@@ -357,6 +364,7 @@
     item->limit.cancel();
     item->backoff.cancel();
     leave_queue(*item);
+    count_gone(*item);
     requests_.erase(item->id);
     const std::int64_t took = monotonic_ms() - item->arrived_at;
     ended_[static_cast<std::size_t>(answer.result)]->add();
--- a/src/entry/dispatcher_queue.cpp
+++ b/src/entry/dispatcher_queue.cpp
@@ -24,11 +24,7 @@
         return;
     }
     service_queue& queue = queues_[item->request.service];
-    queue.order.push({.id = item->number,
-                      .urgent = item->request.urgent,
-                      .expected_long = item->expected_long,
-                      .queued_at = item->arrived_at,
-                      .estimate_ms = item->expected.typical_ms});
+    queue.order.push(item->queue_entry());
     queue.items.emplace(item->number, item);
     item->queued = true;
     pump();
@@ -132,12 +128,18 @@
     const service_rule* rule = find_service(parts_.view.state(), service);
     const std::int64_t now = monotonic_ms();
     while (passed_over.size() < most_passed_over) {
-        const pool_use use = rule != nullptr ? use_of(rule->pool, now) : pool_use{};
+        pool_use use = rule != nullptr ? use_of(rule->pool, now) : pool_use{};
+        use.hold_urgent =
+            queue.order.urgent_waits() && !quotas_.limits().urgent_next(service, {use.slots, 0});
         const auto chosen = queue.order.next(use, now);
         if (!chosen) {
             break;
         }
         const active_ptr item = queue.items.at(chosen->id);
+        if (!quotas_.may_start(admission_view(*item))) {
+            park(item);
+            continue;
+        }
         if (try_send(item, use) != send_attempt::no_room) {
             continue;
         }
@@ -214,6 +216,9 @@
                {"pool_hosts", route.choice.pool_hosts},
                {"waited_ms", route.waited_ms},
                {"urgent", item.request.urgent},
+               {"hold_urgent", use.hold_urgent},
+               {"team", item.request.team},
+               {"team_share", quotas_.share(item.request.team).value_or(0)},
                {"expected_ms", item.expected.typical_ms},
                {"expected_by", to_string(item.expected.basis)},
                {"samples", item.expected.samples},
@@ -231,6 +236,7 @@
 
 void dispatcher::note_start(active_request& item, const std::string& pool)
 {
+    count_start(item);
     item.pool = pool;
     item.sent_at = monotonic_ms();
     const std::int64_t turns_long = item.expected_long ? 0 : long_from_ms(queue_rules_, item.pool_typical_ms);
@@ -245,7 +251,9 @@
     constexpr int first_error = 400;
     constexpr int lease_over = 410;
     const bool answered = answer.outcome == call_outcome::answered;
-    if (answered && answer.status < first_error) {
+    const bool succeeded = answered && answer.status < first_error;
+    count_end(item, succeeded ? std::optional(ran) : std::nullopt);
+    if (succeeded) {
         run_times_.learn(item.label(), ran, now);
         return;
     }
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -124,6 +124,8 @@
                 }
             },
             [] { return std::string(); }, [](const state_message&) {},
+            [this] { requests.begin_round(wall_ms()); },
+            [this](const heartbeat& beat) { requests.hear(beat); },
             [this](const ask_key_message& question, const std::function<void(key_message)>& reply) {
                 claims.answer_question(question, reply);
             }}),
@@ -180,6 +182,7 @@
     beat.log_end = follower.log_end();
     beat.serving = phase == node_phase::serving;
     beat.heard = mesh.members().heard_directly(monotonic_ms());
+    beat.demand = requests.demand();
     return beat;
 }
 
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -6,6 +6,30 @@
 
 using nlohmann::json;
 
+// One flat list: round, rules version, then per team the step from the last index and the slots. Small
+// numbers take one byte in CBOR, and with 650 teams the indices are most of the message.
+static void to_json(json& value, const demand_summary& summary)
+{
+    value = json::array({summary.round, summary.rules});
+    std::uint32_t last = 0;
+    for (const auto& [index, slots] : summary.slots_by_team) {
+        value.push_back(index - last);
+        value.push_back(slots);
+        last = index;
+    }
+}
+
+static void from_json(const json& value, demand_summary& summary)
+{
+    value.at(0).get_to(summary.round);
+    value.at(1).get_to(summary.rules);
+    std::uint32_t index = 0;
+    for (std::size_t at = 2; at < value.size(); at += 2) {
+        index += value.at(at).get<std::uint32_t>();
+        summary.slots_by_team.emplace_back(index, value.at(at + 1).get<std::uint32_t>());
+    }
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(heartbeat, node, incarnation, data_centre, offset, log_end, serving, heard)
 
 namespace {
@@ -23,7 +47,14 @@
 
 struct to_map {
     json operator()(const hello_message& item) const { return {{"t", "hello"}, {"self", item.self}}; }
-    json operator()(const beat_message& item) const { return {{"t", "beat"}, {"self", item.self}}; }
+    json operator()(const beat_message& item) const
+    {
+        json map = {{"t", "beat"}, {"self", item.self}};
+        if (item.self.demand.round >= 0) {
+            map["q"] = item.self.demand;
+        }
+        return map;
+    }
     json operator()(const records_message& item) const
     {
         json items = json::array();
@@ -61,7 +92,11 @@
         return hello_message{map.at("self").get<heartbeat>()};
     }
     if (kind == "beat") {
-        return beat_message{map.at("self").get<heartbeat>()};
+        beat_message beat{map.at("self").get<heartbeat>()};
+        if (map.contains("q")) {
+            map.at("q").get_to(beat.self.demand);
+        }
+        return beat;
     }
     if (kind == "records") {
         records_message message;
--- a/src/peer/peer_mesh.cpp
+++ b/src/peer/peer_mesh.cpp
@@ -20,7 +20,6 @@
 
 void peer_mesh::start()
 {
-    beat_timer_ = loop_.every(beat_interval_ms, [this] { beat(); });
     beat();
 }
 
@@ -92,6 +91,9 @@
     }
     else if (const auto* beat = std::get_if<beat_message>(&message)) {
         members_.hear(beat->self, monotonic_ms());
+        if (handlers_.beat) {
+            handlers_.beat(beat->self);
+        }
         expect(beat->self.offset);
     }
     else if (const auto* records = std::get_if<records_message>(&message)) {
@@ -216,6 +218,12 @@
 
 void peer_mesh::beat()
 {
+    // One heartbeat in each interval of the wall clock, because the division of quotas needs each round's.
+    const std::int64_t into = (wall_ms() - beat_delay_ms) % beat_interval_ms;
+    beat_timer_ = loop_.after(beat_interval_ms - into, [this] { beat(); });
+    if (handlers_.beat_due) {
+        handlers_.beat_due();
+    }
     const std::int64_t now = monotonic_ms();
     members_.forget(now);
     std::vector<websocket_link_ptr> silent;
--- a/tests/entry/dispatcher_test.cpp
+++ b/tests/entry/dispatcher_test.cpp
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -34,9 +36,20 @@
         front_address_ = "127.0.0.1:" + std::to_string(front_.listen("127.0.0.1", 0).value());
     }
 
+    /// Changes the state, which has one service queue and no quota otherwise, and begins a round.
+    void change(const std::function<void(fleet_state&)>& edit)
+    {
+        fleet_state state = view_.state();
+        edit(state);
+        ++state.next_offset;
+        view_.replace(std::move(state));
+        requests_.begin_round(quota_shares::round_ms);
+    }
+
     void work(const http_exchange_ptr& exchange)
     {
         sends_.push_back(exchange->body());
+        most_at_once_ = std::max(most_at_once_, ++at_once_[exchange->body()]);
         const std::string id = exchange->header("X-Task-Id").value_or("");
         if (sends_.size() <= refusals_) {
             exchange->reply(429, {{"X-Not-Started", "1"}, {"X-Free-Slots", "0"}}, "no free slot");
@@ -44,7 +57,8 @@
         }
         ++starts_;
         held_.push_back([this, exchange, id] {
-            tasks_.push_back(loop_.after(run_ms_, [exchange, id] {
+            tasks_.push_back(loop_.after(run_ms_, [this, exchange, id] {
+                --at_once_[exchange->body()];
                 exchange->reply(200, {{"X-Task-Id", id}, {"X-Free-Slots", "1"}}, exchange->body());
             }));
         });
@@ -54,7 +68,7 @@
     /// Tasks run once all requests that the test announced have arrived.
     void start_held()
     {
-        if (arrived_ < announced_) {
+        if (arrived_ < announced_ || sends_.size() < awaited_sends_) {
             return;
         }
         for (const auto& start : std::exchange(held_, {})) {
@@ -90,6 +104,31 @@
         loop_.run();
     }
 
+    struct wanted {
+        std::string body;
+        http_headers headers;
+    };
+
+    /// Sends requests and waits for all answers. @return the answers that are not 200
+    std::vector<http_answer> ask_each(const std::vector<wanted>& all)
+    {
+        announced_ = all.size();
+        std::size_t answered = 0;
+        std::vector<http_answer> refused;
+        for (const wanted& one : all) {
+            send("s", one.body, one.headers, [&](const http_answer& answer) {
+                if (answer.status != 200) {
+                    refused.push_back(answer);
+                }
+                if (++answered == all.size()) {
+                    loop_.stop();
+                }
+            });
+        }
+        loop_.run();
+        return refused;
+    }
+
     void send(const std::string& service, const std::string& body, http_headers headers, answer_handler done)
     {
         http_call call;
@@ -106,7 +145,9 @@
     std::int64_t run_ms_ = 1;
     std::vector<std::string> sends_;
     std::size_t starts_ = 0;
-    std::size_t announced_ = 0;  // requests that must arrive before tasks run
+    std::size_t announced_ = 0;      // requests that must arrive before tasks run
+    std::size_t awaited_sends_ = 0;  // sends that must arrive before tasks run
+    int most_at_once_ = 0;           // tasks with the same body
 
 private:
     event_loop loop_;
@@ -128,6 +169,7 @@
     http_server front_{loop_};
     std::string front_address_;
     std::size_t arrived_ = 0;
+    std::map<std::string, int> at_once_;  // by body
     std::vector<std::function<void()>> held_;
     std::vector<timer> tasks_;
 };
@@ -171,4 +213,58 @@
     }
 }
 
+// Guards against a team that runs more than its quota, against work of others that waits behind it, and
+// against a refusal that blames the system for it.
+TEST_F(one_worker, a_team_runs_no_more_than_its_quota)
+{
+    change([](fleet_state& state) {
+        state.hosts["h1"].spec.slots = 8;
+        state.promises.teams = {{"t", 1}};
+    });
+    awaited_sends_ = 2;  // the one of the team and the one of the unknown team behind it
+    const http_headers team = {{"X-Team", "t"}};
+    const auto refused = ask_each(
+        {{"t", team}, {"t", team}, {"t", team}, {"t", team}, {"other", {{"X-Team", "without a quota"}}}});
+    ASSERT_EQ(refused.size(), 1U);  // a share of 1 holds 1 running and 2 waiting
+    EXPECT_EQ(refused[0].status, 429);
+    EXPECT_EQ(refused[0].header("X-Outcome").value_or(""), "not-run");
+    EXPECT_EQ(refused[0].header("Retry-After").value_or(""), "1");
+    EXPECT_NE(refused[0].body.find("team holds 3 with a share of 1 slots"), std::string::npos);
+    EXPECT_EQ(most_at_once_, 1);
+    EXPECT_EQ(sends_.size(), 4U);
+}
+
+// Guards against counts of a team that leak: what ended must make room.
+TEST_F(one_worker, a_quota_is_free_again_after_answers_and_refusals)
+{
+    change([](fleet_state& state) { state.promises.teams = {{"t", 1}}; });
+    refusals_ = 2;
+    for (int run = 0; run < 8; ++run) {
+        EXPECT_EQ(ask("t", {{"X-Team", "t"}}).status, 200) << run;
+    }
+}
+
+// Guards against a full queue that is reported as a fault of the system.
+TEST_F(one_worker, a_full_queue_is_too_many_requests)
+{
+    change([](fleet_state& state) { state.promises.services[2].queue_limit = 1; });
+    const auto refused = ask_each({{"x", {}}, {"x", {}}, {"x", {}}});
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused[0].status, 429);
+    EXPECT_EQ(sends_.size(), 2U);
+}
+
+// Guards against work that is taken although the queue ahead uses up its deadline: nothing is learned, so
+// each request is expected to run 1,000 ms, and the last one to wait 1,500 ms.
+TEST_F(one_worker, a_wait_beyond_half_of_the_deadline_is_refused_at_once)
+{
+    const auto refused = ask_each(
+        {{"x", {}}, {"x", {}}, {"y", {{"X-Deadline-Ms", "60000"}}}, {"z", {{"X-Deadline-Ms", "2000"}}}});
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused[0].status, 503);
+    EXPECT_EQ(refused[0].header("X-Outcome").value_or(""), "not-run");
+    EXPECT_NE(refused[0].body.find("expected wait"), std::string::npos);
+    EXPECT_EQ(std::count(sends_.begin(), sends_.end(), "z"), 0);
+}
+
 }  // namespace waxwingnotch
