--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -132,7 +132,7 @@
                     return view.state().next_offset;
                 }}),
       mesh(loop, {options.node_id, options.peers},
-           {[this] { return self(); }, [this](const heartbeat& beat) { leaving.hear(beat.leaving); },
+           {[this] { return self(); },
             [this](std::span<const log_entry> entries) {
                 if (!view.take(entries)) {
                     mesh.want(view.state().next_offset);
@@ -140,6 +140,11 @@
             },
             [this] { return encode_state(view.state()); },
             [this](const state_message& message) { take_state(decode_state(message.bytes), "peer"); },
+            [this] { requests.begin_round(wall_ms()); },
+            [this](const heartbeat& beat) {
+                requests.hear(beat);
+                leaving.hear(beat.leaving);
+            },
             [this](const ask_key_message& question, const std::function<void(key_message)>& reply) {
                 claims.answer_question(question, reply);
             }}),
@@ -198,6 +203,7 @@
     beat.serving = phase == node_phase::serving;
     beat.heard = mesh.members().heard_directly(monotonic_ms());
     beat.leaving = leaving.told();
+    beat.demand = requests.demand();
     return beat;
 }
 
