Compare the fold with a naive one and harden it against foreign bytes

Cause: nothing compared the fold with an independent reading of its rules. Writing that comparison showed two faults. A published patch that adds to a single value met an assertion of the JSON library and ended the process (signal 6), and would have ended every node at every start; nested values and repeated copies had no bound. A host that was removed and came back began at epoch 1 again, so that a proposal for its former life was accepted.

Patches are applied through patch_document(); new hosts start above epoch_floor. The staleness check no longer overflows on a large seen_offset.

--- a/include/waxwingnotch/fleet/state.hpp
+++ b/include/waxwingnotch/fleet/state.hpp
@@ -138,6 +138,7 @@
     rules promises;
 
     std::map<std::string, host_state> hosts;
+    std::int64_t epoch_floor = 0;  // largest epoch of a removed host; new hosts start above it
     std::unordered_map<std::string, claim_state> claims;
     std::deque<std::pair<std::int64_t, std::string>> claim_order;  // log time and key, oldest first
     std::map<std::string, writer_state> writers;
--- a/src/fleet/fold.cpp
+++ b/src/fleet/fold.cpp
@@ -76,7 +76,7 @@
 /// Why a whole batch is dropped; empty if it is not.
 std::string drop_reason(fleet_state& state, const batch& value, std::int64_t offset)
 {
-    if (value.seen_offset + stale_after_offsets < offset) {
+    if (value.seen_offset < offset - stale_after_offsets) {
         return "stale: its writer had seen only offset " + std::to_string(value.seen_offset);
     }
     if (value.seen_offset > offset) {
--- a/src/fleet/fold_config.cpp
+++ b/src/fleet/fold_config.cpp
@@ -1,3 +1,4 @@
+#include "fleet/document_patch.hpp"
 #include "fleet/fold_parts.hpp"
 
 #include "waxwingnotch/base/hash.hpp"
@@ -22,6 +23,7 @@
         machine.removed = false;
         if (added) {
             machine.pool = spec.pool;
+            machine.epoch = state.epoch_floor + 1;
             machine.condition_since = state.log_time;
             machine.phase_since = state.log_time;
             machine.reason = "new in the inventory";
@@ -108,7 +110,7 @@
     }
     std::string content = item.content;
     if (item.is_patch) {
-        auto patched = apply_patch(slot.content, item.content);
+        auto patched = patch_document(slot.content, item.content);
         if (!patched) {
             return "patch does not fit: " + patched.error().message;
         }
--- a/src/fleet/fold_hosts.cpp
+++ b/src/fleet/fold_hosts.cpp
@@ -1,5 +1,6 @@
 #include "fleet/fold_parts.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace waxwingnotch {
@@ -140,6 +141,7 @@
         {origin.offset, state.log_time, to_string(item.action), item.host, moved ? item.pool : old_phase,
          moved ? item.to_pool : to_string(machine.phase), item.reason, origin.author.writer, item.basis});
     if (item.action == host_action::remove) {
+        state.epoch_floor = std::max(state.epoch_floor, machine.epoch);
         state.hosts.erase(found);
     }
     return {};
--- a/src/fleet/snapshot.cpp
+++ b/src/fleet/snapshot.cpp
@@ -181,6 +181,7 @@
         host_state machine = host_from_json(item);
         state.hosts[machine.spec.name] = std::move(machine);
     }
+    root.at("epoch_floor").get_to(state.epoch_floor);
     read_claims(root.at("claims"), state);
     root.at("writers").get_to(state.writers);
     root.at("wave").get_to(state.wave);
@@ -204,6 +205,7 @@
                        {"inventory", state.inventory_document},
                        {"rules", state.rules_document},
                        {"hosts", std::move(hosts)},
+                       {"epoch_floor", state.epoch_floor},
                        {"claims", claims_to_json(state)},
                        {"writers", state.writers},
                        {"wave", state.wave},
--- a/tests/fleet/fold_test.cpp
+++ b/tests/fleet/fold_test.cpp
@@ -108,6 +108,45 @@
     EXPECT_EQ(refused.reason, "version 2 by op is in force, not 1");
 }
 
+// Guards against a patch that ends every node which reads it: the library asserts that what is added to
+// is an object or an array, and follows nesting by recursion.
+TEST_F(small_fleet, a_patch_that_the_library_cannot_take_is_refused)
+{
+    publish_record item;
+    item.kind = document::inventory;
+    item.replaces = 1;
+    item.is_patch = true;
+    const std::string value = std::string(1U << 19U, '[') + std::string(1U << 19U, ']');
+    std::string copies;  // each doubles the document
+    for (int i = 0; i < 64; ++i) {
+        copies += R"({"op": "copy", "from": "", "path": "/c)" + std::to_string(i) + R"("},)";
+    }
+    copies.back() = ']';
+    for (const std::string& patch :
+         {std::string(R"([{"op": "add", "path": "/hosts/h1/address/x", "value": 1}])"),
+          std::string(R"([{"op": "copy", "from": "/hosts", "path": "/hosts/h1/address/x"}])"), "[" + copies,
+          R"([{"op": "add", "path": "/pools/x", "value": )" + value + "}]"}) {
+        item.content = patch;
+        EXPECT_FALSE(append("op", item).accepted);
+    }
+}
+
+// Guards against a proposal made for a host that was removed, and is accepted for the one that came back.
+TEST_F(small_fleet, a_host_that_comes_back_has_a_new_epoch)
+{
+    const host_record old = action(host_action::drain, "h3");
+    inventory smaller = state_.machines;
+    const inventory whole = smaller;
+    std::erase_if(smaller.hosts, [](const host& item) { return item.name == "h3"; });
+    EXPECT_TRUE(publish(document::inventory, 1, inventory_to_json(smaller)).accepted);
+    for (const host_action step : {host_action::drain, host_action::drained, host_action::remove}) {
+        EXPECT_TRUE(append("a", action(step, "h3")).accepted);
+    }
+    EXPECT_TRUE(publish(document::inventory, 2, inventory_to_json(whole)).accepted);
+    EXPECT_FALSE(append("b", old).accepted);
+    EXPECT_TRUE(append("a", action(host_action::drain, "h3")).accepted);
+}
+
 // Guards against two nodes that both send the request of one key.
 TEST_F(small_fleet, the_first_claim_wins)
 {
--- a/tests/fleet/random_log.cpp
+++ b/tests/fleet/random_log.cpp
@@ -1,6 +1,7 @@
 #include "fleet/random_log.hpp"
 
 #include "fleet/audit_json.hpp"
+#include "fleet/document_patch.hpp"
 
 #include "waxwingnotch/base/hash.hpp"
 #include "waxwingnotch/config/json.hpp"
@@ -33,6 +34,22 @@
     return bytes;
 }
 
+std::string random_log::odd_patch()
+{
+    const auto path = [this] {
+        return pick({"", "/hosts", "/hosts/h1", "/hosts/h1/cores", "/hosts/h1/cores/x", "/services/web/0",
+                     "/pools/-", "/none/x", "no pointer"});
+    };
+    nlohmann::json steps = nlohmann::json::array();
+    for (std::size_t count = 1 + below(3); count > 0; --count) {
+        steps.push_back({{"op", pick({"add", "remove", "replace", "move", "copy", "test", "other"})},
+                         {"path", path()},
+                         {"from", path()},
+                         {"value", below(2)}});
+    }
+    return steps.dump();
+}
+
 record random_log::publication(const fleet_state& state)
 {
     publish_record item;
@@ -66,6 +83,14 @@
     if (chance(5)) {
         item.content = mutated(item.content);
     }
+    if (item.is_patch && chance(10)) {
+        item.content = odd_patch();
+    }
+    if (chance(50)) {  // so that the change reaches what reads the content
+        const auto patched =
+            item.is_patch ? patch_document(slot.content, item.content) : result<std::string>(item.content);
+        item.content_hash = patched ? sha256_hex(patched.value()) : item.content_hash;
+    }
     return item;
 }
 
--- a/tests/fleet/random_log.hpp
+++ b/tests/fleet/random_log.hpp
@@ -32,6 +32,7 @@
     std::string pick(std::initializer_list<const char*> names);
     std::string fresh_batch(const fleet_state& state);
     record any_record(const fleet_state& state);
+    std::string odd_patch();
     record publication(const fleet_state& state);
     record host_step(const fleet_state& state);
     record claim_step();
