--- a/src/cli/status.cpp
+++ b/src/cli/status.cpp
@@ -57,7 +57,7 @@
                               {"phase", node.phase},  {"inventory", node.inventory},
                               {"rules", node.rules},  {"in_force_on", in_force},
                               {"nodes", nodes}}
-                     .dump()
+                     .dump(-1, ' ', false, ordered_json::error_handler_t::replace)
               << "\n"
               << std::flush;
 }
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -1,19 +1,10 @@
 #include "waxwingnotch/entry/entry_node.hpp"
 
-#include "entry/operator_api.hpp"
+#include "entry/entry_parts.hpp"
 
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/log.hpp"
-#include "waxwingnotch/entry/claim_desk.hpp"
-#include "waxwingnotch/entry/controller.hpp"
-#include "waxwingnotch/entry/dispatcher.hpp"
-#include "waxwingnotch/entry/leaving_watch.hpp"
 #include "waxwingnotch/net/address.hpp"
-#include "waxwingnotch/platform/audit_keeper.hpp"
-#include "waxwingnotch/platform/host_list.hpp"
-#include "waxwingnotch/platform/log_follower.hpp"
-#include "waxwingnotch/platform/log_keeper.hpp"
-#include "waxwingnotch/platform/snapshot_loader.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -25,7 +16,6 @@
 namespace {
 
 constexpr std::int64_t tick_ms = 100;
-constexpr std::int64_t pause_ms = 1'000;         // a loop gap longer than this counts as a pause
 constexpr std::int64_t peer_wait_ms = 1'500;     // wait for peers that do not answer
 constexpr std::int64_t reload_ms = 2'000;        // between two searches for a snapshot
 constexpr std::int64_t lonely_start_ms = 4'000;  // a start without log and peers waits this long
@@ -33,11 +23,6 @@
 constexpr int exit_cannot_listen = 1;
 constexpr int exit_requests_cut = 3;
 
-http_headers json_type()
-{
-    return {{"Content-Type", "application/json"}};
-}
-
 /// Written under another name first, so that a reader never sees half of it.
 bool write_ports(const std::string& file, std::uint16_t port, std::uint16_t peer_port)
 {
@@ -61,69 +46,6 @@
     return "unnamed";
 }
 
-/// Everything that a node consists of, in the order in which it is built.
-struct entry_node::parts {
-    explicit parts(settings given);
-
-    // Start and stop
-    result<void> listen();
-    void start();
-    void stop_soon(const std::string& why);
-    void watch_drain();
-    void tick();
-    bool caught_up(std::int64_t now) const;
-
-    // State from elsewhere than the log's records
-    void take_state(result<fleet_state> state, const char* source);
-    void recover(std::int64_t first_kept);
-
-    // Answers to the other parts
-    heartbeat self() const;
-    node_status status() const;
-    bool owns(std::string_view duty) const;
-    keeper_ports keeper_view();
-
-    // HTTP
-    void handle(const http_exchange_ptr& exchange);
-    bool handle_operator(const http_exchange_ptr& exchange);
-    void refresh_gauges();
-    void handle_explain(const http_exchange_ptr& exchange, const std::string& rest);
-    void handle_caller(const http_exchange_ptr& exchange);
-    void handle_cancel(const http_exchange_ptr& exchange);
-
-    settings options;
-    std::int64_t incarnation;
-    event_loop loop;
-    metrics counters;
-    http_client client;
-    fleet_view view;
-    log_appender appender;
-    peer_mesh mesh;
-    log_follower follower;
-    snapshot_loader loader;
-    log_keeper keeper;
-    audit_keeper audit;
-    host_list hosts;
-    upstream_table upstreams;
-    claim_desk claims;
-    dispatcher requests;
-    controller duties;
-    leaving_watch leaving;
-    http_server server;
-
-    node_phase phase = node_phase::catching_up;
-    std::int64_t started_at = 0;      // monotonic ms
-    std::int64_t catch_up_since = 0;  // monotonic ms; the log must have answered after this
-    std::int64_t last_tick = 0;       // monotonic ms
-    std::int64_t reload_at = 0;       // monotonic ms; no search for a snapshot before
-    std::int64_t stop_at = 0;         // monotonic ms; drain limit
-    std::int64_t close_at = 0;        // monotonic ms; the listener closes
-    int exit_code = exit_planned;
-    timer ticker;
-    timer on_term;
-    timer on_int;
-};
-
 entry_node::parts::parts(settings given)
     : options(std::move(given)), incarnation(wall_ms()), client(loop),
       appender(loop, client,
@@ -368,127 +290,6 @@
     loop.stop();
 }
 
-void entry_node::parts::handle(const http_exchange_ptr& exchange)
-{
-    if (handle_operator(exchange)) {
-        return;
-    }
-    if (exchange->method() == "POST" && exchange->path().rfind(service_prefix, 0) == 0) {
-        handle_caller(exchange);
-    }
-    else if (exchange->method() == "DELETE" && exchange->path().rfind("/v1/requests/", 0) == 0) {
-        handle_cancel(exchange);
-    }
-    else {
-        exchange->reply(404, json_type(), "{\"reason\": \"no such path\"}\n");
-    }
-}
-
-bool entry_node::parts::handle_operator(const http_exchange_ptr& exchange)
-{
-    const std::string& path = exchange->path();
-    const std::string explain = "/v1/explain/";
-    if (path == "/healthz") {
-        exchange->reply(phase == node_phase::serving ? 200 : 503, {}, std::string(to_string(phase)) + "\n");
-    }
-    else if (path == "/metrics") {
-        refresh_gauges();
-        exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}}, counters.page());
-    }
-    else if (path == "/v1/status") {
-        exchange->reply(200, json_type(), status_page(status(), view.state(), mesh.members()));
-    }
-    else if (path == "/v1/log-info") {
-        exchange->reply(200, json_type(), log_info_page(status(), view.state()));
-    }
-    else if (path.rfind(explain, 0) == 0) {
-        handle_explain(exchange, path.substr(explain.size()));
-    }
-    else if (path == "/v1/drain" && exchange->method() == "POST") {
-        stop_soon("drain request");
-        exchange->reply(202, json_type(), "{\"phase\": \"draining\"}\n");
-    }
-    else {
-        return false;
-    }
-    return true;
-}
-
-void entry_node::parts::refresh_gauges()
-{
-    const fleet_state& state = view.state();
-    const auto set = [this](const char* name, const char* help, auto value) {
-        counters.make_gauge(name, help).set(static_cast<std::int64_t>(value));
-    };
-    set("waxwingnotch_serving", "1 if the node takes new requests.", phase == node_phase::serving);
-    set("waxwingnotch_in_flight", "Requests that are not answered yet.", requests.in_flight());
-    set("waxwingnotch_offset", "Next log offset of the fold.", state.next_offset);
-    set("waxwingnotch_log_end", "The log's next offset at the last answered read.", follower.log_end());
-    set("waxwingnotch_log_reachable", "1 if the last read of the log was answered.", follower.reachable());
-    set("waxwingnotch_log_appends", "Appends sent, repeats included.", appender.appends());
-    set("waxwingnotch_log_append_bytes", "Bytes of those appends.", appender.bytes());
-    set("waxwingnotch_log_waiting", "Records that wait for an append.", appender.waiting());
-    set("waxwingnotch_peers_alive", "Entry nodes that are alive, this one included.",
-        mesh.members().alive_nodes(monotonic_ms()).size());
-    set("waxwingnotch_peer_bytes_out", "Bytes sent to other entry nodes.", mesh.bytes_out());
-    set("waxwingnotch_inventory_version", "Inventory in force.", state.inventory_document.version);
-    set("waxwingnotch_rules_version", "Rules in force.", state.rules_document.version);
-    set("waxwingnotch_hosts", "Hosts on record.", state.hosts.size());
-    set("waxwingnotch_claims", "Idempotency keys on record.", state.claims.size());
-    set("waxwingnotch_audit_open", "Audit entries that are not sealed yet.", state.open_audit.size());
-    set("waxwingnotch_audit_segments", "Sealed audit segments.", state.segments.size());
-}
-
-void entry_node::parts::handle_explain(const http_exchange_ptr& exchange, const std::string& rest)
-{
-    const std::size_t slash = rest.find('/');
-    const std::string kind = rest.substr(0, slash);
-    const std::string name = slash == std::string::npos ? "" : rest.substr(slash + 1);
-    std::string page;
-    if (kind == "host") {
-        page = explain_host(view.state(), name);
-    }
-    else if (kind == "pool") {
-        page = explain_pool(view.state(), name);
-    }
-    else if (kind == "request") {
-        page = explain_request(requests.traces(), name);
-    }
-    if (page.empty()) {
-        exchange->reply(404, json_type(), "{\"reason\": \"this node knows no such " + kind + "\"}\n");
-        return;
-    }
-    exchange->reply(200, json_type(), page);
-}
-
-void entry_node::parts::handle_caller(const http_exchange_ptr& exchange)
-{
-    auto request = read_request(*exchange);
-    if (!request) {
-        const bool path = request.error().code == error_code::not_found;
-        caller_answer answer = make_refusal(outcome::never, request.error().message);
-        answer.status = path ? 404 : 400;
-        send_answer(*exchange, "", answer);
-        return;
-    }
-    const bool pause_unnoticed = monotonic_ms() - last_tick > pause_ms;
-    if (phase == node_phase::catching_up || pause_unnoticed) {
-        send_answer(*exchange, "", make_refusal(outcome::not_run, "this entry node is catching up", 1'000));
-        return;
-    }
-    requests.submit(exchange, std::move(request.value()));
-}
-
-void entry_node::parts::handle_cancel(const http_exchange_ptr& exchange)
-{
-    const std::string id = exchange->path().substr(std::string("/v1/requests/").size());
-    if (!requests.cancel(id, "cancelled by the caller")) {
-        exchange->reply(404, json_type(), "{\"reason\": \"no such request is open on this node\"}\n");
-        return;
-    }
-    exchange->reply(202, json_type(), "{\"cancelled\": true}\n");
-}
-
 entry_node::entry_node(settings options) : parts_(std::make_unique<parts>(std::move(options))) {}
 
 entry_node::~entry_node() = default;
--- /dev/null
+++ b/src/entry/entry_parts.hpp
@@ -0,0 +1,86 @@
+/// @file
+/// The parts of an entry node, shared by its life cycle (entry_node.cpp) and its HTTP interface
+/// (entry_http.cpp).
+#pragma once
+
+#include "entry/operator_api.hpp"
+
+#include "waxwingnotch/entry/claim_desk.hpp"
+#include "waxwingnotch/entry/controller.hpp"
+#include "waxwingnotch/entry/dispatcher.hpp"
+#include "waxwingnotch/entry/entry_node.hpp"
+#include "waxwingnotch/entry/leaving_watch.hpp"
+#include "waxwingnotch/platform/audit_keeper.hpp"
+#include "waxwingnotch/platform/host_list.hpp"
+#include "waxwingnotch/platform/log_follower.hpp"
+#include "waxwingnotch/platform/log_keeper.hpp"
+#include "waxwingnotch/platform/snapshot_loader.hpp"
+
+namespace waxwingnotch {
+
+constexpr std::int64_t pause_ms = 1'000;  // a loop gap longer than this counts as a pause
+
+/// Everything that a node consists of, in the order in which it is built.
+struct entry_node::parts {
+    explicit parts(settings given);
+
+    // Start and stop
+    result<void> listen();
+    void start();
+    void stop_soon(const std::string& why);
+    void watch_drain();
+    void tick();
+    bool caught_up(std::int64_t now) const;
+
+    // State from elsewhere than the log's records
+    void take_state(result<fleet_state> state, const char* source);
+    void recover(std::int64_t first_kept);
+
+    // Answers to the other parts
+    heartbeat self() const;
+    node_status status() const;
+    bool owns(std::string_view duty) const;
+    keeper_ports keeper_view();
+
+    // HTTP
+    void handle(const http_exchange_ptr& exchange);
+    bool handle_operator(const http_exchange_ptr& exchange);
+    void refresh_gauges();
+    void handle_explain(const http_exchange_ptr& exchange, const std::string& rest);
+    void handle_caller(const http_exchange_ptr& exchange);
+    void handle_cancel(const http_exchange_ptr& exchange);
+
+    settings options;
+    std::int64_t incarnation;
+    event_loop loop;
+    metrics counters;
+    http_client client;
+    fleet_view view;
+    log_appender appender;
+    peer_mesh mesh;
+    log_follower follower;
+    snapshot_loader loader;
+    log_keeper keeper;
+    audit_keeper audit;
+    host_list hosts;
+    upstream_table upstreams;
+    claim_desk claims;
+    dispatcher requests;
+    controller duties;
+    leaving_watch leaving;
+    http_server server;
+
+    node_phase phase = node_phase::catching_up;
+    std::int64_t started_at = 0;      // monotonic ms
+    std::int64_t catch_up_since = 0;  // monotonic ms; the log must have answered after this
+    std::int64_t last_tick = 0;       // monotonic ms
+    std::int64_t reload_at = 0;       // monotonic ms; no search for a snapshot before
+    std::int64_t stop_at = 0;         // monotonic ms; drain limit
+    std::int64_t close_at = 0;        // monotonic ms; the listener closes
+    int exit_code = exit_planned;
+    timer ticker;
+    timer on_term;
+    timer on_int;
+};
+
+}  // namespace waxwingnotch
--- a/src/fleet/fold_claims.cpp
+++ b/src/fleet/fold_claims.cpp
@@ -2,6 +2,22 @@
 
 namespace waxwingnotch {
 
+namespace {
+
+/// Drops the order of claims that were released, once they are the larger part of it.
+void compact_claim_order(fleet_state& state)
+{
+    if (state.claim_order.size() <= 2 * state.claims.size() + 1'024) {
+        return;
+    }
+    std::erase_if(state.claim_order, [&](const auto& item) {
+        const auto found = state.claims.find(item.second);
+        return found == state.claims.end() || found->second.claimed_at != item.first;
+    });
+}
+
+}  // namespace
+
 std::string apply_claim(fleet_state& state, const record_origin& origin, const claim_record& item)
 {
     const auto found = state.claims.find(item.key);
@@ -18,6 +34,7 @@
                               origin.offset,        false,
                               claim_end::done};
     state.claim_order.emplace_back(state.log_time, item.key);
+    compact_claim_order(state);
     return {};
 }
 
--- a/tests/fleet/fold_test.cpp
+++ b/tests/fleet/fold_test.cpp
@@ -173,4 +173,14 @@
     EXPECT_TRUE(append("a", action(host_action::drain, "h1")).accepted);
 }
 
+// Guards against memory that grows with every claim that was released.
+TEST_F(small_fleet, released_claims_leave_nothing_behind)
+{
+    for (int round = 0; round < 5'000; ++round) {
+        ASSERT_TRUE(append("a", claim_record{"k", "a-1"}).accepted);
+        ASSERT_TRUE(append("a", claim_end_record{"k", "a-1", claim_end::released}).accepted);
+    }
+    EXPECT_LT(state_.claim_order.size(), 1'100U);
+}
+
 }  // namespace waxwingnotch
