--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -19,7 +19,6 @@
 constexpr std::int64_t peer_wait_ms = 1'500;     // wait for peers that do not answer
 constexpr std::int64_t reload_ms = 2'000;        // between two searches for a snapshot
 constexpr std::int64_t lonely_start_ms = 4'000;  // a start without log and peers waits this long
-constexpr int exit_planned = 0;
 constexpr int exit_cannot_listen = 1;
 constexpr int exit_requests_cut = 3;
 
--- a/src/entry/entry_parts.hpp
+++ b/src/entry/entry_parts.hpp
@@ -77,7 +77,7 @@
     std::int64_t reload_at = 0;       // monotonic ms; no search for a snapshot before
     std::int64_t stop_at = 0;         // monotonic ms; drain limit
     std::int64_t close_at = 0;        // monotonic ms; the listener closes
-    int exit_code = exit_planned;
+    int exit_code = 0;                // of run()
     timer ticker;
     timer on_term;
     timer on_int;
