Space appends, and let the checker know that returning hosts keep their epochs apart

Change: 20 ms between batches of a writer; the checker follows the rule of the design page and compares as strictly as before.

--- a/include/waxwingnotch/platform/log_appender.hpp
+++ b/include/waxwingnotch/platform/log_appender.hpp
@@ -43,6 +43,7 @@
     static constexpr std::size_t max_batch_records = 256;
     static constexpr std::size_t max_batch_bytes = 512U << 10U;
     static constexpr std::size_t max_waiting = 20'000;  // further proposals are refused
+    static constexpr std::int64_t append_gap_ms = 20;   // 8 nodes stay under 400 appends a second
     static constexpr std::int64_t append_timeout_ms = 2'000;
     static constexpr std::int64_t settle_timeout_ms = 3'000;  // then the append is repeated
 
@@ -57,7 +58,7 @@
     void settle(const verdict& one);
 
     std::size_t waiting() const { return waiting_.size(); }
-    bool busy() const { return !batch_.empty(); }
+    bool busy() const { return !batch_.empty() || !waiting_.empty(); }
     std::uint64_t appends() const { return appends_; }
     std::uint64_t bytes() const { return bytes_; }
 
@@ -83,6 +84,8 @@
     std::size_t unsettled_ = 0;
     std::string batch_bytes_;
     timer retry_;
+    timer gap_;                       // pending while the next batch waits for its time
+    std::int64_t next_batch_at_ = 0;  // monotonic ms
     call_id call_ = 0;
     std::int64_t failures_ = 0;
     std::uint64_t appends_ = 0;
--- a/slopes/main.cpp
+++ b/slopes/main.cpp
@@ -1,5 +1,6 @@
 // Measures how the cost of the decision and state code grows, at four or more sizes each.
 //   waxwingnotch-slopes        runs the measurements in this process
+//   waxwingnotch-slopes workers COUNT   plays idle workers and prints their inventory
 //   waxwingnotch-slopes fit    reads lines "name unit size value" and prints a fit for each name
 
 #include "fit.hpp"
@@ -8,6 +9,7 @@
 #include "waxwingnotch/config/json.hpp"
 #include "waxwingnotch/decision/placement.hpp"
 #include "waxwingnotch/fleet/fold.hpp"
+#include "waxwingnotch/net/http_server.hpp"
 #include "waxwingnotch/peer/messages.hpp"
 
 #include <malloc.h>
@@ -16,6 +18,7 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <memory>
 #include <set>
 #include <sstream>
 
@@ -262,6 +265,39 @@
     return points.empty() ? 1 : 0;
 }
 
+/// Answers usage reports on @p count ports and prints an inventory of as many hosts: pools of
+/// 11 hosts, racks of 4, the last pool the spare. Runs until it is ended.
+int serve_idle_workers(std::size_t count)
+{
+    event_loop loop;
+    std::vector<std::unique_ptr<http_server>> servers;
+    std::cout << "[[data_centre]]\nname = \"dc\"\n";
+    for (std::size_t at = 0; at < count; ++at) {
+        servers.push_back(std::make_unique<http_server>(loop));
+        servers.back()->handle(
+            [](const http_exchange_ptr& exchange) { exchange->reply(200, {}, "{\"running\": 0}"); });
+        const auto port = servers.back()->listen("127.0.0.1", 0);
+        if (!port) {
+            std::cerr << port.error().message << "\n";
+            return 1;
+        }
+        if (at % hosts_per_rack == 0) {
+            std::cout << "[[rack]]\nname = \"rack-" << at / hosts_per_rack << "\"\ndata_centre = \"dc\"\n";
+        }
+        const std::size_t pool = at / hosts_per_pool;
+        if (at % hosts_per_pool == 0) {
+            const bool last = at + hosts_per_pool >= count;
+            std::cout << "[[pool]]\nname = \"pool-" << pool << "\"\nspare = " << (last ? "true" : "false")
+                      << "\n";
+        }
+        std::cout << "[[host]]\nname = \"host-" << at << "\"\naddress = \"127.0.0.1:" << port.value()
+                  << "\"\nrack = \"rack-" << at / hosts_per_rack << "\"\npool = \"pool-" << pool << "\"\n";
+    }
+    std::cout << "# end" << std::endl;
+    loop.run();
+    return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv)
@@ -269,6 +305,9 @@
     if (argc > 1 && std::string(argv[1]) == "fit") {
         return fit_input();
     }
+    if (argc > 2 && std::string(argv[1]) == "workers") {
+        return serve_idle_workers(std::stoul(argv[2]));
+    }
     measure_hosts();
     measure_claims();
     measure_rest();
--- a/src/platform/log_appender.cpp
+++ b/src/platform/log_appender.cpp
@@ -1,5 +1,6 @@
 #include "waxwingnotch/platform/log_appender.hpp"
 
+#include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/log.hpp"
 
 #include <algorithm>
@@ -66,6 +67,19 @@
     if (waiting_.empty()) {
         return;
     }
+    const std::int64_t now = monotonic_ms();
+    if (now < next_batch_at_) {
+        if (!gap_.pending()) {
+            gap_ = loop_.after(next_batch_at_ - now, [this] {
+                gap_.cancel();
+                if (batch_.empty()) {
+                    start_batch();
+                }
+            });
+        }
+        return;
+    }
+    next_batch_at_ = now + append_gap_ms;
     batch value;
     value.writer = options_.writer;
     value.incarnation = options_.incarnation;
--- a/tests/decision/probing_test.cpp
+++ b/tests/decision/probing_test.cpp
@@ -11,13 +11,15 @@
 // looked at: with 262 hosts and 8 probes a round, each is probed within 33 rounds.
 TEST(choose_probes, every_host_has_its_turn_within_the_rate)
 {
-    std::vector<std::string> names;
     std::vector<std::int64_t> last(262, 0);
+    std::vector<std::string> names;
+    names.reserve(last.size());
     for (std::size_t at = 0; at < last.size(); ++at) {
         names.push_back("host-" + std::to_string(at));
     }
     for (std::int64_t round = 1; round <= 33; ++round) {
         std::vector<probe_candidate> candidates;
+        candidates.reserve(last.size());
         for (std::size_t at = 0; at < last.size(); ++at) {
             candidates.push_back({names[at], last[at], false});
         }
@@ -34,6 +36,7 @@
 TEST(choose_probes, urgent_hosts_do_not_wait)
 {
     std::vector<probe_candidate> candidates;
+    candidates.reserve(100);
     for (int at = 0; at < 100; ++at) {
         candidates.push_back({"h", at < 96 ? 1 : 1'000, at >= 96});
     }
--- a/tests/faults/checker.py
+++ b/tests/faults/checker.py
@@ -69,6 +69,7 @@
         self.summaries = []    # by offset: {pool: [hosts, available, budget]}
         self.in_force = []     # by offset: versions
         self.history = {}      # (host, offset) -> (pool, epoch, phase)
+        self.epoch_floor = 0   # largest epoch of a removed host; hosts that come start above it
         self.violations = []
 
     def budget(self, pool):
@@ -129,9 +130,10 @@
                 host["removed"] = name not in listed
             for name, spec in listed.items():
                 if name not in self.hosts:
-                    self.hosts[name] = {"pool": spec["pool"], "epoch": 1, "phase": "serving",
+                    epoch = self.epoch_floor + 1
+                    self.hosts[name] = {"pool": spec["pool"], "epoch": epoch, "phase": "serving",
                                         "condition": 0, "removed": False}
-                    self.history[name, offset] = (spec["pool"], 1, "serving")
+                    self.history[name, offset] = (spec["pool"], epoch, "serving")
                     self.end_drains(name, appended_at)
 
     def end_drains(self, host, appended_at):
@@ -172,6 +174,7 @@
             self.end_drains(body["host"], appended_at)
         self.history[body["host"], offset] = (host["pool"], host["epoch"], host["phase"])
         if action == REMOVE:
+            self.epoch_floor = max(self.epoch_floor, host["epoch"])
             del self.hosts[body["host"]]
 
     def take_claim(self, body, author, offset, appended_at):
--- /dev/null
+++ b/tests/platform/log_appender_test.cpp
@@ -0,0 +1,53 @@
+#include "waxwingnotch/base/clock.hpp"
+#include "waxwingnotch/net/http_server.hpp"
+#include "waxwingnotch/platform/log_appender.hpp"
+
+#include <gtest/gtest.h>
+
+namespace waxwingnotch {
+
+// Guards against more appends than the log takes: without a gap a node appends as fast as the log
+// answers, and eight nodes together exceed several hundred a second.
+TEST(log_appender, many_proposals_share_few_appends)
+{
+    event_loop loop;
+    http_client client(loop);
+    http_server log(loop);
+    std::vector<batch> taken;
+    log.handle([&](const http_exchange_ptr& exchange) {
+        taken.push_back(decode(exchange->body()).value());
+        exchange->reply(200, {}, "{}");
+    });
+    const auto port = log.listen("127.0.0.1", 0);
+    log_appender appender(loop, client, {"127.0.0.1:" + std::to_string(port.value()), "entry-1", 1, [] {
+                                             return 0;
+                                         }});
+    constexpr int proposals = 200;
+    int settled = 0;
+    int proposed = 0;
+    std::size_t seen = 0;
+    const std::int64_t start = monotonic_ms();
+    // One proposal and the verdicts on what arrived, each millisecond.
+    const timer step = loop.every(1, [&] {
+        if (proposed < proposals) {
+            ++proposed;
+            appender.propose(claim_record{std::to_string(proposed), "r"},
+                             [&](const settlement&) { ++settled; });
+        }
+        for (; seen < taken.size(); ++seen) {
+            const batch value = taken[seen];
+            for (std::size_t index = 0; index < value.records.size(); ++index) {
+                appender.settle({true, value.writer, value.incarnation, value.seq, index, "claim", "", ""});
+            }
+        }
+        if (settled == proposals) {
+            loop.stop();
+        }
+    });
+    loop.run();
+    const std::int64_t most = (monotonic_ms() - start) / log_appender::append_gap_ms + 2;
+    EXPECT_LE(static_cast<std::int64_t>(taken.size()), most);
+    EXPECT_FALSE(appender.busy());
+}
+
+}  // namespace waxwingnotch
