Let callers cancel by an id of their own

Cause: DELETE /v1/requests/ID needs an id that the caller learned only with the answer.

Change: X-Request-Id of the request names it for DELETE while it is open.

--- a/include/waxwingnotch/entry/caller_request.hpp
+++ b/include/waxwingnotch/entry/caller_request.hpp
@@ -30,6 +30,7 @@
 struct caller_request {
     std::string service;
     std::string idempotency_key;  // empty: none
+    std::string own_id;           // caller's name for this request, for DELETE; empty: none
     std::string team;             // empty: none
     std::string kind;             // of work within the service; empty: none
     std::string content_type;
--- a/include/waxwingnotch/entry/dispatcher.hpp
+++ b/include/waxwingnotch/entry/dispatcher.hpp
@@ -61,7 +61,9 @@
 
     /// Takes a request; it is answered later.
     void submit(const http_exchange_ptr& exchange, caller_request request);
-    /// Cancels a request of this node. @return false if it is not here
+    /// Cancels a request of this node.
+    /// @param request_id its id, or the id that its caller gave it; of several the newest
+    /// @return false if it is not here
     bool cancel(const std::string& request_id, const std::string& why);
     /// Sends what can be sent now. Call when capacity may have changed.
     void pump();
@@ -134,6 +136,7 @@
     std::mt19937_64 random_;
     std::uint64_t next_request_ = 1;
     std::map<std::string, active_ptr> requests_;
+    std::map<std::string, std::string> own_ids_;  // callers' ids of open requests, and the requests' ids
     queue_rules queue_rules_;
     run_time_table run_times_;
     std::map<std::string, service_queue> queues_;                 // by service
--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -46,8 +46,9 @@
     std::string caller_request::*field;
 };
 
-constexpr std::array<text_header, 4> text_headers = {{
+constexpr std::array<text_header, 5> text_headers = {{
     {"Idempotency-Key", &caller_request::idempotency_key},
+    {"X-Request-Id", &caller_request::own_id},
     {"X-Team", &caller_request::team},
     {"X-Kind", &caller_request::kind},
     {"Content-Type", &caller_request::content_type},
@@ -123,6 +124,9 @@
     if (request.idempotency_key.size() > max_key_bytes) {
         return fail(error_code::invalid_argument, "Idempotency-Key is longer than 256 bytes");
     }
+    if (request.own_id.size() > max_key_bytes) {
+        return fail(error_code::invalid_argument, "X-Request-Id is longer than 256 bytes");
+    }
     std::string problem = read_numbers(exchange, request);
     if (problem.empty()) {
         problem = read_flags(exchange, request);
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -77,6 +77,9 @@
     }
     received_.add();
     requests_[item->id] = item;
+    if (!item->request.own_id.empty()) {
+        own_ids_[item->request.own_id] = item->id;
+    }
     outcome result = outcome::never;
     if (std::string problem = admission_problem(*item, result); !problem.empty()) {
         finish(item, make_refusal(result, std::move(problem), retry_after_ms));
@@ -335,7 +338,8 @@
 
 bool dispatcher::cancel(const std::string& request_id, const std::string& why)
 {
-    const auto found = requests_.find(request_id);
+    const auto named = own_ids_.find(request_id);
+    const auto found = requests_.find(named == own_ids_.end() ? request_id : named->second);
     if (found == requests_.end()) {
         return false;
     }
@@ -390,6 +394,10 @@
     leave_queue(*item);
     count_gone(*item);
     requests_.erase(item->id);
+    const auto named = own_ids_.find(item->request.own_id);
+    if (named != own_ids_.end() && named->second == item->id) {
+        own_ids_.erase(named);
+    }
     const std::int64_t took = monotonic_ms() - item->arrived_at;
     ended_[static_cast<std::size_t>(answer.result)]->add();
     total_.record(took);
--- a/tests/entry/dispatcher_test.cpp
+++ b/tests/entry/dispatcher_test.cpp
@@ -88,6 +88,26 @@
         return kept;
     }
 
+    /// Sends one request under @p own_id, cancels it once the worker holds it, and waits for its answer.
+    http_answer ask_and_cancel(const std::string& own_id)
+    {
+        announced_ = 2;  // more than arrive, so that the task is held
+        http_answer kept;
+        send("s", "s", {{"X-Request-Id", own_id}}, [&](const http_answer& answer) {
+            kept = answer;
+            loop_.stop();
+        });
+        const timer look = loop_.every(1, [&] {
+            if (!sends_.empty() && kept.status == 0) {
+                EXPECT_FALSE(requests_.cancel(own_id + "-other", "test"));
+                requests_.cancel(own_id, "test");
+            }
+        });
+        loop_.run();
+        EXPECT_FALSE(requests_.cancel(own_id, "test"));
+        return kept;
+    }
+
     /// Sends requests with their service as body and waits for all answers.
     void ask_all(const std::vector<std::string>& services)
     {
@@ -267,4 +287,12 @@
     EXPECT_EQ(std::count(sends_.begin(), sends_.end(), "z"), 0);
 }
 
+// Guards against a caller that cannot cancel, because it learns its request's id with the answer only.
+TEST_F(one_worker, a_caller_cancels_by_the_id_that_it_gave)
+{
+    const http_answer answer = ask_and_cancel("order-7");
+    EXPECT_EQ(answer.status, 504);
+    EXPECT_EQ(answer.header("X-Outcome").value_or(""), "unknown");
+}
+
 }  // namespace waxwingnotch
