Pass on only first-hand word of workers that leave

Cause: found when the change was read once more. A node marked a worker as leaving by another node's heartbeat, and its own heartbeat then named the worker too. When the worker stayed after all, each node that cleared the mark got it back from the other one, so the worker could stay without work for ever. The test of the header stood twice.

Change: what was heard is kept apart from what the worker itself said, is asked about in the same way, and is not passed on. One function reads the header.

--- a/include/waxwingnotch/entry/leaving_watch.hpp
+++ b/include/waxwingnotch/entry/leaving_watch.hpp
@@ -26,7 +26,8 @@
 
     /// Takes over what another node told.
     void hear(const std::vector<std::string>& hosts);
-    /// Hosts for this node's heartbeat.
+    /// Hosts for this node's heartbeat: only those that told this node themselves. Two nodes that passed on
+    /// what they had heard would remind one another for ever of a worker that stays after all.
     std::vector<std::string> told() const;
 
 private:
--- a/include/waxwingnotch/entry/upstreams.hpp
+++ b/include/waxwingnotch/entry/upstreams.hpp
@@ -24,7 +24,8 @@
     std::uint32_t in_flight = 0;     // sent by this node, not answered yet
     slot_report report;              // from the worker's last answer
     bool listed_leaving = false;     // the platform's list says so
-    bool said_leaving = false;       // the worker's own answer said so
+    bool said_leaving = false;       // the worker's own answer to this node said so
+    bool heard_leaving = false;      // another node says so; not passed on
     std::int64_t ejected_until = 0;  // monotonic ms; no work before
     std::uint32_t failures = 0;      // in a row
     std::int64_t answered_at = 0;    // monotonic ms of its last answer of any kind
@@ -85,8 +86,8 @@
                      std::int64_t now_ms);
     /// Takes over whether a worker says in its usage report that it is leaving.
     void take_usage(std::string_view host, const http_answer& answer);
-    /// @return hosts that said that they are leaving, in name order
-    std::vector<std::string> said_leaving() const;
+    /// @return hosts with the mark @p flag, in name order
+    std::vector<std::string> marked(bool upstream::*flag) const;
 
 private:
     struct pool_host {
--- a/src/entry/leaving_watch.cpp
+++ b/src/entry/leaving_watch.cpp
@@ -23,17 +23,17 @@
 {
     for (const std::string& host : hosts) {
         upstream& known = upstreams_.at(host);
-        if (known.said_leaving || view_.state().hosts.count(host) == 0) {
+        if (known.said_leaving || known.heard_leaving || view_.state().hosts.count(host) == 0) {
             continue;
         }
         log_event(log_level::info, "leaving", {{"host", host}, {"source", "another entry node"}});
-        known.said_leaving = true;
+        known.heard_leaving = true;
     }
 }
 
 std::vector<std::string> leaving_watch::told() const
 {
-    std::vector<std::string> hosts = upstreams_.said_leaving();
+    std::vector<std::string> hosts = upstreams_.marked(&upstream::said_leaving);
     if (hosts.size() > max_told) {
         hosts.resize(max_told);
     }
@@ -42,10 +42,14 @@
 
 void leaving_watch::ask_all()
 {
-    for (const std::string& host : upstreams_.said_leaving()) {
+    std::vector<std::string> hosts = upstreams_.marked(&upstream::said_leaving);
+    const std::vector<std::string> heard = upstreams_.marked(&upstream::heard_leaving);
+    hosts.insert(hosts.end(), heard.begin(), heard.end());
+    for (const std::string& host : hosts) {
         const auto machine = view_.state().hosts.find(host);
         if (machine == view_.state().hosts.end()) {
             upstreams_.at(host).said_leaving = false;
+            upstreams_.at(host).heard_leaving = false;
             continue;
         }
         ask(host, machine->second.spec.address);
--- a/src/entry/upstreams.cpp
+++ b/src/entry/upstreams.cpp
@@ -5,6 +5,13 @@
 
 namespace waxwingnotch {
 
+namespace {
+bool says_leaving(const http_answer& answer)
+{
+    return answer.header("X-Leaving").value_or("") == "1";
+}
+}  // namespace
+
 upstream& upstream_table::at(std::string_view host)
 {
     const auto found = upstreams_.find(host);
@@ -73,7 +80,7 @@
                                                          const std::vector<std::string>& exclude) const
 {
     const upstream& here = *item.known;
-    if (here.listed_leaving || here.said_leaving || here.ejected_until > query.now_ms) {
+    if (here.listed_leaving || here.said_leaving || here.heard_leaving || here.ejected_until > query.now_ms) {
         return std::nullopt;
     }
     const auto found = query.state.hosts.find(item.name);
@@ -172,23 +179,25 @@
         const std::uint32_t busy = slots > free ? slots - free : 0;
         known.report = {busy > known.in_flight ? busy - known.in_flight : 0, now_ms};
     }
-    known.said_leaving = answer.header("X-Leaving").value_or("") == "1";
+    known.said_leaving = says_leaving(answer);
+    known.heard_leaving = false;
 }
 
 void upstream_table::take_usage(std::string_view host, const http_answer& answer)
 {
-    const bool leaving = answer.header("X-Leaving").value_or("") == "1";
-    const upstream* known = find(host);
-    if (leaving || known != nullptr) {
-        at(host).said_leaving = leaving;
+    const bool leaving = says_leaving(answer);
+    if (leaving || find(host) != nullptr) {
+        upstream& known = at(host);
+        known.said_leaving = leaving;
+        known.heard_leaving = false;
     }
 }
 
-std::vector<std::string> upstream_table::said_leaving() const
+std::vector<std::string> upstream_table::marked(bool upstream::*flag) const
 {
     std::vector<std::string> hosts;
     for (const auto& [name, known] : upstreams_) {
-        if (known.said_leaving) {
+        if (known.*flag) {
             hosts.push_back(name);
         }
     }
