Count memory and waiting long-running tasks as demand, move hosts sooner, maintain idle hosts first

At the start of a turn the pool waited for hosts that came 12 at a time.

Change: the need of a pool is the larger of processors and memory, waiting long-running tasks included; closing hosts are no capacity; a wave takes the hosts first on which nothing runs; up to 30 moves a step, the backlog is to begin within 0.7 s, 1.4 times the demand, 2 hosts kept.

Tests: counts_the_memory_of_what_runs, counts_long_running_tasks_without_room_as_demand.

--- a/include/waxwingnotch/decision/pool_balance.hpp
+++ b/include/waxwingnotch/decision/pool_balance.hpp
@@ -4,6 +4,8 @@
 /// other pools idle. Hosts that nobody needs wait in the standby pool, where they cost nothing.
 #pragma once
 
+#include "waxwingnotch/job/spec.hpp"
+
 #include <cstdint>
 #include <span>
 #include <string>
@@ -12,28 +14,30 @@
 namespace waxwingnotch {
 
 struct balance_policy {
-    std::int64_t horizon_ms = 1'000;  // work that waits should begin within this time
-    double reserve = 1.15;            // capacity wanted, relative to the demand
-    std::uint32_t keep_hosts = 6;     // each pool keeps so many for the start of its turn
-    std::uint32_t most_moves = 12;    // ordered at once
-    std::int64_t settle_ms = 2'000;   // a surplus has to last before hosts go to standby
+    std::int64_t horizon_ms = 700;   // work that waits should begin within this time
+    double reserve = 1.4;            // capacity wanted, relative to the demand
+    std::uint32_t keep_hosts = 2;    // each pool keeps so many for the start of its turn
+    std::uint32_t most_moves = 30;   // ordered at once
+    std::int64_t settle_ms = 2'000;  // a surplus has to last before hosts go to standby
 };
 
 /// A pool with its demand.
 struct balance_pool {
     std::string name;
     bool standby = false;
-    std::int64_t running_cpu_milli = 0;  // reserved by what runs
-    std::int64_t waiting_cpu_ms = 0;     // core-milliseconds of work that waits
-    std::uint32_t arriving = 0;          // hosts on their way into it
-    std::int64_t surplus_ms = 0;         // how long it has had more than it needs
+    // Reserved by what runs, and wanted by the long-running tasks that wait: these need their room for good.
+    std::int64_t running_cpu_milli = 0;
+    std::int64_t running_memory_mb = 0;
+    std::int64_t waiting_cpu_ms = 0;  // core-milliseconds of other work that waits
+    std::uint32_t arriving = 0;       // hosts on their way into it
+    std::int64_t surplus_ms = 0;      // how long it has had more than it needs
 };
 
 /// A host that may be moved.
 struct balance_host {
     std::string name;
     std::string pool;
-    std::int64_t cpu_milli = 0;
+    resources capacity;
     bool idle = false;     // nothing runs there
     bool movable = false;  // up, and nothing else is planned for it
 };
@@ -48,9 +52,8 @@
 };
 
 /// Hosts that @p pool needs for what runs and waits.
-/// @param host_cpu_milli capacity of one host
-std::uint32_t hosts_needed(const balance_pool& pool, std::int64_t host_cpu_milli,
-                           const balance_policy& policy);
+/// @param host capacity of one; a respect in which it has none is not counted
+std::uint32_t hosts_needed(const balance_pool& pool, const resources& host, const balance_policy& policy);
 
 /// @return moves of idle hosts: to the pools that are shortest first, then of a surplus to standby
 std::vector<pool_move> balance_pools(std::span<const balance_pool> pools, std::span<const balance_host> hosts,
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -75,8 +75,9 @@
 /// How full a queue is, for admission at the entry nodes.
 struct queue_load {
     std::uint64_t pending = 0;            // jobs without a started task
-    std::int64_t waiting_cpu_ms = 0;      // core-milliseconds of work that waits
-    std::int64_t running_cpu_milli = 0;   // reserved by what runs
+    std::int64_t waiting_cpu_ms = 0;      // core-milliseconds of work that waits and ends
+    std::int64_t running_cpu_milli = 0;   // reserved by what runs, and wanted by long-running tasks that wait
+    std::int64_t running_memory_mb = 0;   // the same
     std::int64_t capacity_cpu_milli = 0;  // of the workers that take work
     std::vector<std::string> busy;        // workers on which something runs
 };
@@ -220,6 +221,7 @@
     std::int64_t expected_ms(const job_entry& job, std::uint32_t step) const;
     std::int64_t chain_ms(const job_entry& job, const occurrence_progress* progress) const;
     std::int64_t waiting_cpu_ms(const occurrence_entry& item, bool ready_only) const;
+    resources waiting_room(const occurrence_entry& item) const;
 
     shard_options options_;
     std::shared_ptr<const cluster_config> config_;
--- a/src/decision/pool_balance.cpp
+++ b/src/decision/pool_balance.cpp
@@ -28,10 +28,11 @@
         pool_view view;
         view.pool = &pool;
         view.have = pool.arriving;
-        std::int64_t cpu_milli = 0;
+        resources mean;
         std::uint32_t count = 0;
         for (const balance_host& host : hosts) {
-            cpu_milli += host.cpu_milli;
+            mean.cpu_milli += host.capacity.cpu_milli;
+            mean.memory_mb += host.capacity.memory_mb;
             ++count;
             if (host.pool != pool.name) {
                 continue;
@@ -41,7 +42,11 @@
                 view.idle.push_back(&host);
             }
         }
-        view.need = pool.standby || count == 0 ? 0 : hosts_needed(pool, cpu_milli / count, policy);
+        if (!pool.standby && count > 0) {
+            mean.cpu_milli /= count;
+            mean.memory_mb /= count;
+            view.need = hosts_needed(pool, mean, policy);
+        }
         views.push_back(std::move(view));
     }
     return views;
@@ -76,14 +81,16 @@
 
 }  // namespace
 
-std::uint32_t hosts_needed(const balance_pool& pool, std::int64_t host_cpu_milli,
-                           const balance_policy& policy)
+std::uint32_t hosts_needed(const balance_pool& pool, const resources& host, const balance_policy& policy)
 {
     const double waiting_milli =
         static_cast<double>(pool.waiting_cpu_ms) * 1'000.0 / static_cast<double>(policy.horizon_ms);
-    const double wanted = (static_cast<double>(pool.running_cpu_milli) + waiting_milli) * policy.reserve;
-    return static_cast<std::uint32_t>(
-        std::ceil(wanted / static_cast<double>(std::max<std::int64_t>(host_cpu_milli, 1))));
+    const double by_cpu = (static_cast<double>(pool.running_cpu_milli) + waiting_milli) /
+                          static_cast<double>(std::max<std::int64_t>(host.cpu_milli, 1));
+    const double by_memory =
+        host.memory_mb > 0 ? static_cast<double>(pool.running_memory_mb) / static_cast<double>(host.memory_mb)
+                           : 0.0;
+    return static_cast<std::uint32_t>(std::ceil(std::max(by_cpu, by_memory) * policy.reserve));
 }
 
 std::vector<pool_move> balance_pools(std::span<const balance_pool> pools, std::span<const balance_host> hosts,
--- a/src/node/host_keeper.cpp
+++ b/src/node/host_keeper.cpp
@@ -39,6 +39,7 @@
     bool known = false;
     std::int64_t waiting_cpu_ms = 0;
     std::int64_t running_cpu_milli = 0;
+    std::int64_t running_memory_mb = 0;
     std::set<std::string> busy;  // workers on which something runs
 };
 
@@ -144,6 +145,7 @@
                           load.known = true;
                           load.waiting_cpu_ms = body.value("waiting_cpu_ms", std::int64_t{0});
                           load.running_cpu_milli = body.value("running_cpu_milli", std::int64_t{0});
+                          load.running_memory_mb = body.value("running_memory_mb", std::int64_t{0});
                           load.busy = body.value("busy", std::set<std::string>());
                       }
                       if (--look->open == 0) {
@@ -153,8 +155,8 @@
     }
 }
 
-/// Whether a wave is about to take the host, or a move is under way.
-bool host_keeper::claimed(const std::string& host) const
+/// Whether a wave is about to take the host.
+bool host_keeper::leaving(const std::string& host) const
 {
     for (const auto& [key, work] : work_) {
         const bool done = work->gone || (work->confirmed && monotonic_ms() - work->confirmed_ms >
@@ -163,6 +165,12 @@
             return true;
         }
     }
+    return false;
+}
+
+/// Whether the host has been told to move a moment ago.
+bool host_keeper::moved_lately(const std::string& host) const
+{
     const auto moving = moving_ms_.find(host);
     return moving != moving_ms_.end() && monotonic_ms() - moving->second < move_pause_ms;
 }
@@ -170,13 +178,21 @@
 void host_keeper::balance(const survey& look)
 {
     const std::int64_t now = monotonic_ms();
+    busy_workers_.clear();
+    for (const auto& [name, load] : look.loads) {
+        busy_workers_.insert(load.busy.begin(), load.busy.end());
+    }
     std::vector<balance_pool> pools;
     for (const service_config& service : node_.config->services) {
         const pool_load& load = look.loads.at(service.name);
         if (!load.known) {
             continue;  // neither gives nor takes while its owner is unknown
         }
-        pools.push_back({service.name, service.standby, load.running_cpu_milli, load.waiting_cpu_ms, 0, 0});
+        pools.push_back({.name = service.name,
+                         .standby = service.standby,
+                         .running_cpu_milli = load.running_cpu_milli,
+                         .running_memory_mb = load.running_memory_mb,
+                         .waiting_cpu_ms = load.waiting_cpu_ms});
     }
     std::vector<balance_host> hosts;
     for (const host_row& row : look.list.hosts) {
@@ -191,18 +207,18 @@
             }
             continue;
         }
-        if (pool == pools.end()) {
-            continue;
+        if (pool == pools.end() || leaving(row.name)) {
+            continue;  // a host that runs empty for its maintenance takes no work, so it is no capacity
         }
         const bool busy = look.loads.at(row.pool).busy.contains(row.worker_id);
-        hosts.push_back({row.name, row.pool, row.capacity.cpu_milli, !busy, !claimed(row.name)});
+        hosts.push_back({row.name, row.pool, row.capacity, !busy, !moved_lately(row.name)});
     }
     for (balance_pool& pool : pools) {
         const auto have = std::count_if(hosts.begin(), hosts.end(),
                                         [&](const balance_host& host) { return host.pool == pool.name; });
-        const std::int64_t cpu = hosts.empty() ? 1 : hosts.front().cpu_milli;
+        const resources host = hosts.empty() ? resources{} : hosts.front().capacity;
         std::int64_t& since = surplus_since_ms_[pool.name];
-        const bool surplus = have > static_cast<std::ptrdiff_t>(hosts_needed(pool, cpu, policy_));
+        const bool surplus = have > static_cast<std::ptrdiff_t>(hosts_needed(pool, host, policy_));
         since = !surplus ? 0 : since == 0 ? now : since;
         pool.surplus_ms = since == 0 ? 0 : now - since;
     }
@@ -235,6 +251,7 @@
                    {"idle", idle},
                    {"arriving", pool.arriving},
                    {"running_cpu_milli", pool.running_cpu_milli},
+                   {"running_memory_mb", pool.running_memory_mb},
                    {"waiting_cpu_ms", pool.waiting_cpu_ms},
                    {"surplus_ms", pool.surplus_ms}});
     }
@@ -332,7 +349,7 @@
         const host_work& work = *work_[{wave.number, name}];
         closing += work.closing_since_ms != 0 && !work.ordered && !work.gone ? 1 : 0;
     }
-    for (const std::string& name : wave.hosts) {
+    for (const std::string& name : by_disturbance(wave, rows)) {
         host_work& work = *work_[{wave.number, name}];
         const auto row = rows.find(name);
         if (work.ordered || work.gone || work.asking || row == rows.end() ||
@@ -353,6 +370,19 @@
     }
 }
 
+/// Hosts of a wave, those on which nothing runs first: their maintenance disturbs nobody, and while it goes
+/// on others become idle.
+std::vector<std::string> host_keeper::by_disturbance(const maintenance_wave& wave,
+                                                     const std::map<std::string, const host_row*>& rows) const
+{
+    std::vector<std::string> names = wave.hosts;
+    std::stable_partition(names.begin(), names.end(), [&](const std::string& name) {
+        const auto row = rows.find(name);
+        return row != rows.end() && !busy_workers_.contains(row->second->worker_id);
+    });
+    return names;
+}
+
 /// Asks the owner of the host's pool to empty it, and orders the maintenance once it is empty.
 void host_keeper::prepare(const host_row& host, const maintenance_wave& wave, std::int64_t left_ms)
 {
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -89,6 +89,7 @@
         const nlohmann::json body{{"pending", load.pending},
                                   {"waiting_cpu_ms", load.waiting_cpu_ms},
                                   {"running_cpu_milli", load.running_cpu_milli},
+                                  {"running_memory_mb", load.running_memory_mb},
                                   {"capacity_cpu_milli", load.capacity_cpu_milli},
                                   {"busy", load.busy}};
         return {true, 200, body.dump()};
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace waxwingnotch {
@@ -155,7 +156,10 @@
     void log_pools(const std::vector<balance_pool>& pools, const std::vector<balance_host>& hosts);
     void try_move(const pool_move& planned);
     void order_move(const pool_move& planned);
-    bool claimed(const std::string& host) const;
+    bool leaving(const std::string& host) const;
+    bool moved_lately(const std::string& host) const;
+    std::vector<std::string> by_disturbance(const maintenance_wave& wave,
+                                            const std::map<std::string, const host_row*>& rows) const;
     void work_wave(const maintenance_wave& wave, const host_list& list);
     void prepare(const host_row& host, const maintenance_wave& wave, std::int64_t left_ms);
     void order(const std::string& host, std::int64_t wave);
@@ -172,6 +176,7 @@
     std::map<std::string, std::int64_t> moving_ms_;  // host: last order to move it
     std::map<std::string, std::string> moving_to_;
     std::map<std::string, std::string> worker_hosts_;  // host: its worker
+    std::set<std::string> busy_workers_;               // on which something ran at the last look
     balance_policy policy_;
     std::int64_t last_pools_ms_ = 0;
     std::map<std::string, std::int64_t> surplus_since_ms_;  // by pool
--- a/src/shard/core_jobs.cpp
+++ b/src/shard/core_jobs.cpp
@@ -272,7 +272,11 @@
         load.pending += item->job->started ? 0 : 1;
         if (!item->job->spec.long_running()) {
             load.waiting_cpu_ms += waiting_cpu_ms(*item, true);
+            continue;
         }
+        const resources wanted = waiting_room(*item);
+        load.running_cpu_milli += wanted.cpu_milli;
+        load.running_memory_mb += wanted.memory_mb;
     }
     for (const auto& [id, worker] : workers_) {
         if (worker->entry.service == service && worker->listed && worker->synced && !worker->entry.draining) {
@@ -280,6 +284,7 @@
         }
         if (worker->entry.service == service && (!worker->runs.empty() || worker->end_batch != 0)) {
             load.running_cpu_milli += worker->used.cpu_milli;
+            load.running_memory_mb += worker->used.memory_mb;
             load.busy.push_back(id);
         }
     }
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -66,6 +66,24 @@
     return total;
 }
 
+/// Room that the waiting tasks of a long-running job need.
+resources shard_core::waiting_room(const occurrence_entry& item) const
+{
+    resources total;
+    for (std::uint32_t step = 0; step < item.progress.steps.size(); ++step) {
+        const step_spec& spec = item.step(step);
+        if (!item.progress.ready(spec)) {
+            continue;
+        }
+        for (const task_progress& task : item.progress.steps[step]) {
+            const bool waits = task.phase == task_phase::waiting;
+            total.cpu_milli += waits && !spec.fills ? spec.need.cpu_milli : 0;
+            total.memory_mb += waits ? spec.need.memory_mb : 0;
+        }
+    }
+    return total;
+}
+
 shard_core::placement_round shard_core::round_of(std::string_view service, std::int64_t now_ms)
 {
     placement_round round;
--- a/tests/decision/pool_balance_test.cpp
+++ b/tests/decision/pool_balance_test.cpp
@@ -11,13 +11,14 @@
 namespace {
 
 constexpr std::int64_t host_cpu = 16'000;
+constexpr resources host_size{host_cpu, 64'000, 0};
 
 std::vector<balance_host> hosts_of(const std::string& pool, int count, bool idle, int from = 0)
 {
     std::vector<balance_host> hosts;
     hosts.reserve(static_cast<std::size_t>(count));
     for (int at = 0; at < count; ++at) {
-        hosts.push_back({pool + std::to_string(from + at), pool, host_cpu, idle, true});
+        hosts.push_back({pool + std::to_string(from + at), pool, host_size, idle, true});
     }
     return hosts;
 }
@@ -30,13 +31,21 @@
 TEST(pool_balance, counts_what_runs_and_what_waits)
 {
     const balance_policy policy{.horizon_ms = 1'000, .reserve = 1.0};
-    EXPECT_EQ(hosts_needed({.name = "a"}, host_cpu, policy), 0U);
-    EXPECT_EQ(hosts_needed({.name = "a", .running_cpu_milli = 32'000}, host_cpu, policy), 2U);
+    EXPECT_EQ(hosts_needed({.name = "a"}, host_size, policy), 0U);
+    EXPECT_EQ(hosts_needed({.name = "a", .running_cpu_milli = 32'000}, host_size, policy), 2U);
     EXPECT_EQ(
-        hosts_needed({.name = "a", .running_cpu_milli = 32'000, .waiting_cpu_ms = 16'000}, host_cpu, policy),
+        hosts_needed({.name = "a", .running_cpu_milli = 32'000, .waiting_cpu_ms = 16'000}, host_size, policy),
         3U);
 }
 
+TEST(pool_balance, counts_the_memory_of_what_runs)
+{
+    const balance_policy policy{.horizon_ms = 1'000, .reserve = 1.0};
+    EXPECT_EQ(hosts_needed({.name = "a", .running_cpu_milli = 16'000, .running_memory_mb = 200'000},
+                           host_size, policy),
+              4U);
+}
+
 TEST(pool_balance, serves_a_turn_from_standby_first_and_from_idle_pools_next)
 {
     const balance_policy policy{.horizon_ms = 1'000, .reserve = 1.0, .keep_hosts = 4, .most_moves = 20};
@@ -125,14 +134,14 @@
             backlog[pool.name] -= done;
             pool.running_cpu_milli = used * host_cpu;
             pool.waiting_cpu_ms = static_cast<std::int64_t>(backlog[pool.name] * 16);
-            const bool surplus =
-                up + static_cast<int>(pool.arriving) > static_cast<int>(hosts_needed(pool, host_cpu, policy));
+            const bool surplus = up + static_cast<int>(pool.arriving) >
+                                 static_cast<int>(hosts_needed(pool, host_size, policy));
             surplus_ms[pool.name] = surplus ? surplus_ms[pool.name] + step_ms : 0;
             pool.surplus_ms = surplus_ms[pool.name];
             int seen = 0;
             for (const auto& [host, at] : place) {
                 if (at == pool.name && ready[host] <= now) {
-                    hosts.push_back({host, at, host_cpu, seen++ >= used, true});
+                    hosts.push_back({host, at, host_size, seen++ >= used, true});
                 }
             }
             pools.push_back(pool);
@@ -140,7 +149,7 @@
         }
         for (const auto& [host, at] : place) {
             if (at == "spare") {
-                hosts.push_back({host, at, host_cpu, true, true});
+                hosts.push_back({host, at, host_size, true, true});
             }
         }
         for (const pool_move& one : balance_pools(pools, hosts, policy)) {
@@ -188,7 +197,7 @@
         }
         const auto have = std::count_if(hosts.begin(), hosts.end(),
                                         [&](const balance_host& host) { return host.pool == pool.name; });
-        RC_ASSERT(have + pool.arriving - left[pool.name] >= hosts_needed(pool, host_cpu, policy));
+        RC_ASSERT(have + pool.arriving - left[pool.name] >= hosts_needed(pool, host_size, policy));
     }
 }
 
--- a/tests/shard/shard_core_test.cpp
+++ b/tests/shard/shard_core_test.cpp
@@ -375,6 +375,22 @@
     EXPECT_EQ(world.workers["b"].running.size(), 3U);
 }
 
+TEST(shard_core, counts_long_running_tasks_without_room_as_demand)
+{
+    shard_world world(21);
+    world.add_worker("a", 2'000);
+    const auto owner = world.take_over();
+    job_spec job = shard_world::job("lasting000000001", 5);
+    job.steps[0].long_running = true;
+    world.submit(job);
+    world.run(500);
+    EXPECT_EQ(world.workers["a"].running.size(), 2U);
+    const queue_load load = owner->core->load_of("svc");
+    EXPECT_EQ(load.running_cpu_milli, 5'000);
+    EXPECT_EQ(load.running_memory_mb, 5'000);
+    EXPECT_EQ(load.waiting_cpu_ms, 0);
+}
+
 TEST(shard_core, never_stops_a_task_of_which_none_may_be_missed)
 {
     shard_world world(17);
