Answer submissions in doubt after 1.2 s, let small reserves skip the registrations

An append that hung on a silent connection held up every later submission to its shard at that node, and each attempt could outlast the time that a caller should wait. On the grown deployments each of 34 to 41 nodes decoded every heartbeat of 349 workers, and log lines were formatted before the bound dropped them.

Change: a submission without an outcome is answered 504 after 1.2 s; a second append leaves when the first has taken 60 ms; reserves do not follow the registrations; the bound on log lines is asked before formatting; a move asks the owner for the worker that the host list names.

Tests: appender_does_not_wait_behind_an_append_that_hangs, a_small_owner_gives_its_partitions_up_for_large_ones.

--- a/include/waxwingnotch/shard/shard_group.hpp
+++ b/include/waxwingnotch/shard/shard_group.hpp
@@ -42,7 +42,8 @@
         std::function<void(int partition, std::int64_t epoch)> gained;
         std::function<void(int partition)> lost;
         std::function<void()> owners_changed;
-        std::function<void()> left;                  // the store has taken this node's leaving; may be null
+        std::function<void()> left;  // the store has taken this node's leaving; may be null
+        std::function<void(bool reserve)> role_changed;  // also at the start; may be null
         std::function<std::int64_t()> last_peer_ms;  // last answer of another node, monotonic; may be null
     };
 
@@ -78,6 +79,7 @@
     void on_owners(const owners_result& answer);
     void review_role(const std::map<std::string, int>& owners, int owned);
     void become_reserve();
+    void tell_role();
     void on_join(const join_result& answer, std::int64_t sent_ms);
     void give_up_all(const char* reason);
 
--- a/include/waxwingnotch/store/batch_appender.hpp
+++ b/include/waxwingnotch/store/batch_appender.hpp
@@ -31,12 +31,14 @@
         keyed_record record;
         std::function<void(store_status)> done;
     };
+    bool may_send() const;
     void send();
 
     log_store& store_;
     std::string topic_;
     int partition_;
-    bool in_flight_ = false;
+    std::size_t in_flight_ = 0;  // appends without an answer
+    std::int64_t last_send_ms_ = 0;
     std::vector<item> waiting_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -19,6 +19,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <iostream>
+#include <utility>
 
 namespace waxwingnotch {
 
@@ -63,32 +64,72 @@
     logging::core::get()->add_sink(sink);
 }
 
-/// Writes lines to standard output without waiting for its reader. Lines above the rate, or for which the
-/// reader leaves no room, are dropped and counted.
-class bounded_output
-    : public logging::sinks::basic_formatted_sink_backend<char, logging::sinks::synchronized_feeding> {
+/// Bounds the lines per second on standard output. Asked before a line is formatted, because formatting costs
+/// more than writing.
+class line_budget {
 public:
-    explicit bounded_output(int most_lines_per_s) : most_per_s_(most_lines_per_s), room_(most_lines_per_s)
+    void start(int most_lines_per_s)
     {
-        const int flags = fcntl(STDOUT_FILENO, F_GETFL);
-        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+        most_per_s_ = most_lines_per_s;
+        room_ = most_lines_per_s;
+        refilled_ms_ = monotonic_ms();
     }
+    void end() { most_per_s_ = 0; }
 
-    void consume(const logging::record_view& /*record*/, const string_type& line)
+    /// @return whether one more line may be written; counts it, or counts it as dropped
+    bool take()
     {
+        if (most_per_s_ == 0) {
+            return true;
+        }
         const std::int64_t now = monotonic_ms();
         constexpr double ms_per_s = 1'000.0;
         room_ = std::min<double>(most_per_s_,
                                  room_ + static_cast<double>(now - refilled_ms_) * most_per_s_ / ms_per_s);
         refilled_ms_ = now;
-        if (room_ < 1 || !flush()) {
-            ++dropped_;
-            return;
+        if (room_ < 1) {
+            drop();
+            return false;
         }
         room_ -= 1;
-        if (dropped_ > 0) {
-            rest_ = R"({"event":"log_dropped","lines":)" + std::to_string(dropped_) + "}\n";
-            dropped_ = 0;
+        return true;
+    }
+    void drop() { ++dropped_; }
+    /// @return lines dropped since the last call
+    std::uint64_t take_dropped() { return std::exchange(dropped_, 0); }
+
+private:
+    double most_per_s_ = 0;  // 0: no bound
+    double room_ = 0;
+    std::int64_t refilled_ms_ = 0;
+    std::uint64_t dropped_ = 0;
+};
+
+line_budget& output_budget()
+{
+    static line_budget budget;
+    return budget;
+}
+
+/// Writes lines to standard output without waiting for its reader. Lines for which the reader leaves no room
+/// are dropped and counted.
+class nonblocking_output
+    : public logging::sinks::basic_formatted_sink_backend<char, logging::sinks::synchronized_feeding> {
+public:
+    nonblocking_output()
+    {
+        const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+
+    void consume(const logging::record_view& /*record*/, const string_type& line)
+    {
+        if (!flush()) {
+            output_budget().drop();
+            return;
+        }
+        if (const std::uint64_t dropped = output_budget().take_dropped(); dropped > 0) {
+            rest_ = R"({"event":"log_dropped","lines":)" + std::to_string(dropped) + "}\n";
         }
         rest_ += line;
         rest_ += '\n';
@@ -112,17 +153,14 @@
         return true;
     }
 
-    double most_per_s_;
-    double room_;
-    std::int64_t refilled_ms_ = monotonic_ms();
-    std::uint64_t dropped_ = 0;
     std::string rest_;  // of a line that was written in part
 };
 
 void add_output_sink(int most_lines_per_s)
 {
-    using sink_type = logging::sinks::synchronous_sink<bounded_output>;
-    auto sink = boost::make_shared<sink_type>(boost::make_shared<bounded_output>(most_lines_per_s));
+    using sink_type = logging::sinks::synchronous_sink<nonblocking_output>;
+    output_budget().start(most_lines_per_s);
+    auto sink = boost::make_shared<sink_type>(boost::make_shared<nonblocking_output>());
     sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
     logging::core::get()->add_sink(sink);
 }
@@ -144,6 +182,7 @@
 {
     current_settings() = {options.level, options.node};
     logging::core::get()->remove_all_sinks();
+    output_budget().end();
     if (options.standard_output) {
         add_output_sink(options.most_lines_per_s);
     }
@@ -158,7 +197,7 @@
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
     const log_settings& settings = current_settings();
-    if (level < settings.level) {
+    if (level < settings.level || !output_budget().take()) {
         return;
     }
     nlohmann::ordered_json line;
--- a/src/node/callers.cpp
+++ b/src/node/callers.cpp
@@ -19,7 +19,8 @@
 constexpr std::int64_t cancel_ask_ms = 600;          // then a cancel is stored without knowing the job
 // A caller that is told early asks another node, within the time that it has.
 constexpr std::int64_t store_refusal_ms = 400;  // a store that refuses for so long will go on to
-constexpr std::int64_t store_doubt_ms = 1'500;  // an append without an answer is repeated for so long
+constexpr std::int64_t store_doubt_ms =
+    1'200;  // an append without an answer is waited for and repeated for so long
 
 std::string strip_port(const std::string& host)
 {
@@ -47,8 +48,10 @@
     std::int64_t begin_ms = 0;
     std::int64_t deadline_ms = 0;  // steady time by which an answer has to leave
     bool in_doubt = false;         // an append without an answer may have been done
+    bool answered = false;         // later news of the store change nothing for the caller
     int tries = 0;
     timer wait;
+    timer limit;
 
     /// The owner does not know the job.
     /// @param reply with the age of what the owner knows, ms
@@ -80,8 +83,10 @@
     exchange->reply(status, headers, body);
 }
 
-void caller_api::finish(const question& item, int status, const std::string& body, const char* reason)
+void caller_api::finish(question& item, int status, const std::string& body, const char* reason)
 {
+    item.answered = true;
+    item.limit.cancel();
     (status < 400 ? accepted_ : status >= 500 && status != 503 ? failed_ : refused_).add();
     log_event(log_level::info, "request",
               {{"method", item.exchange->method()},
@@ -181,6 +186,12 @@
     job.value().accepted_ms = wall_ms();
     job.value().max_attempts = queue.max_attempts;
     item->record = encode_job(job.value());
+    // An append may hang longer than a caller should wait; another node can be asked meanwhile.
+    item->limit =
+        node_.loop.after(std::min(store_doubt_ms, item->deadline_ms - item->begin_ms), [this, item] {
+            const std::shared_ptr<question> kept = item;
+            end_in_doubt(kept);
+        });
     append_job(item);
 }
 
@@ -189,6 +200,10 @@
     ++item->tries;
     keyed_record record{.key = item->id, .value = item->record, .offset = -1};
     node_.intake(item->shard).append(std::move(record), [this, item](store_status outcome) {
+        if (item->answered) {
+            log_event(log_level::info, "append_late", {{"job", item->id}, {"outcome", to_string(outcome)}});
+            return;
+        }
         const std::int64_t now = monotonic_ms();
         if (outcome == store_status::ok) {
             accept_ms_.record(now - item->begin_ms);
@@ -200,25 +215,33 @@
             return;
         }
         item->in_doubt = item->in_doubt || outcome == store_status::unknown;
-        const std::int64_t patience_ms = item->in_doubt ? store_doubt_ms : store_refusal_ms;
-        if (now + retry_ms < item->deadline_ms && now - item->begin_ms < patience_ms) {
-            again(item, retry_ms, &caller_api::append_job);
-            return;
-        }
-        if (item->in_doubt) {
-            finish(*item, 504, R"({"error":"the job may have been stored; ask again with the same id"})",
-                   "the store has not answered");
+        if (!item->in_doubt && now - item->begin_ms >= store_refusal_ms) {
+            refuse_unless_known(item);
             return;
         }
-        refuse_unless_known(item);
+        again(item, retry_ms, &caller_api::append_job);
     });
 }
 
+/// The time for an append is over, and it may have been done.
+void caller_api::end_in_doubt(const std::shared_ptr<question>& item)
+{
+    if (item->answered) {
+        return;
+    }
+    item->wait.cancel();
+    finish(*item, 504, R"({"error":"the job may have been stored; ask again with the same id"})",
+           "the store has not answered");
+}
+
 /// A repeat of a job that is stored already must not hear that it never runs.
 void caller_api::refuse_unless_known(const std::shared_ptr<question>& item)
 {
     ask_owner(node_, "GET", item->shard, "/shard/job?id=" + item->id, question_ms,
               [this, item](const owner_reply& answer) {
+                  if (item->answered) {
+                      return;
+                  }
                   if (answer.answered && answer.status == 200) {
                       finish(*item, 200, answer.body, "stored before");
                       return;
--- a/src/node/host_keeper.cpp
+++ b/src/node/host_keeper.cpp
@@ -262,14 +262,12 @@
 {
     moving_ms_[planned.host] = monotonic_ms();
     const service_config* from = node_.config->service(planned.from);
-    const auto worker = std::find_if(node_.registry.begin(), node_.registry.end(), [&](const auto& item) {
-        return worker_hosts_[planned.host] == item.first;
-    });
-    if ((from != nullptr && from->standby) || worker == node_.registry.end()) {
+    const std::string worker = worker_hosts_[planned.host];
+    if ((from != nullptr && from->standby) || worker.empty()) {
         order_move(planned);
         return;
     }
-    const std::string path = "/shard/close?worker=" + worker->first + "&ms=" + std::to_string(close_ms);
+    const std::string path = "/shard/close?worker=" + worker + "&ms=" + std::to_string(close_ms);
     ask_owner(node_, "POST", node_.shard_of(planned.from), path, question_ms,
               [this, planned, alive = alive_](const owner_reply& answer) {
                   if (!*alive || !answer.answered || answer.status != 200) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -51,6 +51,7 @@
     bool listen();
     bool listen_on(http_server& server, const std::string& address, const char* what);
     void follow();
+    void follow_registry(bool wanted);
     void on_operator_record(const keyed_record& record);
     void on_worker_record(const keyed_record& record);
     void join_group();
@@ -156,13 +157,27 @@
             .topic = adapter::operator_topic, .partition = 0, .wait_ms = operator_wait_ms, .pause_ms = 0},
         keyed_follower::handlers{.record = [this](const keyed_record& record) { on_operator_record(record); },
                                  .caught_up = nullptr});
+    operator_->start();
+}
+
+/// Follows the workers' registrations while this node may own shards. Each worker writes its own every
+/// heartbeat, so a reserve would only spend its small processor on reading them.
+void node::follow_registry(bool wanted)
+{
+    if (wanted == (registry_ != nullptr)) {
+        return;
+    }
+    registry_.reset();
+    state_.registry.clear();
+    if (!wanted) {
+        return;
+    }
     registry_ = std::make_unique<keyed_follower>(
         state_.loop, *state_.store,
         follow_options{
             .topic = adapter::workers_topic, .partition = 0, .wait_ms = 0, .pause_ms = registry_pause_ms},
         keyed_follower::handlers{.record = [this](const keyed_record& record) { on_worker_record(record); },
                                  .caught_up = nullptr});
-    operator_->start();
     registry_->start();
 }
 
@@ -248,6 +263,7 @@
                               .lost = [this](int shard) { lose(shard); },
                               .owners_changed = [this] { update_peers(); },
                               .left = [this] { tell_peers_to_join(); },
+                              .role_changed = [this](bool reserve) { follow_registry(!reserve); },
                               .last_peer_ms =
                                   [this] {
                                       return state_.transport.last_peer_ms();
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -96,6 +96,7 @@
 
     void submit(const http_exchange_ptr& exchange, const queue_config& queue, const std::string& id);
     void append_job(const std::shared_ptr<question>& item);
+    void end_in_doubt(const std::shared_ptr<question>& item);
     void refuse_unless_known(const std::shared_ptr<question>& item);
     void show(const http_exchange_ptr& exchange, const queue_config& queue, const std::string& id);
     void ask_state(const std::shared_ptr<question>& item);
@@ -110,7 +111,7 @@
                void (caller_api::*action)(const std::shared_ptr<question>&));
     void reply(const http_exchange_ptr& exchange, int status, const std::string& body,
                std::int64_t retry_after_s = 0);
-    void finish(const question& item, int status, const std::string& body, const char* reason);
+    void finish(question& item, int status, const std::string& body, const char* reason);
 
     node_state& node_;
     counter& accepted_;
--- a/src/shard/shard_group.cpp
+++ b/src/shard/shard_group.cpp
@@ -56,6 +56,7 @@
     if (options_.processor_milli < options_.join_at_once_milli) {
         role_ = role::reserve;
     }
+    tell_role();
     beat();
     look();
     look_ = loop_.every(options_.look_ms, [this] { look(); });
@@ -238,10 +239,19 @@
                {"partitions", options_.partitions}});
     if (own) {
         role_ = role::member;
+        tell_role();
         beat();
         return;
     }
     become_reserve();
+    tell_role();
+}
+
+void shard_group::tell_role()
+{
+    if (handlers_.role_changed) {
+        handlers_.role_changed(reserve());
+    }
 }
 
 void shard_group::become_reserve()
--- a/src/store/batch_appender.cpp
+++ b/src/store/batch_appender.cpp
@@ -1,5 +1,7 @@
 #include "waxwingnotch/store/batch_appender.hpp"
 
+#include "waxwingnotch/base/clock.hpp"
+
 #include <utility>
 
 namespace waxwingnotch {
@@ -7,6 +9,8 @@
 namespace {
 
 constexpr std::size_t max_batch_bytes = 1U << 20U;  // half of what the store takes in one call
+constexpr std::int64_t slow_ms = 60;  // ten usual answer times; what comes later does not wait any longer
+constexpr std::size_t most_in_flight = 4;  // while the store is slow, or one connection has gone silent
 
 }  // namespace
 
@@ -23,11 +27,16 @@
 void batch_appender::append(keyed_record record, std::function<void(store_status)> done)
 {
     waiting_.push_back({std::move(record), std::move(done)});
-    if (!in_flight_) {
+    if (may_send()) {
         send();
     }
 }
 
+bool batch_appender::may_send() const
+{
+    return in_flight_ == 0 || (in_flight_ < most_in_flight && monotonic_ms() - last_send_ms_ >= slow_ms);
+}
+
 void batch_appender::send()
 {
     append_request request{.topic = topic_, .partition = partition_};
@@ -41,15 +50,16 @@
         handlers->push_back(std::move(next.done));
     }
     waiting_.erase(waiting_.begin(), waiting_.begin() + static_cast<std::ptrdiff_t>(taken));
-    in_flight_ = true;
+    ++in_flight_;
+    last_send_ms_ = monotonic_ms();
     store_.append(request, [this, handlers, alive = alive_](const append_result& answer) {
         if (*alive) {
-            in_flight_ = false;
+            --in_flight_;
         }
         for (const auto& done : *handlers) {
             done(answer.status);
         }
-        if (*alive && !in_flight_ && !waiting_.empty()) {
+        if (*alive && !waiting_.empty() && may_send()) {
             send();
         }
     });
--- a/tests/fakes/fake_store.hpp
+++ b/tests/fakes/fake_store.hpp
@@ -21,6 +21,7 @@
     // Faults
     bool refuse = false;          // every call is turned away
     int lose_answers = 0;         // so many appends are done, and not answered
+    int hang_appends = 0;         // so many appends get no answer at all
     std::size_t page_size = 500;  // records in one page of the newest
 
     struct partition {
@@ -62,6 +63,10 @@
             answer(std::move(done), append_result{.status = store_status::refused});
             return;
         }
+        if (hang_appends > 0) {
+            --hang_appends;
+            return;
+        }
         append_result outcome = apply(request);
         if (lose_answers > 0) {
             --lose_answers;
--- a/tests/shard/shard_group_test.cpp
+++ b/tests/shard/shard_group_test.cpp
@@ -31,6 +31,7 @@
                 .lost = [this](int partition) { lost.push_back(partition); },
                 .owners_changed = [] {},
                 .left = nullptr,
+                .role_changed = [this](bool reserve) { roles.push_back(reserve); },
                 .last_peer_ms = nullptr};
     }
     /// Runs the loop until @p reached holds.
@@ -57,6 +58,7 @@
     fake_store store{loop};
     std::vector<int> gained;
     std::vector<int> lost;
+    std::vector<bool> roles;  // reserve or not, as told
 };
 
 TEST_F(shard_group_test, a_host_of_the_usual_size_joins_at_once)
@@ -104,6 +106,7 @@
     EXPECT_EQ(gained, std::vector<int>{0});
     EXPECT_EQ(lost, std::vector<int>{0});
     EXPECT_TRUE(group.reserve());
+    EXPECT_EQ(roles, (std::vector<bool>{true, false, true}));
 }
 
 }  // namespace
--- a/tests/store/store_test.cpp
+++ b/tests/store/store_test.cpp
@@ -111,6 +111,22 @@
     EXPECT_EQ(store.appends, 2);  // the first alone, the others together
 }
 
+// One append on a connection that had gone silent held up every later submission to the shard for seconds.
+TEST_F(store_test, appender_does_not_wait_behind_an_append_that_hangs)
+{
+    batch_appender appender(store, "keyed.t", 0);
+    store.hang_appends = 1;
+    appender.append({.key = "a", .value = "1"}, [](store_status) { FAIL(); });
+    const timer later = loop.after(100, [&] {
+        appender.append({.key = "b", .value = "1"}, [this](store_status outcome) {
+            EXPECT_EQ(outcome, store_status::ok);
+            loop.stop();
+        });
+    });
+    run();
+    EXPECT_EQ(store.appends, 2);
+}
+
 TEST_F(store_test, appender_tells_each_record_how_its_append_ended)
 {
     batch_appender appender(store, "keyed.t", 0);
