--- a/include/waxwingnotch/node/settings.hpp
+++ b/include/waxwingnotch/node/settings.hpp
@@ -25,13 +25,8 @@
     std::int64_t max_lease_ms = 10'000;     // longest lease that a worker grants
     std::int64_t drain_grace_ms = 6'000;    // from SIGTERM to SIGKILL
     std::int64_t holder_pause_ms = 3'000;   // between two holders' orders for one host
-    std::int64_t notice_ms = 4'500;         // how long a serving task may be away before it counts
-    std::int64_t move_ms = 1'500;           // a host is off while it moves
     std::int64_t maintenance_ms = 2'000;    // and while it is maintained
     std::int64_t status_keep_ms = 120'000;  // state of an ended job stays readable
-    std::int64_t early_ms = 250;            // how far before its due time an occurrence may start
-    double remote_slowdown = 2.0;           // run time away from the data, relative
-    bool hosts_fenced = true;               // the host service checks tokens
 };
 
 }  // namespace waxwingnotch
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -173,6 +173,7 @@
     void open_occurrences(job_entry& job, std::int64_t now_ms);
     occurrence_entry& make_occurrence_entry(job_entry& job, std::uint32_t number, std::int64_t due_ms);
     void finish_occurrence(occurrence_entry& item, std::int64_t now_ms);
+    void drop_advice(const occurrence_entry& item);
     void stop_job(job_entry& job, std::int64_t now_ms);
     void mark(occurrence_entry& item);
     void forget_old(std::int64_t now_ms);
--- a/include/waxwingnotch/store/journal.hpp
+++ b/include/waxwingnotch/store/journal.hpp
@@ -44,7 +44,6 @@
     /// Runs @p action once everything that was put before is stored, and the store has taken a write of this
     /// epoch since.
     void when_stored(std::function<void()> action);
-    bool idle() const { return !in_flight_ && waiting_.empty() && actions_.empty(); }
     /// Monotonic ms since when an append has been without success; 0: none is.
     std::int64_t stalled_since_ms() const { return stalled_since_ms_; }
 
--- a/src/shard/core_jobs.cpp
+++ b/src/shard/core_jobs.cpp
@@ -160,6 +160,7 @@
 {
     for (auto& [number, item] : job.occurrences) {
         open_.erase(item.get());
+        drop_advice(*item);
         for (std::uint32_t step = 0; step < item->progress.steps.size(); ++step) {
             for (std::uint32_t index = 0; index < item->progress.steps[step].size(); ++index) {
                 stop_task(*item, step, index, now_ms);
@@ -188,6 +189,7 @@
         return;
     }
     open_.erase(&item);
+    drop_advice(item);
     ++job.completed_occurrences;
     if (job.ended()) {
         job.ended_ms = now_ms;
@@ -197,6 +199,16 @@
     }
 }
 
+/// Nothing of the occurrence starts any more, so the permissions for its steps may go.
+void shard_core::drop_advice(const occurrence_entry& item)
+{
+    const std::string prefix = item.key() + ".";
+    auto at = advice_.lower_bound(prefix);
+    while (at != advice_.end() && at->first.starts_with(prefix)) {
+        at = advice_.erase(at);
+    }
+}
+
 void shard_core::mark(occurrence_entry& item)
 {
     dirty_.insert(&item);
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -15,7 +15,7 @@
 constexpr const char* settings_text = R"({"nodeName":"n1","zone":"dc1","ip":"127.0.0.1",
   "listenAddrs":{"front":"127.0.0.1:1","ready":"127.0.0.1:2","control":"127.0.0.1:3"},
   "seeds":["127.0.0.1:3","127.0.0.2:3"],"limits":{"cpuShare":0.12,"cores":2},"advice":"127.0.0.1:9",
-  "bounds":{"graceS":2.5,"holdMaxMs":6000,"maintenanceS":2,"fencingEnabled":false},
+  "bounds":{"graceS":2.5,"holdMaxMs":6000,"maintenanceS":2},
   "platform":{"address":"127.0.0.1:4","parts":5,"ttlMinMs":700},"cloudApi":{"address":"127.0.0.1:5"},
   "newField":[1]})";
 
@@ -33,7 +33,6 @@
     EXPECT_EQ(read.value().drain_grace_ms, 2'500);
     EXPECT_EQ(read.value().max_lease_ms, 6'000);
     EXPECT_EQ(read.value().maintenance_ms, 2'000);
-    EXPECT_FALSE(read.value().hosts_fenced);
 }
 
 TEST(settings, name_what_is_missing)
