--- a/src/node/callers.cpp
+++ b/src/node/callers.cpp
@@ -19,8 +19,6 @@
 constexpr std::int64_t cancel_ask_ms = 600;          // then a cancel is stored without knowing the job
 // A caller that is told early asks another node, within the time that it has.
 constexpr std::int64_t store_refusal_ms = 400;  // a store that refuses for so long will go on to
-constexpr std::int64_t store_doubt_ms =
-    1'200;  // an append without an answer is waited for and repeated for so long
 
 std::string strip_port(const std::string& host)
 {
@@ -186,12 +184,12 @@
     job.value().accepted_ms = wall_ms();
     job.value().max_attempts = queue.max_attempts;
     item->record = encode_job(job.value());
-    // An append may hang longer than a caller should wait; another node can be asked meanwhile.
-    item->limit =
-        node_.loop.after(std::min(store_doubt_ms, item->deadline_ms - item->begin_ms), [this, item] {
-            const std::shared_ptr<question> kept = item;
-            end_in_doubt(kept);
-        });
+    // An append may hang for longer than the caller waits. Until then waiting serves it best: the store may
+    // be slow, and a caller that hears 504 may not dare to ask again.
+    item->limit = node_.loop.after(item->deadline_ms - item->begin_ms, [this, item] {
+        const std::shared_ptr<question> kept = item;
+        end_in_doubt(kept);
+    });
     append_job(item);
 }
 
--- a/src/store/batch_appender.cpp
+++ b/src/store/batch_appender.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::size_t max_batch_bytes = 1U << 20U;  // half of what the store takes in one call
-constexpr std::int64_t slow_ms = 60;  // ten usual answer times; what comes later does not wait any longer
+constexpr std::int64_t slow_ms = 400;      // longer than a slow store takes for one append: this one may hang
 constexpr std::size_t most_in_flight = 4;  // while the store is slow, or one connection has gone silent
 
 }  // namespace
