--- a/include/waxwingnotch/job/spec.hpp
+++ b/include/waxwingnotch/job/spec.hpp
@@ -50,7 +50,8 @@
     std::int64_t first_ms = 0;       // wall-clock due time of occurrence 0
     std::int64_t interval_ms = 0;    // between due times
     std::int64_t accepted_ms = 0;    // wall clock of the accepting node
-    std::uint32_t max_attempts = 1;  // of its queue when it was accepted; the queue may go before the job ends
+    std::uint32_t max_attempts =
+        1;  // of its queue when it was accepted; the queue may go before the job ends
 
     /// Number of times that the steps run.
     std::uint32_t occurrences() const { return repeat_count == 0 ? 1 : repeat_count; }
--- a/include/waxwingnotch/store/keyed_follower.hpp
+++ b/include/waxwingnotch/store/keyed_follower.hpp
@@ -61,8 +61,8 @@
     std::int64_t last_answer_ms_ = 0;
     std::int64_t complete_until_ms_ = 0;
     std::int64_t read_sent_ms_ = 0;  // of the read under way
-    std::set<std::string> known_;  // keys that have a value
-    std::set<std::string> seen_;   // keys of the load under way
+    std::set<std::string> known_;    // keys that have a value
+    std::set<std::string> seen_;     // keys of the load under way
     timer pause_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/node/callers.cpp
+++ b/src/node/callers.cpp
@@ -186,10 +186,7 @@
     item->record = encode_job(job.value());
     // An append may hang for longer than the caller waits. Until then waiting serves it best: the store may
     // be slow, and a caller that hears 504 may not dare to ask again.
-    item->limit = node_.loop.after(item->deadline_ms - item->begin_ms, [this, item] {
-        const std::shared_ptr<question> kept = item;
-        end_in_doubt(kept);
-    });
+    item->limit = node_.loop.after(item->deadline_ms - item->begin_ms, [this, item] { end_in_doubt(item); });
     append_job(item);
 }
 
--- a/src/shard/shard_group.cpp
+++ b/src/shard/shard_group.cpp
@@ -217,6 +217,7 @@
         return;
     }
     std::vector<int> processors;
+    processors.reserve(owners.size());
     for (const auto& [address, milli] : owners) {
         processors.push_back(milli);
     }
