--- a/tests/decision/pool_balance_test.cpp
+++ b/tests/decision/pool_balance_test.cpp
@@ -92,7 +92,7 @@
 {
     const balance_policy policy{.keep_hosts = 0, .settle_ms = 0};
     std::vector<balance_host> hosts = hosts_of("quiet", 2, false);
-    hosts.push_back({"claimed", "quiet", host_cpu, true, false});
+    hosts.push_back({"claimed", "quiet", host_size, true, false});
     add(hosts, hosts_of("spare", 1, true));
     const std::vector<balance_pool> pools = {{.name = "quiet", .surplus_ms = 9'000},
                                              {.name = "spare", .standby = true}};
