Ask to close a worker in one place; find the hosts that leave once for each plan

Waves and moves both built /shard/close and read its answer; close_worker serves both and hands over a drain_state. Behaviour is the same.

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -88,6 +88,8 @@
     std::size_t runs = 0;   // still there
     bool serving = false;   // some of them are long-running
     bool unstored = false;  // it has listed ends that are not in the store yet, and would be lost with it
+
+    bool empty() const { return runs == 0 && !unstored; }
 };
 
 /// Counts since the core was made.
--- a/src/node/host_keeper.cpp
+++ b/src/node/host_keeper.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace waxwingnotch {
@@ -50,6 +51,24 @@
     std::size_t open = 0;                    // questions without an answer
 };
 
+/// What the owner of a shard says of a worker that it has closed.
+/// @return nothing if no owner answered; of an answer that cannot be read, what forbids to take the worker
+/// away
+static std::optional<drain_state> read_drain(const owner_reply& answer)
+{
+    if (!answer.answered || answer.status != 200) {
+        return std::nullopt;
+    }
+    const auto body = nlohmann::json::parse(answer.body, nullptr, false);
+    if (!body.is_object()) {
+        return drain_state{.known = false, .runs = 1, .serving = true, .unstored = true};
+    }
+    return drain_state{.known = body.value("known", false),
+                       .runs = body.value("runs", std::size_t{1}),
+                       .serving = body.value("serving", true),
+                       .unstored = body.value("unstored", true)};
+}
+
 const char* to_string(host_result outcome)
 {
     switch (outcome) {
@@ -115,9 +134,9 @@
             work_wave(wave, list);
         }
     }
-    worker_hosts_.clear();
+    host_workers_.clear();
     for (const host_row& row : list.hosts) {
-        worker_hosts_[row.name] = row.worker_id;
+        host_workers_[row.name] = row.worker_id;
     }
     auto look = std::make_shared<survey>();
     look->list = list;
@@ -155,17 +174,19 @@
     }
 }
 
-/// Whether a wave is about to take the host.
-bool host_keeper::leaving(const std::string& host) const
+/// Hosts that a wave is about to take, or has taken a moment ago.
+std::set<std::string> host_keeper::leaving_hosts() const
 {
+    const std::int64_t now = monotonic_ms();
+    std::set<std::string> hosts;
     for (const auto& [key, work] : work_) {
-        const bool done = work->gone || (work->confirmed && monotonic_ms() - work->confirmed_ms >
-                                                                node_.settings.maintenance_ms + step_ms);
-        if (key.second == host && !done && (work->closing_since_ms != 0 || work->ordered)) {
-            return true;
+        const bool done = work->gone || (work->confirmed &&
+                                         now - work->confirmed_ms > node_.settings.maintenance_ms + step_ms);
+        if (!done && (work->closing_since_ms != 0 || work->ordered)) {
+            hosts.insert(key.second);
         }
     }
-    return false;
+    return hosts;
 }
 
 /// Whether the host has been told to move a moment ago.
@@ -194,6 +215,7 @@
                          .running_memory_mb = load.running_memory_mb,
                          .waiting_cpu_ms = load.waiting_cpu_ms});
     }
+    const std::set<std::string> leaving = leaving_hosts();
     std::vector<balance_host> hosts;
     for (const host_row& row : look.list.hosts) {
         const auto pool = std::find_if(pools.begin(), pools.end(),
@@ -207,7 +229,7 @@
             }
             continue;
         }
-        if (pool == pools.end() || leaving(row.name)) {
+        if (pool == pools.end() || leaving.contains(row.name)) {
             continue;  // a host that runs empty for its maintenance takes no work, so it is no capacity
         }
         const bool busy = look.loads.at(row.pool).busy.contains(row.worker_id);
@@ -262,20 +284,28 @@
 {
     moving_ms_[planned.host] = monotonic_ms();
     const service_config* from = node_.config->service(planned.from);
-    const std::string worker = worker_hosts_[planned.host];
+    const std::string worker = host_workers_[planned.host];
     if ((from != nullptr && from->standby) || worker.empty()) {
         order_move(planned);
         return;
     }
+    close_worker(planned.from, worker, [this, planned](const std::optional<drain_state>& state) {
+        if (state && state->empty()) {
+            order_move(planned);
+        }
+    });
+}
+
+/// Asks the owner of @p pool to start nothing more on @p worker for a while, and to empty it.
+/// @param done hears what is left there; nothing if no owner answered
+void host_keeper::close_worker(const std::string& pool, const std::string& worker,
+                               std::function<void(const std::optional<drain_state>&)> done)
+{
     const std::string path = "/shard/close?worker=" + worker + "&ms=" + std::to_string(close_ms);
-    ask_owner(node_, "POST", node_.shard_of(planned.from), path, question_ms,
-              [this, planned, alive = alive_](const owner_reply& answer) {
-                  if (!*alive || !answer.answered || answer.status != 200) {
-                      return;
-                  }
-                  const auto body = nlohmann::json::parse(answer.body, nullptr, false);
-                  if (body.is_object() && body.value("runs", 1) == 0 && !body.value("unstored", true)) {
-                      order_move(planned);
+    ask_owner(node_, "POST", node_.shard_of(pool), path, question_ms,
+              [done = std::move(done), alive = alive_](const owner_reply& answer) {
+                  if (*alive) {
+                      done(read_drain(answer));
                   }
               });
 }
@@ -390,47 +420,36 @@
         return;
     }
     work.asking = true;
-    const int shard = node_.shard_of(host.pool);
-    const std::string path = "/shard/close?worker=" + host.worker_id + "&ms=" + std::to_string(close_ms);
     const service_config* pool = node_.config->service(host.pool);
     const bool standby = pool != nullptr && pool->standby;
-    ask_owner(node_, "POST", shard, path, question_ms,
-              [this, name = host.name, number = wave.number, left_ms, standby, max_down = wave.max_down,
-               alive = alive_](const owner_reply& answer) {
-                  if (!*alive) {
-                      return;
-                  }
-                  host_work& item = *work_[{number, name}];
-                  item.asking = false;
-                  const std::int64_t now = monotonic_ms();
-                  bool empty = standby;
-                  bool serving = false;
-                  if (answer.answered && answer.status == 200) {
-                      const auto body = nlohmann::json::parse(answer.body, nullptr, false);
-                      empty = empty || (body.is_object() && body.value("runs", 1) == 0 &&
-                                        !body.value("unstored", true));
-                      // Ends that are not stored would be lost with the worker's life.
-                      serving =
-                          !body.is_object() || body.value("serving", true) || body.value("unstored", true);
-                  }
-                  else if (!standby) {
-                      return;  // the owner changes; ask again at the next step
-                  }
-                  const bool tired = now - item.closing_since_ms > patience_ms || left_ms < order_margin_ms;
-                  if (!empty && (serving || !tired)) {
-                      return;
-                  }
-                  // Others may have been ordered while this answer was on its way.
-                  const auto down = std::count_if(work_.begin(), work_.end(), [&](const auto& entry) {
-                      const host_work& other = *entry.second;
-                      return entry.first.first == number && other.ordered && !other.gone &&
-                             (!other.confirmed ||
-                              now - other.confirmed_ms < node_.settings.maintenance_ms + step_ms);
-                  });
-                  if (down < static_cast<std::ptrdiff_t>(max_down)) {
-                      order(name, number);
-                  }
-              });
+    close_worker(host.pool, host.worker_id,
+                 [this, name = host.name, number = wave.number, left_ms, standby,
+                  max_down = wave.max_down](const std::optional<drain_state>& state) {
+                     host_work& item = *work_[{number, name}];
+                     item.asking = false;
+                     const std::int64_t now = monotonic_ms();
+                     if (!state && !standby) {
+                         return;  // the owner changes; ask again at the next step
+                     }
+                     const bool empty = standby || state->empty();
+                     // Ends that are not stored would be lost with the worker's life.
+                     const bool serving = state && (state->serving || state->unstored);
+                     const bool tired =
+                         now - item.closing_since_ms > patience_ms || left_ms < order_margin_ms;
+                     if (!empty && (serving || !tired)) {
+                         return;
+                     }
+                     // Others may have been ordered while this answer was on its way.
+                     const auto down = std::count_if(work_.begin(), work_.end(), [&](const auto& entry) {
+                         const host_work& other = *entry.second;
+                         return entry.first.first == number && other.ordered && !other.gone &&
+                                (!other.confirmed ||
+                                 now - other.confirmed_ms < node_.settings.maintenance_ms + step_ms);
+                     });
+                     if (down < static_cast<std::ptrdiff_t>(max_down)) {
+                         order(name, number);
+                     }
+                 });
 }
 
 void host_keeper::order(const std::string& host, std::int64_t wave)
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -157,7 +158,9 @@
     void log_pools(const std::vector<balance_pool>& pools, const std::vector<balance_host>& hosts);
     void try_move(const pool_move& planned);
     void order_move(const pool_move& planned);
-    bool leaving(const std::string& host) const;
+    void close_worker(const std::string& pool, const std::string& worker,
+                      std::function<void(const std::optional<drain_state>&)> done);
+    std::set<std::string> leaving_hosts() const;
     bool moved_lately(const std::string& host) const;
     std::vector<std::string> by_disturbance(const maintenance_wave& wave,
                                             const std::map<std::string, const host_row*>& rows) const;
@@ -176,7 +179,7 @@
     std::map<std::int64_t, bool> written_;           // status written by wave: completed
     std::map<std::string, std::int64_t> moving_ms_;  // host: last order to move it
     std::map<std::string, std::string> moving_to_;
-    std::map<std::string, std::string> worker_hosts_;  // host: its worker
+    std::map<std::string, std::string> host_workers_;  // host: its worker
     std::set<std::string> busy_workers_;               // on which something ran at the last look
     balance_policy policy_;
     std::int64_t last_pools_ms_ = 0;
