Split waves from moves, call peers and retry questions in one place

Three places built the same call to a peer (post_to_peer), two handed the registered workers to a shard (configure), three retried a question while the caller waits (again_in_time).

--- a/src/node/callers.cpp
+++ b/src/node/callers.cpp
@@ -114,15 +114,27 @@
     return item;
 }
 
-void caller_api::again(const std::shared_ptr<question>& item, std::int64_t delay_ms,
+void caller_api::again(const std::shared_ptr<question>& item,
                        void (caller_api::*action)(const std::shared_ptr<question>&))
 {
-    item->wait = node_.loop.after(delay_ms, [this, item, action] {
+    item->wait = node_.loop.after(retry_ms, [this, item, action] {
         const std::shared_ptr<question> kept = item;
         (this->*action)(kept);
     });
 }
 
+/// Tries @p action again if the caller waits long enough.
+/// @return whether it does
+bool caller_api::again_in_time(const std::shared_ptr<question>& item,
+                               void (caller_api::*action)(const std::shared_ptr<question>&))
+{
+    if (monotonic_ms() + retry_ms >= item->deadline_ms) {
+        return false;
+    }
+    again(item, action);
+    return true;
+}
+
 void caller_api::handle(const http_exchange_ptr& exchange)
 {
     if (!node_.config) {
@@ -214,7 +226,7 @@
             refuse_unless_known(item);
             return;
         }
-        again(item, retry_ms, &caller_api::append_job);
+        again(item, &caller_api::append_job);
     });
 }
 
@@ -266,8 +278,7 @@
                           return;
                       }
                   }
-                  if (now + retry_ms < item->deadline_ms) {
-                      again(item, retry_ms, &caller_api::ask_state);
+                  if (again_in_time(item, &caller_api::ask_state)) {
                       return;
                   }
                   finish(*item, 503, R"({"error":"the owner of the job cannot be asked now"})",
@@ -295,14 +306,14 @@
                           finish(*item, 410, R"({"error":"no such job"})", "the owner does not know it");
                           return;
                       }
-                      again(item, retry_ms, &caller_api::ask_before_cancel);
+                      again(item, &caller_api::ask_before_cancel);
                       return;
                   }
                   if (now - item->begin_ms > cancel_ask_ms) {
                       append_cancel(item);
                       return;
                   }
-                  again(item, retry_ms, &caller_api::ask_before_cancel);
+                  again(item, &caller_api::ask_before_cancel);
               });
 }
 
@@ -314,8 +325,7 @@
             finish(*item, 200, adapter::encode_job_state(job_state::cancelled), "stored");
             return;
         }
-        if (monotonic_ms() + retry_ms < item->deadline_ms) {
-            again(item, retry_ms, &caller_api::append_cancel);
+        if (again_in_time(item, &caller_api::append_cancel)) {
             return;
         }
         finish(*item, 504, R"({"error":"the cancel may not have been stored; ask again"})",
@@ -337,8 +347,7 @@
                       finish(*item, 200, answer.body, "the owner counts");
                       return;
                   }
-                  if (monotonic_ms() + retry_ms < item->deadline_ms) {
-                      again(item, retry_ms, &caller_api::ask_pending);
+                  if (again_in_time(item, &caller_api::ask_pending)) {
                       return;
                   }
                   finish(*item, 503, R"({"error":"the owner of the queue cannot be asked now"})",
--- a/src/node/host_keeper.cpp
+++ b/src/node/host_keeper.cpp
@@ -1,6 +1,5 @@
-/// Maintenance waves: empties hosts, orders their maintenance and reports the state of each wave.
-#include "documents.hpp"
-#include "node/node_state.hpp"
+/// The duty of the holder for all hosts: looks at hosts and demand, and moves hosts between pools.
+#include "node/host_parts.hpp"
 
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/log.hpp"
@@ -15,46 +14,15 @@
 
 namespace {
 
-constexpr std::int64_t step_ms = 250;     // between looks at the hosts while a wave is open
 constexpr std::int64_t close_ms = 1'500;  // a worker takes no new work for so long after each question
 constexpr std::int64_t question_ms = 400;
-constexpr std::int64_t order_margin_ms = 500;  // a wave should end this long before its time
 constexpr std::int64_t move_pause_ms = 4'000;  // a host is not moved again so soon
 constexpr std::int64_t pools_log_ms = 1'000;
-constexpr std::int64_t patience_ms = 2'500;  // how long a host may take to run empty while time allows
-
-}  // namespace
-
-/// How far the maintenance of one host has come.
-struct host_keeper::host_work {
-    bool ordered = false;    // an order has left; it may be carried out without an answer
-    bool confirmed = false;  // the host service has answered that it is done or under way
-    bool gone = false;       // not in the list any more, or not part of the wave
-    bool asking = false;
-    std::int64_t closing_since_ms = 0;
-    std::int64_t confirmed_ms = 0;
-};
-
-/// What the owner of a pool says of its demand.
-struct host_keeper::pool_load {
-    bool known = false;
-    std::int64_t waiting_cpu_ms = 0;
-    std::int64_t running_cpu_milli = 0;
-    std::int64_t running_memory_mb = 0;
-    std::set<std::string> busy;  // workers on which something runs
-};
-
-/// Hosts and demand at one moment.
-struct host_keeper::survey {
-    host_list list;
-    std::map<std::string, pool_load> loads;  // by pool
-    std::size_t open = 0;                    // questions without an answer
-};
 
 /// What the owner of a shard says of a worker that it has closed.
 /// @return nothing if no owner answered; of an answer that cannot be read, what forbids to take the worker
 /// away
-static std::optional<drain_state> read_drain(const owner_reply& answer)
+std::optional<drain_state> read_drain(const owner_reply& answer)
 {
     if (!answer.answered || answer.status != 200) {
         return std::nullopt;
@@ -69,6 +37,8 @@
                        .unstored = body.value("unstored", true)};
 }
 
+}  // namespace
+
 const char* to_string(host_result outcome)
 {
     switch (outcome) {
@@ -104,12 +74,6 @@
     log_event(log_level::info, "host_duty", {{"state", "given"}, {"token", authority_.token}});
 }
 
-bool host_keeper::wave_due(std::int64_t number) const
-{
-    const auto found = written_.find(number);
-    return found == written_.end() || !found->second;
-}
-
 void host_keeper::step()
 {
     if (busy_ || refused_ || !node_.hosts || !node_.config || monotonic_ms() < begin_ms_) {
@@ -174,21 +138,6 @@
     }
 }
 
-/// Hosts that a wave is about to take, or has taken a moment ago.
-std::set<std::string> host_keeper::leaving_hosts() const
-{
-    const std::int64_t now = monotonic_ms();
-    std::set<std::string> hosts;
-    for (const auto& [key, work] : work_) {
-        const bool done = work->gone || (work->confirmed &&
-                                         now - work->confirmed_ms > node_.settings.maintenance_ms + step_ms);
-        if (!done && (work->closing_since_ms != 0 || work->ordered)) {
-            hosts.insert(key.second);
-        }
-    }
-    return hosts;
-}
-
 /// Whether the host has been told to move a moment ago.
 bool host_keeper::moved_lately(const std::string& host) const
 {
@@ -330,188 +279,4 @@
                       });
 }
 
-void host_keeper::work_wave(const maintenance_wave& wave, const host_list& list)
-{
-    if (!written_.contains(wave.number)) {
-        write_status(wave.number, false);
-    }
-    const std::int64_t now = monotonic_ms();
-    const std::int64_t left_ms =
-        node_.wave_seen_ms[wave.number] + static_cast<std::int64_t>(wave.finish_by_s * 1'000) - now;
-    std::map<std::string, const host_row*> rows;
-    for (const host_row& row : list.hosts) {
-        rows[row.name] = &row;
-    }
-    std::size_t down = 0;
-    std::size_t open = 0;
-    for (const std::string& name : wave.hosts) {
-        auto& slot = work_[{wave.number, name}];
-        slot = slot ? std::move(slot) : std::make_unique<host_work>();
-        host_work& work = *slot;
-        const auto row = rows.find(name);
-        if (row == rows.end()) {
-            work.gone = true;
-        }
-        if (work.gone) {
-            continue;
-        }
-        const host_state state = row->second->state;
-        // An order without an answer may be carried out at any moment, so it counts as under way.
-        const bool just_ordered = work.confirmed && now - work.confirmed_ms < node_.settings.maintenance_ms;
-        down += state == host_state::maintenance || (work.ordered && !work.confirmed) || just_ordered ? 1 : 0;
-        open += work.confirmed ? 0 : 1;
-    }
-    if (open == 0) {
-        write_status(wave.number, true);
-        return;
-    }
-    // Hosts whose orders are in doubt first: asking again settles them.
-    for (const std::string& name : wave.hosts) {
-        host_work& work = *work_[{wave.number, name}];
-        if (work.ordered && !work.confirmed && !work.gone && !work.asking) {
-            order(name, wave.number);
-        }
-    }
-    std::size_t closing = 0;
-    for (const std::string& name : wave.hosts) {
-        const host_work& work = *work_[{wave.number, name}];
-        closing += work.closing_since_ms != 0 && !work.ordered && !work.gone ? 1 : 0;
-    }
-    for (const std::string& name : by_disturbance(wave, rows)) {
-        host_work& work = *work_[{wave.number, name}];
-        const auto row = rows.find(name);
-        if (work.ordered || work.gone || work.asking || row == rows.end() ||
-            row->second->state != host_state::up) {
-            continue;
-        }
-        const bool begun = work.closing_since_ms != 0;
-        if (!begun && down + closing >= wave.max_down) {
-            continue;
-        }
-        if (!begun) {
-            work.closing_since_ms = now;
-            ++closing;
-        }
-        if (down < wave.max_down) {
-            prepare(*row->second, wave, left_ms);
-        }
-    }
-}
-
-/// Hosts of a wave, those on which nothing runs first: their maintenance disturbs nobody, and while it goes
-/// on others become idle.
-std::vector<std::string> host_keeper::by_disturbance(const maintenance_wave& wave,
-                                                     const std::map<std::string, const host_row*>& rows) const
-{
-    std::vector<std::string> names = wave.hosts;
-    std::stable_partition(names.begin(), names.end(), [&](const std::string& name) {
-        const auto row = rows.find(name);
-        return row != rows.end() && !busy_workers_.contains(row->second->worker_id);
-    });
-    return names;
-}
-
-/// Asks the owner of the host's pool to empty it, and orders the maintenance once it is empty.
-void host_keeper::prepare(const host_row& host, const maintenance_wave& wave, std::int64_t left_ms)
-{
-    host_work& work = *work_[{wave.number, host.name}];
-    if (host.worker_id.empty()) {
-        order(host.name, wave.number);
-        return;
-    }
-    work.asking = true;
-    const service_config* pool = node_.config->service(host.pool);
-    const bool standby = pool != nullptr && pool->standby;
-    close_worker(host.pool, host.worker_id,
-                 [this, name = host.name, number = wave.number, left_ms, standby,
-                  max_down = wave.max_down](const std::optional<drain_state>& state) {
-                     host_work& item = *work_[{number, name}];
-                     item.asking = false;
-                     const std::int64_t now = monotonic_ms();
-                     if (!state && !standby) {
-                         return;  // the owner changes; ask again at the next step
-                     }
-                     const bool empty = standby || state->empty();
-                     // Ends that are not stored would be lost with the worker's life.
-                     const bool serving = state && (state->serving || state->unstored);
-                     const bool tired =
-                         now - item.closing_since_ms > patience_ms || left_ms < order_margin_ms;
-                     if (!empty && (serving || !tired)) {
-                         return;
-                     }
-                     // Others may have been ordered while this answer was on its way.
-                     const auto down = std::count_if(work_.begin(), work_.end(), [&](const auto& entry) {
-                         const host_work& other = *entry.second;
-                         return entry.first.first == number && other.ordered && !other.gone &&
-                                (!other.confirmed ||
-                                 now - other.confirmed_ms < node_.settings.maintenance_ms + step_ms);
-                     });
-                     if (down < static_cast<std::ptrdiff_t>(max_down)) {
-                         order(name, number);
-                     }
-                 });
-}
-
-void host_keeper::order(const std::string& host, std::int64_t wave)
-{
-    host_work& work = *work_[{wave, host}];
-    work.ordered = true;
-    work.asking = true;
-    node_.hosts->maintain(authority_, host, wave, [this, host, wave, alive = alive_](host_result outcome) {
-        if (!*alive) {
-            return;
-        }
-        host_work& item = *work_[{wave, host}];
-        item.asking = false;
-        log_event(
-            log_level::info, "maintain",
-            {{"host", host}, {"wave", wave}, {"token", authority_.token}, {"outcome", to_string(outcome)}});
-        switch (outcome) {
-        case host_result::ok:
-            item.confirmed = true;
-            item.confirmed_ms = monotonic_ms();
-            return;
-        case host_result::fenced:
-            refused_ = true;  // orders with this token would only take turns with the newer holder
-            return;
-        case host_result::not_due:
-        case host_result::invalid:
-            item.gone = true;
-            return;
-        case host_result::busy:
-        case host_result::refused:
-            item.ordered = false;
-            return;
-        case host_result::no_answer:
-            return;  // stays in doubt; the next step asks again
-        }
-    });
-}
-
-void host_keeper::write_status(std::int64_t wave, bool completed)
-{
-    written_.try_emplace(wave, false);
-    append_request request{.topic = adapter::status_topic,
-                           .partition = 0,
-                           .writer = {},
-                           .epoch = 0,
-                           .sequence = 0,
-                           .records = {{.key = adapter::wave_prefix + std::to_string(wave),
-                                        .value = adapter::encode_wave_status(completed),
-                                        .offset = -1}}};
-    node_.store->append(request, [this, wave, completed, alive = alive_](const append_result& answer) {
-        if (!*alive) {
-            return;
-        }
-        if (answer.status != store_status::ok) {
-            if (!completed) {
-                written_.erase(wave);  // the next step writes it again
-            }
-            return;
-        }
-        written_[wave] = written_[wave] || completed;
-        log_event(log_level::info, "wave", {{"wave", wave}, {"state", completed ? "completed" : "running"}});
-    });
-}
-
 }  // namespace waxwingnotch
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -86,11 +86,9 @@
     }
     if (path == "/shard/load") {
         const queue_load load = owner->core().load_of(query("service"));
-        const nlohmann::json body{{"pending", load.pending},
-                                  {"waiting_cpu_ms", load.waiting_cpu_ms},
+        const nlohmann::json body{{"waiting_cpu_ms", load.waiting_cpu_ms},
                                   {"running_cpu_milli", load.running_cpu_milli},
                                   {"running_memory_mb", load.running_memory_mb},
-                                  {"capacity_cpu_milli", load.capacity_cpu_milli},
                                   {"busy", load.busy}};
         return {true, 200, body.dump()};
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -28,7 +28,7 @@
 constexpr std::int64_t stop_check_ms = 100;
 constexpr std::int64_t deliver_pause_ms = 400;   // between attempts to tell ends to the next owner
 constexpr std::int64_t deliver_for_ms = 60'000;  // longer than any lease that its tasks may wait for
-constexpr std::int64_t release_ms = 500;         // one question to an earlier owner of a shard
+constexpr std::int64_t peer_timeout_ms = 500;    // one call to another node
 
 result<node_settings> read_settings(const std::string& file)
 {
@@ -57,6 +57,9 @@
     void join_group();
     void gain(int shard, std::int64_t epoch);
     void lose(int shard);
+    void configure(int shard, shard_owner& owner);
+    void post_to_peer(const std::string& address, const std::string& path, std::string body,
+                      std::function<void(bool)> done);
     void tell_peers_to_join();
     void deliver_ends();
     void ask_release(const std::string& address, int shard, std::int64_t epoch,
@@ -203,12 +206,7 @@
                    {"queues", state_.config->queues.size()},
                    {"outcome", "in force"}});
         for (auto& [shard, owner] : state_.shards) {
-            owner->set_config(state_.config);
-            for (const auto& [id, entry] : state_.registry) {
-                if (state_.shard_of(entry.service) == shard) {
-                    owner->put_worker(entry);
-                }
-            }
+            configure(shard, *owner);
         }
         return;
     }
@@ -223,6 +221,17 @@
     }
 }
 
+/// Gives a shard the configuration and the registered workers of its services.
+void node::configure(int shard, shard_owner& owner)
+{
+    owner.set_config(state_.config);
+    for (const auto& [id, entry] : state_.registry) {
+        if (state_.shard_of(entry.service) == shard) {
+            owner.put_worker(entry);
+        }
+    }
+}
+
 void node::on_worker_record(const keyed_record& record)
 {
     result<worker_entry> entry = record.value ? adapter::decode_worker(record.key, *record.value)
@@ -275,8 +284,7 @@
 {
     shard_options options{.epoch = epoch,
                           .lease_ms = std::min(lease_ms, state_.settings.max_lease_ms),
-                          .status_keep_ms = 2 * state_.settings.status_keep_ms,
-                          .early_ms = 0};
+                          .status_keep_ms = 2 * state_.settings.status_keep_ms};
     auto owner = std::make_unique<shard_owner>(
         shard_owner::parts{
             &state_.loop, state_.store.get(), state_.workers.get(), state_.advice.get(),
@@ -286,12 +294,7 @@
             }},
         shard, options, [this, shard, epoch] { state_.release(shard, epoch + 1); });
     if (state_.config) {
-        owner->set_config(state_.config);
-        for (const auto& [id, entry] : state_.registry) {
-            if (state_.shard_of(entry.service) == shard) {
-                owner->put_worker(entry);
-            }
-        }
+        configure(shard, *owner);
     }
     shard_owner& started = *owner;
     state_.shards[shard] = std::move(owner);
@@ -304,14 +307,22 @@
 /// Asks another node to give up a shard that this node owns with @p epoch.
 void node::ask_release(const std::string& address, int shard, std::int64_t epoch,
                        std::function<void(bool)> done)
+{
+    const std::string path =
+        "/shard/release?shard=" + std::to_string(shard) + "&epoch=" + std::to_string(epoch);
+    post_to_peer(address, path, {}, std::move(done));
+}
+
+/// @param done hears whether the peer has done it
+void node::post_to_peer(const std::string& address, const std::string& path, std::string body,
+                        std::function<void(bool)> done)
 {
     const http_call call{.method = "POST",
                          .address = address,
-                         .path = "/shard/release?shard=" + std::to_string(shard) +
-                                 "&epoch=" + std::to_string(epoch),
+                         .path = path,
                          .headers = {},
-                         .body = {},
-                         .timeout_ms = release_ms,
+                         .body = std::move(body),
+                         .timeout_ms = peer_timeout_ms,
                          .reuse = true};
     state_.client.send(call, [done = std::move(done)](const http_answer& answer) {
         done(answer.outcome == call_outcome::answered && answer.status == 200);
@@ -322,14 +333,7 @@
 void node::tell_peers_to_join()
 {
     for (const std::string& peer : state_.transport.peers()) {
-        const http_call call{.method = "POST",
-                             .address = peer,
-                             .path = "/group/join",
-                             .headers = {},
-                             .body = {},
-                             .timeout_ms = release_ms,
-                             .reuse = true};
-        state_.client.send(call, [](const http_answer&) {});
+        post_to_peer(peer, "/group/join", {}, [](bool) {});
     }
 }
 
@@ -381,21 +385,13 @@
         }
         const std::string address = state_.group ? state_.group->owner_of(shard) : std::string();
         if (!address.empty() && address != state_.settings.internal_address) {
-            const http_call call{.method = "POST",
-                                 .address = address,
-                                 .path = "/shard/ends?shard=" + std::to_string(shard),
-                                 .headers = {},
-                                 .body = encode_ends(at->second.ends),
-                                 .timeout_ms = release_ms,
-                                 .reuse = true};
-            state_.client.send(
-                call, [this, shard, count = at->second.ends.size()](const http_answer& answer) {
-                    const auto left = state_.left.find(shard);
-                    const bool taken = answer.outcome == call_outcome::answered && answer.status == 200;
-                    if (taken && left != state_.left.end() && left->second.ends.size() == count) {
-                        state_.left.erase(left);
-                    }
-                });
+            post_to_peer(address, "/shard/ends?shard=" + std::to_string(shard), encode_ends(at->second.ends),
+                         [this, shard, count = at->second.ends.size()](bool taken) {
+                             const auto left = state_.left.find(shard);
+                             if (taken && left != state_.left.end() && left->second.ends.size() == count) {
+                                 state_.left.erase(left);
+                             }
+                         });
         }
         ++at;
     }
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -108,8 +108,10 @@
     void ask_pending(const std::shared_ptr<question>& item);
     std::shared_ptr<question> make_question(const http_exchange_ptr& exchange, const queue_config& queue,
                                             const std::string& id);
-    void again(const std::shared_ptr<question>& item, std::int64_t delay_ms,
+    void again(const std::shared_ptr<question>& item,
                void (caller_api::*action)(const std::shared_ptr<question>&));
+    bool again_in_time(const std::shared_ptr<question>& item,
+                       void (caller_api::*action)(const std::shared_ptr<question>&));
     void reply(const http_exchange_ptr& exchange, int status, const std::string& body,
                std::int64_t retry_after_s = 0);
     void finish(question& item, int status, const std::string& body, const char* reason);
