Remove what nothing reads

A reserve that stops told all peers to join, although it has nothing to give up; it no longer does. A member of shard_core had the name of a function of decision/job_order.hpp.

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -34,7 +34,6 @@
     std::int64_t inherited_lease_ms =
         8'000;                              // an earlier owner that cannot be asked may extend leases for 3 s
     std::int64_t status_keep_ms = 240'000;  // ended jobs are kept this long; twice the promise
-    std::int64_t early_ms = 0;              // an occurrence starts at most this much before its time
 };
 
 /// Orders for a worker.
@@ -72,14 +71,12 @@
     std::vector<advice_effect> advice;
 };
 
-/// How full a queue is, for admission at the entry nodes.
+/// What a service asks of its pool, for moves of hosts.
 struct queue_load {
-    std::uint64_t pending = 0;            // jobs without a started task
-    std::int64_t waiting_cpu_ms = 0;      // core-milliseconds of work that waits and ends
-    std::int64_t running_cpu_milli = 0;   // reserved by what runs, and wanted by long-running tasks that wait
-    std::int64_t running_memory_mb = 0;   // the same
-    std::int64_t capacity_cpu_milli = 0;  // of the workers that take work
-    std::vector<std::string> busy;        // workers on which something runs
+    std::int64_t waiting_cpu_ms = 0;     // core-milliseconds of work that waits and ends
+    std::int64_t running_cpu_milli = 0;  // reserved by what runs, and wanted by long-running tasks that wait
+    std::int64_t running_memory_mb = 0;  // the same
+    std::vector<std::string> busy;       // workers on which something runs
 };
 
 /// Whether a worker may be taken away.
@@ -210,7 +207,7 @@
 
     // Scheduling
     void schedule(std::int64_t now_ms);
-    const waiting_job& outlook_of(occurrence_entry& item, std::int64_t now_ms);
+    const waiting_job& refresh_outlook(occurrence_entry& item, std::int64_t now_ms);
     void schedule_occurrence(occurrence_entry& item, placement_round& round, std::int64_t now_ms);
     bool schedule_gang(occurrence_entry& item, std::uint32_t step, placement_round& round,
                        std::int64_t now_ms);
--- a/include/waxwingnotch/store/keyed_follower.hpp
+++ b/include/waxwingnotch/store/keyed_follower.hpp
@@ -37,9 +37,6 @@
     keyed_follower& operator=(keyed_follower&&) = delete;
 
     void start();
-    bool loaded() const { return loaded_; }  // all newest records have been read once
-    /// Monotonic ms of the last answer of the store; 0 before the first.
-    std::int64_t last_answer_ms() const { return last_answer_ms_; }
     /// Monotonic ms: every record that the store had then has been handed over; 0 before the first.
     std::int64_t complete_until_ms() const { return complete_until_ms_; }
 
@@ -55,10 +52,8 @@
     log_store& store_;
     follow_options options_;
     handlers handlers_;
-    bool loaded_ = false;
     bool first_page_ = true;
     std::int64_t next_ = 0;
-    std::int64_t last_answer_ms_ = 0;
     std::int64_t complete_until_ms_ = 0;
     std::int64_t read_sent_ms_ = 0;  // of the read under way
     std::set<std::string> known_;    // keys that have a value
--- a/src/shard/core_jobs.cpp
+++ b/src/shard/core_jobs.cpp
@@ -84,7 +84,7 @@
         if (job.spec.repeat_count > 0) {
             due_ms = job.spec.first_ms + number * job.spec.interval_ms - wall_offset_ms_;
             const bool written = loaded_progress_.contains(job.spec.id + "." + std::to_string(number));
-            if (!written && due_ms - options_.early_ms > now_ms) {
+            if (!written && due_ms > now_ms) {
                 return;
             }
         }
@@ -281,7 +281,6 @@
         if (item->job->spec.service != service) {
             continue;
         }
-        load.pending += item->job->started ? 0 : 1;
         if (!item->job->spec.long_running()) {
             load.waiting_cpu_ms += waiting_cpu_ms(*item, true);
             continue;
@@ -291,9 +290,6 @@
         load.running_memory_mb += wanted.memory_mb;
     }
     for (const auto& [id, worker] : workers_) {
-        if (worker->entry.service == service && worker->listed && worker->synced && !worker->entry.draining) {
-            load.capacity_cpu_milli += worker->entry.capacity.cpu_milli;
-        }
         if (worker->entry.service == service && (!worker->runs.empty() || worker->end_batch != 0)) {
             load.running_cpu_milli += worker->used.cpu_milli;
             load.running_memory_mb += worker->used.memory_mb;
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -102,7 +102,7 @@
     return round;
 }
 
-const waiting_job& shard_core::outlook_of(occurrence_entry& item, std::int64_t now_ms)
+const waiting_job& shard_core::refresh_outlook(occurrence_entry& item, std::int64_t now_ms)
 {
     waiting_job& outlook = item.outlook;
     outlook.age_ms = now_ms - item.due_ms;
@@ -131,7 +131,7 @@
     std::map<std::string_view, std::vector<queued>> services;
     for (occurrence_entry* item : open_) {
         if (item->waiting > 0) {
-            services[item->job->spec.service].push_back({order_key(outlook_of(*item, now_ms)), item});
+            services[item->job->spec.service].push_back({order_key(refresh_outlook(*item, now_ms)), item});
         }
     }
     for (auto& [service, items] : services) {
@@ -148,7 +148,7 @@
 
 void shard_core::schedule_occurrence(occurrence_entry& item, placement_round& round, std::int64_t now_ms)
 {
-    if (item.job->spec.repeat_count > 0 && item.due_ms - options_.early_ms > now_ms) {
+    if (item.job->spec.repeat_count > 0 && item.due_ms > now_ms) {
         return;
     }
     for (std::uint32_t step = 0; step < item.progress.steps.size(); ++step) {
--- a/src/shard/shard_group.cpp
+++ b/src/shard/shard_group.cpp
@@ -147,16 +147,8 @@
 
 void shard_group::leave()
 {
-    const bool member = std::exchange(role_, role::left) == role::member;
-    if (!member) {
-        if (handlers_.left) {
-            loop_.defer([this, alive = alive_] {
-                if (*alive) {
-                    handlers_.left();
-                }
-            });
-        }
-        return;
+    if (std::exchange(role_, role::left) != role::member) {
+        return;  // a reserve has nothing that others could take
     }
     give_up_all("this node stops");
     store_.leave(options_.group, member_, [this, alive = alive_] {
--- a/src/store/keyed_follower.cpp
+++ b/src/store/keyed_follower.cpp
@@ -45,7 +45,6 @@
 
 void keyed_follower::on_page(const newest_page& page)
 {
-    last_answer_ms_ = monotonic_ms();
     if (first_page_) {
         // Pages are not a snapshot: whatever changes after the first one is read from its end on.
         next_ = page.end;
@@ -79,7 +78,6 @@
         handlers_.record({.key = key, .value = std::nullopt, .offset = -1});
     }
     seen_.clear();
-    loaded_ = true;
     const std::shared_ptr<bool> alive = alive_;
     if (handlers_.caught_up) {
         handlers_.caught_up();
@@ -122,7 +120,6 @@
         read_again(retry_ms);
         return;
     }
-    last_answer_ms_ = monotonic_ms();
     const std::shared_ptr<bool> alive = alive_;
     for (const keyed_record& record : read.records) {
         next_ = record.offset + 1;
