--- a/tests/shard/shard_world.hpp
+++ b/tests/shard/shard_world.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -19,6 +20,13 @@
 
 namespace waxwingnotch {
 
+/// A job id with @p number at its end.
+inline std::string id_of(int number)
+{
+    std::string text = std::to_string(number);
+    return std::string(16 - text.size(), '0') + text;
+}
+
 struct world_faults {
     double lost_answers = 0;  // share of orders that are carried out and not answered
     double late_orders = 0;   // share of orders without an answer, carried out seconds later
@@ -149,6 +157,15 @@
         return made;
     }
 
+    /// A job of one step that runs until it is cancelled.
+    static job_spec lasting_job(std::uint32_t tasks, std::optional<std::uint32_t> miss_allowed = std::nullopt)
+    {
+        job_spec made = job("lasting000000001", tasks);
+        made.steps[0].long_running = true;
+        made.steps[0].miss_allowed = miss_allowed;
+        return made;
+    }
+
     /// Lets @p duration_ms pass.
     void run(std::int64_t duration_ms)
     {
