Keep the hosts of a burst in their pools between bursts

Cause: before any job had come, and again after each burst, idle hosts went to standby after 2 s. Change: burst_reserve keeps for each pool what its latest burst needed, at first what the operator assigned. A pool that is short takes any idle host; a surplus returns to pools below their reserve after 0.5 s and goes to standby after 2 s.

--- a/include/waxwingnotch/decision/pool_balance.hpp
+++ b/include/waxwingnotch/decision/pool_balance.hpp
@@ -1,7 +1,9 @@
 /// @file
 /// Moves hosts between pools to follow demand that bursts in one queue after the other: for a few seconds a
 /// queue needs several times its mean, more than its pool has, while the hosts of the other pools idle.
-/// Hosts that no pool needs wait in the standby pool, where they cost nothing.
+/// A pool that is short takes idle hosts from standby and from any pool that has more than it needs now.
+/// Idle hosts return to the pools that are below their reserve; the rest wait in the standby pool, where
+/// they cost nothing.
 #pragma once
 
 #include "waxwingnotch/job/spec.hpp"
@@ -19,6 +21,7 @@
     double capacity_factor = 1.4;           // wanted capacity as a multiple of the demand
     std::uint32_t min_pool_hosts = 2;       // hosts that each pool keeps for the start of its next burst
     std::uint32_t max_moves = 30;           // moves per plan
+    std::int64_t return_delay_ms = 500;     // time that a surplus must last before hosts go to other pools
     std::int64_t surplus_delay_ms = 2'000;  // time that a surplus must last before hosts go to standby
 };
 
@@ -32,7 +35,8 @@
     std::int64_t running_memory_mb = 0;
     std::int64_t waiting_cpu_ms = 0;  // core-milliseconds of other waiting work
     std::uint32_t arriving = 0;       // hosts that are being moved into the pool
-    std::int64_t surplus_ms = 0;      // how long the pool has had more hosts than it needs
+    std::uint32_t reserve = 0;        // hosts to keep for the next burst; a pool that is short may take them
+    std::int64_t surplus_ms = 0;      // how long the pool has had more hosts than it keeps
 };
 
 /// A host that may be moved.
@@ -57,7 +61,11 @@
 /// @param host capacity of one host; memory is ignored if the host has none
 std::uint32_t hosts_needed(const balance_pool& pool, const resources& host, const balance_policy& policy);
 
-/// @return moves of idle hosts: first to the pools that lack most in proportion, then surplus to standby
+/// @return hosts that @p pool keeps while no other pool is short: what it needs, and its reserve
+std::uint32_t hosts_kept(const balance_pool& pool, const resources& host, const balance_policy& policy);
+
+/// @return moves of idle hosts: first to the pools that lack most in proportion to their need, then of a
+///         surplus to pools below their reserve, then of the remaining surplus to standby
 std::vector<pool_move> balance_pools(std::span<const balance_pool> pools, std::span<const balance_host> hosts,
                                      const balance_policy& policy);
 
--- a/include/waxwingnotch/node/settings.hpp
+++ b/include/waxwingnotch/node/settings.hpp
@@ -18,6 +18,7 @@
     std::vector<std::string> seeds;  // internal addresses of some entry nodes; may be stale
     std::string store_address;
     std::string host_service_address;        // of the host service; empty: none
+    int host_orders_per_s = 64;              // moves and maintenance orders that the host service takes
     std::string policy_address;              // of the policy service; empty: none
     int processor_milli = 1'000;             // processor share of this host, thousandths of a core
     int partitions = 8;                      // per topic in the store
--- a/src/decision/pool_balance.cpp
+++ b/src/decision/pool_balance.cpp
@@ -12,12 +12,19 @@
     const balance_pool* pool = nullptr;
     std::uint32_t have = 0;
     std::uint32_t need = 0;
+    std::uint32_t keep = 0;
     std::vector<const balance_host*> idle;  // movable idle hosts
 
     bool can_donate(const balance_policy& policy) const
     {
         return !idle.empty() && (pool->standby || have > std::max(need, policy.min_pool_hosts));
     }
+    /// Whether the pool has had more hosts than it keeps for @p delay_ms.
+    bool has_surplus(std::int64_t delay_ms) const
+    {
+        return !pool->standby && pool->surplus_ms >= delay_ms && !idle.empty() && have > keep;
+    }
+    std::int64_t surplus() const { return static_cast<std::int64_t>(have) - keep; }
 };
 
 std::vector<pool_view> make_views(std::span<const balance_pool> pools, std::span<const balance_host> hosts,
@@ -46,6 +53,7 @@
             mean.cpu_milli /= count;
             mean.memory_mb /= count;
             view.need = hosts_needed(pool, mean, policy);
+            view.keep = hosts_kept(pool, mean, policy);
         }
         views.push_back(std::move(view));
     }
@@ -64,13 +72,28 @@
         if (view.pool->standby) {
             return &view;
         }
-        if (best == nullptr || view.have - view.need > best->have - best->need) {
+        if (best == nullptr || view.surplus() > best->surplus()) {
             best = &view;
         }
     }
     return best;
 }
 
+/// @param wanted member with the number of hosts that a pool should have
+/// @return the pool that lacks most in proportion; null if none lacks any
+pool_view* most_short(std::vector<pool_view>& views, std::uint32_t pool_view::*wanted)
+{
+    pool_view* shortest = nullptr;
+    for (pool_view& view : views) {
+        const bool shorter =
+            shortest == nullptr || view.*wanted * shortest->have > shortest->*wanted * view.have;
+        if (view.*wanted > view.have && shorter) {
+            shortest = &view;
+        }
+    }
+    return shortest;
+}
+
 void move_one(pool_view& from, pool_view& to, std::vector<pool_move>& moves)
 {
     const balance_host* host = from.idle.back();
@@ -94,20 +117,18 @@
     return static_cast<std::uint32_t>(std::ceil(std::max(by_cpu, by_memory) * policy.capacity_factor));
 }
 
+std::uint32_t hosts_kept(const balance_pool& pool, const resources& host, const balance_policy& policy)
+{
+    return std::max({hosts_needed(pool, host, policy), pool.reserve, policy.min_pool_hosts});
+}
+
 std::vector<pool_move> balance_pools(std::span<const balance_pool> pools, std::span<const balance_host> hosts,
                                      const balance_policy& policy)
 {
     std::vector<pool_view> views = make_views(pools, hosts, policy);
     std::vector<pool_move> moves;
     while (moves.size() < policy.max_moves) {
-        pool_view* receiver = nullptr;
-        for (pool_view& view : views) {
-            const bool shorter =
-                receiver == nullptr || view.need * receiver->have > receiver->need * view.have;
-            if (view.need > view.have && shorter) {
-                receiver = &view;
-            }
-        }
+        pool_view* receiver = most_short(views, &pool_view::need);
         pool_view* donor = receiver == nullptr ? nullptr : choose_donor(views, *receiver, policy);
         if (donor == nullptr) {
             break;
@@ -117,8 +138,14 @@
     const auto standby =
         std::find_if(views.begin(), views.end(), [](const pool_view& view) { return view.pool->standby; });
     for (pool_view& view : views) {
-        while (standby != views.end() && !view.pool->standby &&
-               view.pool->surplus_ms >= policy.surplus_delay_ms && view.can_donate(policy) &&
+        while (view.has_surplus(policy.return_delay_ms) && moves.size() < policy.max_moves) {
+            pool_view* receiver = most_short(views, &pool_view::keep);
+            if (receiver == nullptr) {
+                break;
+            }
+            move_one(view, *receiver, moves);
+        }
+        while (standby != views.end() && view.has_surplus(policy.surplus_delay_ms) &&
                moves.size() < policy.max_moves) {
             move_one(view, *standby, moves);
         }
--- a/src/node/host_keeper.cpp
+++ b/src/node/host_keeper.cpp
@@ -18,6 +18,8 @@
 constexpr std::int64_t owner_timeout_ms = 400;
 constexpr std::int64_t move_cooldown_ms = 4'000;  // minimum time between two attempts to move a host
 constexpr std::int64_t pool_log_interval_ms = 1'000;
+constexpr std::int64_t ms_per_s = 1'000;
+constexpr double move_share = 0.75;  // of the orders that the host service takes; the rest is for maintenance
 
 /// Decodes the answer to a drain request.
 /// @return nothing if no owner answered. Values that cannot be read default to a worker that is in use, so
@@ -64,6 +66,9 @@
     : node_(node), authority_{node.settings.name, token},
       first_order_ms_(monotonic_ms() + node.settings.takeover_pause_ms)
 {
+    policy_.max_moves =
+        std::max(1U, static_cast<std::uint32_t>(move_share * node.settings.host_orders_per_s *
+                                                poll_interval_ms / ms_per_s));
     log_event(log_level::info, "host_duty", {{"state", "acquired"}, {"token", token}});
     timer_ = node_.loop.every(poll_interval_ms, [this] { poll(); });
 }
@@ -186,12 +191,13 @@
         const bool busy = survey.loads.at(row.pool).busy.contains(row.worker_id);
         hosts.push_back({row.name, row.pool, row.capacity, !busy, !recently_moved(row.name)});
     }
+    set_reserves(survey, pools, hosts);
     for (balance_pool& pool : pools) {
         const auto host_count = std::count_if(
             hosts.begin(), hosts.end(), [&](const balance_host& host) { return host.pool == pool.name; });
         const resources host = hosts.empty() ? resources{} : hosts.front().capacity;
         std::int64_t& since = surplus_since_ms_[pool.name];
-        const bool surplus = host_count > static_cast<std::ptrdiff_t>(hosts_needed(pool, host, policy_));
+        const bool surplus = host_count > static_cast<std::ptrdiff_t>(hosts_kept(pool, host, policy_));
         since = !surplus ? 0 : since == 0 ? now : since;
         pool.surplus_ms = since == 0 ? 0 : now - since;
     }
@@ -201,6 +207,29 @@
     }
 }
 
+/// Updates the reserves with the current demand, and sets them in @p pools.
+void host_manager::set_reserves(const host_survey& survey, std::vector<balance_pool>& pools,
+                                const std::vector<balance_host>& hosts)
+{
+    const std::int64_t now = monotonic_ms();
+    const resources host = hosts.empty() ? resources{} : hosts.front().capacity;
+    for (const balance_pool& pool : pools) {
+        if (pool.standby) {
+            continue;
+        }
+        const auto assigned =
+            std::count_if(survey.list.hosts.begin(), survey.list.hosts.end(),
+                          [&](const host_row& row) { return row.pool == pool.name; });
+        reserve_.assign(pool.name, static_cast<std::uint32_t>(assigned), now);
+        reserve_.observe(pool.name, hosts_needed(pool, host, policy_), now);
+    }
+    const std::map<std::string, std::uint32_t> kept = reserve_.hosts(now);
+    for (balance_pool& pool : pools) {
+        const auto found = kept.find(pool.name);
+        pool.reserve = found == kept.end() ? 0 : found->second;
+    }
+}
+
 /// Logs the input of the balancing for each pool, once a second.
 void host_manager::log_pools(const std::vector<balance_pool>& pools, const std::vector<balance_host>& hosts)
 {
@@ -223,6 +252,7 @@
                    {"hosts", host_count},
                    {"idle", idle},
                    {"arriving", pool.arriving},
+                   {"reserve", pool.reserve},
                    {"running_cpu_milli", pool.running_cpu_milli},
                    {"running_memory_mb", pool.running_memory_mb},
                    {"waiting_cpu_ms", pool.waiting_cpu_ms},
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "waxwingnotch/base/counters.hpp"
+#include "waxwingnotch/decision/burst_reserve.hpp"
 #include "waxwingnotch/decision/pool_balance.hpp"
 #include "waxwingnotch/net/http_client.hpp"
 #include "waxwingnotch/net/http_server.hpp"
@@ -158,6 +159,8 @@
     void on_list(const host_listing& list);
     void query_loads(const std::shared_ptr<host_survey>& survey);
     void balance(const host_survey& survey);
+    void set_reserves(const host_survey& survey, std::vector<balance_pool>& pools,
+                      const std::vector<balance_host>& hosts);
     void log_pools(const std::vector<balance_pool>& pools, const std::vector<balance_host>& hosts);
     void try_move(const pool_move& planned);
     void order_move(const pool_move& planned);
@@ -186,6 +189,7 @@
     std::map<std::string, std::string> host_workers_;      // by host: id of its worker
     std::set<std::string> busy_workers_;                   // workers with runs in the latest survey
     balance_policy policy_;
+    burst_reserve reserve_;
     std::int64_t last_pool_log_ms_ = 0;
     std::map<std::string, std::int64_t> surplus_since_ms_;  // by pool; 0: no surplus
     timer timer_;
--- a/tests/decision/pool_balance_test.cpp
+++ b/tests/decision/pool_balance_test.cpp
@@ -89,6 +89,39 @@
     EXPECT_EQ(balance_pools(pools, hosts, policy).size(), 4U);
 }
 
+// After a burst, hosts went to standby although the pool of the next burst had given its hosts away.
+TEST(pool_balance, returns_a_surplus_to_pools_below_their_reserve_before_standby)
+{
+    const balance_policy policy{.min_pool_hosts = 0, .return_delay_ms = 500, .surplus_delay_ms = 2'000};
+    std::vector<balance_host> hosts = hosts_of("after", 10, true);
+    add(hosts, hosts_of("before", 2, true));
+    add(hosts, hosts_of("spare", 1, true));
+    std::vector<balance_pool> pools = {{.name = "after", .reserve = 4, .surplus_ms = 500},
+                                       {.name = "before", .reserve = 5},
+                                       {.name = "spare", .standby = true}};
+    const std::vector<pool_move> first = balance_pools(pools, hosts, policy);
+    ASSERT_EQ(first.size(), 3U);
+    EXPECT_TRUE(
+        std::all_of(first.begin(), first.end(), [](const pool_move& one) { return one.to == "before"; }));
+    pools[0].surplus_ms = 2'000;
+    const std::vector<pool_move> later = balance_pools(pools, hosts, policy);
+    EXPECT_EQ(later.size(), 6U);
+    EXPECT_EQ(
+        std::count_if(later.begin(), later.end(), [](const pool_move& one) { return one.to == "spare"; }), 3);
+}
+
+TEST(pool_balance, a_pool_that_is_short_takes_hosts_from_the_reserve_of_another)
+{
+    const balance_policy policy{.horizon_ms = 1'000, .capacity_factor = 1.0, .min_pool_hosts = 0};
+    std::vector<balance_host> hosts = hosts_of("busy", 2, false);
+    add(hosts, hosts_of("quiet", 5, true));
+    const std::vector<balance_pool> pools = {
+        {.name = "busy", .running_cpu_milli = 32'000, .waiting_cpu_ms = 48'000},
+        {.name = "quiet", .reserve = 5},
+    };
+    EXPECT_EQ(balance_pools(pools, hosts, policy).size(), 3U);
+}
+
 TEST(pool_balance, does_not_move_busy_or_claimed_hosts)
 {
     const balance_policy policy{.min_pool_hosts = 0, .surplus_delay_ms = 0};
