Give a pool the hosts that a limit of tasks per worker asks for

Change: the owner's demand names the workers that such a step must be spread over (service_demand::min_workers), and hosts_needed() is never below it.

--- a/include/waxwingnotch/decision/pool_balance.hpp
+++ b/include/waxwingnotch/decision/pool_balance.hpp
@@ -34,6 +34,7 @@
     std::int64_t running_cpu_milli = 0;
     std::int64_t running_memory_mb = 0;
     std::int64_t waiting_cpu_ms = 0;  // core-milliseconds of other waiting work
+    std::uint32_t min_hosts = 0;      // for steps with a limit of tasks per worker
     std::uint32_t arriving = 0;       // hosts that are being moved into the pool
     std::uint32_t reserve = 0;        // hosts to keep for the next burst; a pool that is short may take them
     std::int64_t surplus_ms = 0;      // how long the pool has had more hosts than it keeps
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -81,6 +81,7 @@
     std::int64_t waiting_cpu_ms = 0;     // core-milliseconds of ready tasks, without long-running jobs
     std::int64_t running_cpu_milli = 0;  // reserved by active runs or needed by long-running tasks that wait
     std::int64_t running_memory_mb = 0;  // the same
+    std::uint32_t min_workers = 0;       // of the step that must be spread over the most workers
     std::vector<std::string> busy;       // workers with active runs or with ends that are not stored yet
 };
 
@@ -231,6 +232,7 @@
     std::int64_t critical_path_ms(const job_entry& job, const occurrence_progress* progress) const;
     std::int64_t waiting_cpu_ms(const occurrence_entry& occurrence, bool ready_only) const;
     resources waiting_demand(const occurrence_entry& occurrence) const;
+    std::uint32_t min_workers(const occurrence_entry& occurrence) const;
 
     shard_options options_;
     std::shared_ptr<const cluster_config> config_;
--- a/src/decision/pool_balance.cpp
+++ b/src/decision/pool_balance.cpp
@@ -114,7 +114,9 @@
     const double by_memory =
         host.memory_mb > 0 ? static_cast<double>(pool.running_memory_mb) / static_cast<double>(host.memory_mb)
                            : 0.0;
-    return static_cast<std::uint32_t>(std::ceil(std::max(by_cpu, by_memory) * policy.capacity_factor));
+    const auto by_size =
+        static_cast<std::uint32_t>(std::ceil(std::max(by_cpu, by_memory) * policy.capacity_factor));
+    return std::max(by_size, pool.min_hosts);
 }
 
 std::uint32_t hosts_kept(const balance_pool& pool, const resources& host, const balance_policy& policy)
--- a/src/node/host_keeper.cpp
+++ b/src/node/host_keeper.cpp
@@ -135,6 +135,7 @@
                             load.waiting_cpu_ms = body.value("waiting_cpu_ms", std::int64_t{0});
                             load.running_cpu_milli = body.value("running_cpu_milli", std::int64_t{0});
                             load.running_memory_mb = body.value("running_memory_mb", std::int64_t{0});
+                            load.min_workers = body.value("min_workers", 0U);
                             load.busy = body.value("busy", std::set<std::string>());
                         }
                         if (--survey->open == 0) {
@@ -168,7 +169,8 @@
                          .standby = service.standby,
                          .running_cpu_milli = load.running_cpu_milli,
                          .running_memory_mb = load.running_memory_mb,
-                         .waiting_cpu_ms = load.waiting_cpu_ms});
+                         .waiting_cpu_ms = load.waiting_cpu_ms,
+                         .min_hosts = load.min_workers});
     }
     const std::set<std::string> leaving = leaving_hosts();
     std::vector<balance_host> hosts;
@@ -256,6 +258,7 @@
                    {"running_cpu_milli", pool.running_cpu_milli},
                    {"running_memory_mb", pool.running_memory_mb},
                    {"waiting_cpu_ms", pool.waiting_cpu_ms},
+                   {"min_hosts", pool.min_hosts},
                    {"surplus_ms", pool.surplus_ms}});
     }
 }
--- a/src/node/host_parts.hpp
+++ b/src/node/host_parts.hpp
@@ -24,6 +24,7 @@
     std::int64_t waiting_cpu_ms = 0;
     std::int64_t running_cpu_milli = 0;
     std::int64_t running_memory_mb = 0;
+    std::uint32_t min_workers = 0;
     std::set<std::string> busy;  // ids of workers with runs
 };
 
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -91,6 +91,7 @@
         const nlohmann::json body{{"waiting_cpu_ms", demand.waiting_cpu_ms},
                                   {"running_cpu_milli", demand.running_cpu_milli},
                                   {"running_memory_mb", demand.running_memory_mb},
+                                  {"min_workers", demand.min_workers},
                                   {"busy", demand.busy}};
         return {true, 200, body.dump()};
     }
--- a/src/shard/core_jobs.cpp
+++ b/src/shard/core_jobs.cpp
@@ -281,6 +281,7 @@
         if (occurrence->job->spec.service != service) {
             continue;
         }
+        total.min_workers = std::max(total.min_workers, min_workers(*occurrence));
         if (!occurrence->job->spec.long_running()) {
             total.waiting_cpu_ms += waiting_cpu_ms(*occurrence, true);
             continue;
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -86,6 +86,25 @@
     return total;
 }
 
+/// @return workers that the steps which run or could run now need because of their limit of tasks per worker
+std::uint32_t shard_core::min_workers(const occurrence_entry& occurrence) const
+{
+    std::uint32_t most = 0;
+    for (std::uint32_t step = 0; step < occurrence.progress.steps.size(); ++step) {
+        const step_spec& spec = occurrence.step(step);
+        if (spec.max_per_worker == 0 || !occurrence.progress.ready(spec)) {
+            continue;
+        }
+        const auto& tasks = occurrence.progress.steps[step];
+        const auto open = static_cast<std::uint32_t>(
+            std::count_if(tasks.begin(), tasks.end(), [](const task_progress& task) {
+                return task.phase == task_phase::waiting || task.phase == task_phase::active;
+            }));
+        most = std::max(most, (open + spec.max_per_worker - 1) / spec.max_per_worker);
+    }
+    return most;
+}
+
 shard_core::placement_round shard_core::make_round(std::string_view service, std::int64_t now_ms)
 {
     placement_round round;
--- a/tests/decision/pool_balance_test.cpp
+++ b/tests/decision/pool_balance_test.cpp
@@ -46,6 +46,14 @@
               4U);
 }
 
+// Five tasks that must not share a worker needed one host by size. The pool kept two, and one task never
+// started again after an evacuation (tkc-sapporo scale-1, seed 952867340976).
+TEST(pool_balance, counts_the_hosts_of_steps_with_a_limit_per_worker)
+{
+    const balance_policy policy{.horizon_ms = 1'000, .capacity_factor = 1.0};
+    EXPECT_EQ(hosts_needed({.name = "a", .running_cpu_milli = 5'000, .min_hosts = 5}, host_size, policy), 5U);
+}
+
 TEST(pool_balance, covers_a_burst_from_standby_first_and_from_idle_pools_next)
 {
     const balance_policy policy{
--- a/tests/shard/shard_hosts_test.cpp
+++ b/tests/shard/shard_hosts_test.cpp
@@ -110,5 +110,23 @@
     EXPECT_TRUE(owner->core->demand_of("svc").busy.empty());
 }
 
+// See pool_balance, counts_the_hosts_of_steps_with_a_limit_per_worker.
+TEST(shard_core, demand_names_the_workers_that_a_step_must_be_spread_over)
+{
+    shard_world world(13);
+    world.add_worker("a");
+    world.add_worker("b");
+    const auto owner = world.take_over();
+    job_spec job = shard_world::long_running_job(5);
+    job.steps[0].max_per_worker = 2;
+    world.submit(job);
+    world.submit(shard_world::job(id_of(1), 9));
+    world.run(200);
+    EXPECT_EQ(owner->core->demand_of("svc").min_workers, 3U);
+    world.cancel(job.id);
+    world.run(1'000);
+    EXPECT_EQ(owner->core->demand_of("svc").min_workers, 0U);
+}
+
 }  // namespace
 }  // namespace waxwingnotch
