Send calls to a silent store over a second route at once

Cause: when the store went silent towards a third of the nodes, each append of an owner among them waited for its timeout of 0.6 s, then for a peer that was cut off as well, and again each 0.7 s, as the failed path was tried with the next append. A late timer is not taken for a silent store.

--- a/include/waxwingnotch/net/http_client.hpp
+++ b/include/waxwingnotch/net/http_client.hpp
@@ -67,6 +67,8 @@
     http_client(http_client&&) = delete;
     http_client& operator=(http_client&&) = delete;
 
+    event_loop& loop() const { return loop_; }
+
     /// Sends @p call. Calls @p done once, from the loop, unless the client is destroyed first.
     call_id send(const http_call& call, answer_handler done);
     /// Cancels a call; its handler is called with `cancelled`. Unknown ids are ignored.
--- a/include/waxwingnotch/store/transport.hpp
+++ b/include/waxwingnotch/store/transport.hpp
@@ -1,12 +1,16 @@
 /// @file
-/// Sends calls to the store: directly, or through another entry node while the direct path fails.
+/// Sends calls to the store: directly, or through another entry node while the direct path fails. A call
+/// that is not answered soon is sent again over another route, so calls must have the same effect when they
+/// are carried out twice: appends carry a sequence number or the newest value of a key.
 #pragma once
 
 #include "waxwingnotch/net/event_loop.hpp"
 #include "waxwingnotch/net/http_client.hpp"
+#include "waxwingnotch/store/store_routes.hpp"
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -18,6 +22,7 @@
     std::string path;  // with the query
     std::string body;
     std::int64_t timeout_ms = 0;
+    std::int64_t wait_ms = 0;  // the store may delay its answer for this long; part of `timeout_ms`
 };
 
 class store_transport {
@@ -26,10 +31,12 @@
 
     void set_address(std::string address) { address_ = std::move(address); }
     /// Internal addresses of the other entry nodes.
-    void set_peers(std::vector<std::string> peers) { peers_ = std::move(peers); }
-    const std::vector<std::string>& peers() const { return peers_; }
+    void set_peers(std::vector<std::string> peers) { routes_.set_peers(std::move(peers)); }
+    const std::vector<std::string>& peers() const { return routes_.peers(); }
 
-    /// Sends a call directly; through a peer if the direct call fails or one has failed recently.
+    /// Sends a call over the best route, and over up to two others if it fails or is not answered soon.
+    /// @param done receives the first answer that is no refusal. If there is none, it receives the outcome of
+    ///        an attempt that may have been carried out, or else a refusal.
     void send(const store_call& call, answer_handler done);
     /// Sends a call directly, without a fallback to peers; for calls that this node relays.
     void send_direct(const store_call& call, answer_handler done);
@@ -41,17 +48,24 @@
     static constexpr const char* relay_path = "/relay";          // on the peer; `relay_target` names the call
     static constexpr const char* relay_target = "Relay-Target";  // header: method and path
     static constexpr const char* relay_timeout = "Relay-Timeout";  // header, ms
+    static constexpr const char* relay_wait = "Relay-Wait";        // header, ms
 
 private:
-    void send_via_peer(const store_call& call, std::size_t attempts_left, answer_handler done);
+    struct pending_send;
+    using pending_ptr = std::shared_ptr<pending_send>;
+
+    void attempt(const pending_ptr& send);
+    void resend_later(const pending_ptr& send);
+    void on_attempt_answer(const pending_ptr& send, const store_route& route, std::int64_t sent_ms,
+                           const http_answer& answer);
+    void send_via_peer(const store_call& call, const std::string& peer, answer_handler done);
+    void probe(const store_call& call);
     void note_direct_result(const http_answer& answer);
     static bool failed(const http_answer& answer);
 
     http_client& client_;
     std::string address_;
-    std::vector<std::string> peers_;
-    std::size_t next_peer_ = 0;
-    std::int64_t avoid_direct_until_ms_ = 0;  // monotonic; until then calls go to peers
+    store_routes routes_;
     std::int64_t last_peer_answer_ms_ = 0;
     bool loss_logged_ = false;                  // the loss of the direct path has been logged
     std::int64_t direct_failing_since_ms_ = 0;  // monotonic; 0: the latest direct call succeeded
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -368,6 +368,11 @@
             peers.push_back(seed);
         }
     }
+    // Each node starts with another peer, so that relayed calls spread over the peers.
+    if (!peers.empty()) {
+        const std::size_t first = std::hash<std::string>()(state_.settings.internal_address) % peers.size();
+        std::rotate(peers.begin(), peers.begin() + static_cast<std::ptrdiff_t>(first), peers.end());
+    }
     state_.transport.set_peers(std::move(peers));
 }
 
--- a/src/store/transport.cpp
+++ b/src/store/transport.cpp
@@ -3,14 +3,17 @@
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/log.hpp"
 
+#include <algorithm>
+
 namespace waxwingnotch {
 
 namespace {
 
-constexpr std::int64_t direct_avoid_ms = 700;  // calls go to peers for this long after a direct call failed
 constexpr std::int64_t relay_margin_ms = 100;  // added for the hop through the peer
 constexpr std::int64_t log_delay_ms = 300;     // shorter losses and recoveries are not logged
-constexpr std::size_t max_relay_attempts = 2;  // relay attempts per call
+constexpr std::size_t max_attempts = 3;        // per call
+// A timer that fires this late shows that this process is short of processor time. Answers may wait unread.
+constexpr std::int64_t late_timer_ms = 50;
 constexpr int status_throttled = 429;
 constexpr int status_unavailable = 503;
 constexpr int status_bad_gateway = 502;
@@ -21,21 +24,20 @@
     return answer.outcome != call_outcome::answered || answer.status == status_bad_gateway;
 }
 
-/// Wraps @p done for the next attempt. If @p first may have been carried out and the next attempt is
-/// refused, @p done receives @p first, because the refusal says nothing about the earlier attempt.
-answer_handler keep_unknown_outcome(const http_answer& first, answer_handler done)
-{
-    if (!may_have_executed(first)) {
-        return done;
-    }
-    return [first, done = std::move(done)](const http_answer& answer) {
-        const bool refused = answer.status == status_throttled || answer.status == status_unavailable;
-        done(refused ? first : answer);
-    };
-}
-
 }  // namespace
 
+/// A call and its attempts over several routes.
+struct store_transport::pending_send {
+    store_call call;
+    answer_handler done;
+    std::vector<store_route> tried;
+    std::size_t open = 0;  // attempts without an answer
+    bool finished = false;
+    bool failed_once = false;
+    http_answer failure;  // of an attempt that may have been carried out, else of the latest one
+    timer resend;
+};
+
 store_transport::store_transport(http_client& client) : client_(client) {}
 
 bool store_transport::failed(const http_answer& answer)
@@ -46,7 +48,7 @@
 
 bool store_transport::direct_path_usable() const
 {
-    return monotonic_ms() >= avoid_direct_until_ms_;
+    return routes_.direct_usable(monotonic_ms());
 }
 
 void store_transport::note_direct_result(const http_answer& answer)
@@ -54,7 +56,6 @@
     const std::int64_t now = monotonic_ms();
     if (!failed(answer)) {
         direct_failing_since_ms_ = 0;
-        avoid_direct_until_ms_ = 0;
         direct_working_since_ms_ = direct_working_since_ms_ == 0 ? now : direct_working_since_ms_;
         if (loss_logged_ && now - direct_working_since_ms_ >= log_delay_ms) {
             loss_logged_ = false;
@@ -63,7 +64,6 @@
         return;
     }
     direct_working_since_ms_ = 0;
-    avoid_direct_until_ms_ = now + direct_avoid_ms;
     direct_failing_since_ms_ = direct_failing_since_ms_ == 0 ? now : direct_failing_since_ms_;
     if (!loss_logged_ && now - direct_failing_since_ms_ >= log_delay_ms) {
         loss_logged_ = true;
@@ -81,10 +81,18 @@
                   .body = call.body,
                   .timeout_ms = call.timeout_ms,
                   .reuse_connection = true};
-    client_.send(out, [this, done = std::move(done)](const http_answer& answer) {
+    const std::int64_t sent_ms = monotonic_ms();
+    client_.send(out, [this, sent_ms, wait_ms = call.wait_ms, done = std::move(done)](const http_answer& answer) {
         if (answer.outcome == call_outcome::timed_out) {
             client_.close_idle_connections(address_);  // other idle connections may be dead too
         }
+        const std::int64_t now = monotonic_ms();
+        if (failed(answer)) {
+            routes_.on_failure({}, now);
+        }
+        else {
+            routes_.on_answer({}, std::max<std::int64_t>(now - sent_ms - wait_ms, 0));
+        }
         note_direct_result(answer);
         done(answer);
     });
@@ -92,43 +100,119 @@
 
 void store_transport::send(const store_call& call, answer_handler done)
 {
-    if (!direct_path_usable() && !peers_.empty()) {
-        send_via_peer(call, max_relay_attempts, std::move(done));
-        return;
+    auto pending = std::make_shared<pending_send>();
+    pending->call = call;
+    pending->done = std::move(done);
+    attempt(pending);
+}
+
+void store_transport::attempt(const pending_ptr& send)
+{
+    const std::int64_t now = monotonic_ms();
+    const store_route route = routes_.next(send->tried, now);
+    send->tried.push_back(route);
+    ++send->open;
+    const auto on_answer = [this, send, route, now](const http_answer& answer) {
+        on_attempt_answer(send, route, now, answer);
+    };
+    if (route.empty()) {
+        send_direct(send->call, on_answer);
     }
-    send_direct(call, [this, call, done = std::move(done)](const http_answer& answer) {
-        if (failed(answer) && !peers_.empty()) {
-            send_via_peer(call, max_relay_attempts, keep_unknown_outcome(answer, done));
+    else {
+        send_via_peer(send->call, route, on_answer);
+        probe(send->call);
+    }
+    if (!routes_.peers().empty() && send->tried.size() < max_attempts) {
+        resend_later(send);
+    }
+}
+
+/// Starts another attempt if none has been answered by then. The route counts as failed until it answers.
+void store_transport::resend_later(const pending_ptr& send)
+{
+    const std::int64_t delay_ms = routes_.resend_after_ms() + send->call.wait_ms;
+    const std::int64_t due_ms = monotonic_ms() + delay_ms;
+    send->resend = client_.loop().after(delay_ms, [this, weak = std::weak_ptr(send), due_ms] {
+        const pending_ptr kept = weak.lock();
+        if (!kept || kept->finished) {
             return;
         }
-        done(answer);
+        const std::int64_t now = monotonic_ms();
+        if (now - due_ms > late_timer_ms) {
+            resend_later(kept);
+            return;
+        }
+        routes_.on_failure(kept->tried.back(), now);
+        attempt(kept);
     });
 }
 
-void store_transport::send_via_peer(const store_call& call, std::size_t attempts_left, answer_handler done)
+void store_transport::on_attempt_answer(const pending_ptr& send, const store_route& route,
+                                        std::int64_t sent_ms, const http_answer& answer)
+{
+    --send->open;
+    const std::int64_t now = monotonic_ms();
+    if (!route.empty()) {
+        if (failed(answer)) {
+            routes_.on_failure(route, now);
+        }
+        else {
+            routes_.on_answer(route, std::max<std::int64_t>(now - sent_ms - send->call.wait_ms, 0));
+        }
+    }
+    if (send->finished) {
+        return;
+    }
+    if (!failed(answer)) {
+        send->finished = true;
+        send->resend.cancel();
+        send->done(answer);
+        return;
+    }
+    if (!send->failed_once || !may_have_executed(send->failure)) {
+        send->failure = answer;
+    }
+    send->failed_once = true;
+    const bool more = !routes_.peers().empty() && send->tried.size() < max_attempts;
+    if (more && send->open == 0) {
+        send->resend.cancel();
+        attempt(send);
+        return;
+    }
+    if (!more && send->open == 0) {
+        send->finished = true;
+        send->done(send->failure);
+    }
+}
+
+void store_transport::send_via_peer(const store_call& call, const std::string& peer, answer_handler done)
 {
-    const std::string peer = peers_[next_peer_++ % peers_.size()];
     http_call out{.method = "POST",
                   .address = peer,
                   .path = relay_path,
                   .headers = {{relay_target, call.method + " " + call.path},
-                              {relay_timeout, std::to_string(call.timeout_ms)}},
+                              {relay_timeout, std::to_string(call.timeout_ms)},
+                              {relay_wait, std::to_string(call.wait_ms)}},
                   .body = call.body,
                   .timeout_ms = call.timeout_ms + relay_margin_ms,
                   .reuse_connection = true};
-    client_.send(out, [this, call, attempts_left, peer, done = std::move(done)](const http_answer& answer) {
+    client_.send(out, [this, peer, done = std::move(done)](const http_answer& answer) {
         if (answer.outcome == call_outcome::timed_out) {
             client_.close_idle_connections(peer);
         }
         if (answer.outcome == call_outcome::answered) {
             last_peer_answer_ms_ = monotonic_ms();
         }
-        if (failed(answer) && attempts_left > 1) {
-            send_via_peer(call, attempts_left - 1, keep_unknown_outcome(answer, done));
-            return;
-        }
         done(answer);
     });
 }
 
+/// Sends a read that goes through a peer to the store as well, to notice when the direct path works again.
+void store_transport::probe(const store_call& call)
+{
+    if (call.method == "GET" && call.wait_ms == 0 && routes_.take_probe(monotonic_ms())) {
+        send_direct(call, [](const http_answer&) {});
+    }
+}
+
 }  // namespace waxwingnotch
--- a/tests/store/store_test.cpp
+++ b/tests/store/store_test.cpp
@@ -295,5 +295,72 @@
     EXPECT_EQ(peer.calls, 2);
 }
 
+/// A store or peer that accepts calls and never answers.
+class silent_server {
+public:
+    explicit silent_server(event_loop& loop) : server_(loop)
+    {
+        server_.handle([this](const http_exchange_ptr& exchange) { exchanges_.push_back(exchange); });
+        address = "127.0.0.1:" + std::to_string(server_.listen("127.0.0.1", 0).value());
+    }
+    std::size_t calls() const { return exchanges_.size(); }
+    std::string address;
+
+private:
+    http_server server_;
+    std::vector<http_exchange_ptr> exchanges_;
+};
+
+// A store that had gone silent held up each append for its whole timeout, and again each time the direct path
+// was tried with an append (tkc-sapporo-large trouble-1: appends of 0.6 to 1.6 s for 9 s).
+TEST_F(store_test, transport_does_not_wait_for_the_timeout_of_a_silent_store_and_a_silent_peer)
+{
+    silent_server silent_store(loop);
+    silent_server silent_peer(loop);
+    answering_server peer(loop, 200);
+    http_client client(loop);
+    store_transport transport(client);
+    transport.set_address(silent_store.address);
+    transport.set_peers({silent_peer.address, peer.address});
+    int answers = 0;
+    std::function<void()> send = [&] {
+        transport.send({.method = "POST", .path = "/x", .timeout_ms = test_timeout_ms},
+                       [&](const http_answer& answer) {
+                           EXPECT_EQ(answer.status, 200);
+                           if (++answers == 20) {
+                               loop.stop();
+                               return;
+                           }
+                           send();
+                       });
+    };
+    send();
+    run();
+    EXPECT_EQ(peer.calls, 20);
+    EXPECT_EQ(silent_store.calls(), 1U);
+    EXPECT_EQ(silent_peer.calls(), 1U);
+}
+
+TEST_F(store_test, transport_returns_to_the_store_once_a_read_reaches_it)
+{
+    answering_server store_server(loop, 503);
+    answering_server recovered(loop, 200);
+    answering_server peer(loop, 200);
+    http_client client(loop);
+    store_transport transport(client);
+    transport.set_address(store_server.address);
+    transport.set_peers({peer.address});
+    timer stop;
+    transport.send({.method = "POST", .path = "/x", .timeout_ms = 5'000}, [&](const http_answer&) {
+        EXPECT_FALSE(transport.direct_path_usable());
+        transport.set_address(recovered.address);
+        transport.send({.method = "GET", .path = "/y", .timeout_ms = 5'000},
+                       [&](const http_answer&) { stop = loop.after(200, [&] { loop.stop(); }); });
+    });
+    run();
+    EXPECT_TRUE(transport.direct_path_usable());
+    EXPECT_EQ(recovered.calls, 1);
+}
+
 }  // namespace
 }  // namespace waxwingnotch
