Store the records of jobs through the owner of their shard

Cause: while the store takes 0.2 to 0.4 s for an append, 97 nodes appended the jobs of one queue each by themselves to one partition, which takes one append at a time and refuses what would wait for 2 s. The expected answer time of the store rises quickly, so that few calls to a slow store go out twice. Reserves follow what runs, not the backlog, which asked for the whole fleet.

--- a/include/waxwingnotch/decision/burst_reserve.hpp
+++ b/include/waxwingnotch/decision/burst_reserve.hpp
@@ -31,7 +31,7 @@
     // Input
     /// Hosts that the operator has assigned to a pool. Further calls for the same pool have no effect.
     void assign(const std::string& pool, std::uint32_t hosts, std::int64_t now_ms);
-    /// Hosts that the pool's running and waiting work needs now.
+    /// Hosts that the pool's running work needs now.
     void observe(const std::string& pool, std::uint32_t needed, std::int64_t now_ms);
 
     // Output
--- a/src/node/callers.cpp
+++ b/src/node/callers.cpp
@@ -209,7 +209,7 @@
 {
     ++request->attempts;
     keyed_record record{.key = request->id, .value = request->record, .offset = -1};
-    node_.job_appender(request->shard).append(std::move(record), [this, request](store_status outcome) {
+    node_.store_job_record(request->shard, std::move(record), [this, request](store_status outcome) {
         if (request->answered) {
             log_event(log_level::info, "append_late",
                       {{"job", request->id}, {"outcome", to_string(outcome)}});
@@ -325,7 +325,7 @@
 void caller_api::append_cancel(const std::shared_ptr<pending_request>& request)
 {
     keyed_record record{.key = request->id + cancel_key_suffix, .value = "1", .offset = -1};
-    node_.job_appender(request->shard).append(std::move(record), [this, request](store_status outcome) {
+    node_.store_job_record(request->shard, std::move(record), [this, request](store_status outcome) {
         if (outcome == store_status::ok) {
             finish(*request, 200, adapter::encode_job_state(job_state::cancelled), "stored");
             return;
--- a/src/node/host_keeper.cpp
+++ b/src/node/host_keeper.cpp
@@ -223,7 +223,10 @@
             std::count_if(survey.list.hosts.begin(), survey.list.hosts.end(),
                           [&](const host_row& row) { return row.pool == pool.name; });
         reserve_.assign(pool.name, static_cast<std::uint32_t>(assigned), now);
-        reserve_.observe(pool.name, hosts_needed(pool, host, policy_), now);
+        // A backlog asks for more hosts than the burst itself, as it is to be worked off in a short time.
+        balance_pool without_backlog = pool;
+        without_backlog.waiting_cpu_ms = 0;
+        reserve_.observe(pool.name, hosts_needed(without_backlog, host, policy_), now);
     }
     const std::map<std::string, std::uint32_t> kept = reserve_.hosts(now);
     for (balance_pool& pool : pools) {
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -204,8 +204,31 @@
     exchange->reply(200, {}, "");
 }
 
+/// Stores the record of a job or a cancel that another node has accepted.
+void internal_api::accept_record(const http_exchange_ptr& exchange)
+{
+    const int shard = static_cast<int>(parse_integer(exchange->query("shard").value_or(""), -1));
+    if (!node_.shards.contains(shard)) {
+        exchange->reply(status_not_owner, {}, "");
+        return;
+    }
+    const std::string key = exchange->query("key").value_or("");
+    const bool cancel = !key.empty() && key.back() == cancel_key_suffix;
+    if (!is_job_id(cancel ? key.substr(0, key.size() - 1) : key) || exchange->body().empty()) {
+        exchange->reply(400, {}, "expected a key of a job or of a cancel, and a record");
+        return;
+    }
+    node_.job_appender(shard).append(
+        {.key = key, .value = exchange->body(), .offset = -1},
+        [exchange](store_status outcome) { exchange->reply(status_of_stored_record(outcome), {}, ""); });
+}
+
 void internal_api::handle_shard(const http_exchange_ptr& exchange)
 {
+    if (exchange->path() == submit_path) {
+        accept_record(exchange);
+        return;
+    }
     if (exchange->path() == "/shard/ends") {
         accept_ends(exchange);
         return;
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -5,6 +5,7 @@
 #include "waxwingnotch/base/counters.hpp"
 #include "waxwingnotch/decision/burst_reserve.hpp"
 #include "waxwingnotch/decision/pool_balance.hpp"
+#include "waxwingnotch/decision/submission_route.hpp"
 #include "waxwingnotch/net/http_client.hpp"
 #include "waxwingnotch/net/http_server.hpp"
 #include "waxwingnotch/node/host_api.hpp"
@@ -55,6 +56,11 @@
         std::int64_t since_ms = 0;
     };
     std::map<int, undelivered_ends> undelivered;  // by shard
+    /// Stores the record of an accepted job or of a cancel: through the owner of the shard, or by an own append
+    /// if the owner is unknown or has not answered lately.
+    /// @param done receives the outcome; `refused` if the record is certainly not stored
+    void store_job_record(int shard, keyed_record record, std::function<void(store_status)> done);
+    std::map<int, submission_route> submission_routes;  // by shard
     /// Appender of accepted jobs and cancels of a shard; made on first use.
     batch_appender& job_appender(int shard);
     std::map<int, std::unique_ptr<batch_appender>> job_appenders;  // by shard
@@ -84,6 +90,11 @@
 owner_reply answer_shard_query(node_state& node, int shard, const std::string& path,
                                const std::function<std::string(std::string_view)>& query);
 
+/// Path of the internal interface at which an owner takes records of jobs and cancels.
+constexpr const char* submit_path = "/shard/submit";
+/// Status of the answer to a submitted record.
+int status_of_stored_record(store_status outcome);
+
 /// Encodes ends of runs that are not stored, for the next owner of the shard.
 std::string encode_ends(const std::vector<ended_row>& ends);
 
@@ -133,6 +144,7 @@
 private:
     void relay(const http_exchange_ptr& exchange);
     void accept_ends(const http_exchange_ptr& exchange);
+    void accept_record(const http_exchange_ptr& exchange);
     void handle_shard(const http_exchange_ptr& exchange);
 
     node_state& node_;
--- a/src/store/store_routes.cpp
+++ b/src/store/store_routes.cpp
@@ -6,7 +6,10 @@
 
 namespace {
 
-constexpr double mean_weight = 0.2;  // of the newest answer in the moving average
+// Weights of the newest answer in the moving average. The average rises quickly, so that a store that has
+// become slow gets few calls twice.
+constexpr double slower_weight = 0.5;
+constexpr double faster_weight = 0.1;
 
 }  // namespace
 
@@ -67,7 +70,8 @@
 
 void store_routes::on_answer(const store_route& route, std::int64_t answer_ms)
 {
-    mean_answer_ms_ += mean_weight * (static_cast<double>(answer_ms) - mean_answer_ms_);
+    const double difference_ms = static_cast<double>(answer_ms) - mean_answer_ms_;
+    mean_answer_ms_ += difference_ms * (difference_ms > 0 ? slower_weight : faster_weight);
     if (route.empty()) {
         avoid_direct_until_ms_ = 0;
         return;
