Say why a long-running task waits

Change: once a second, a step with such tasks logs task_waits with the reason and its inputs, and gauges count the tasks by reason.

--- a/include/waxwingnotch/decision/task_placement.hpp
+++ b/include/waxwingnotch/decision/task_placement.hpp
@@ -30,4 +30,18 @@
 /// @return index of the best candidate, or -1 if none can take the task
 int choose_worker(const step_spec& step, std::span<const placement_candidate> candidates);
 
+/// Why no candidate can take a task.
+enum class wait_reason : std::uint8_t {
+    none,          // a candidate can take it
+    no_worker,     // there is no candidate
+    no_room,       // the task fits into no candidate's free resources
+    not_eligible,  // no candidate with room has the label, is allowed for the step, or lacks a run of the task
+    worker_limit,  // each candidate that is left runs as many tasks of the step as one worker may
+};
+constexpr std::size_t wait_reason_count = 5;
+const char* to_string(wait_reason reason);
+
+/// @return why choose_worker() would find none of @p candidates
+wait_reason why_waiting(const step_spec& step, std::span<const placement_candidate> candidates);
+
 }  // namespace waxwingnotch
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -12,9 +12,11 @@
 #pragma once
 
 #include "waxwingnotch/decision/job_order.hpp"
+#include "waxwingnotch/decision/task_placement.hpp"
 #include "waxwingnotch/job/progress.hpp"
 #include "waxwingnotch/shard/worker_api.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -161,6 +163,8 @@
     const shard_counts& counts() const { return counts_; }
     std::size_t jobs() const { return jobs_.size(); }
     std::size_t runs() const { return runs_.size(); }
+    /// Long-running tasks that wait, by the reason found in the latest check, at most a second ago.
+    const std::array<std::size_t, wait_reason_count>& waiting_tasks() const { return waiting_tasks_; }
     bool fenced() const { return fenced_; }  // a worker has seen a higher token: this owner is replaced
 
     // Host operations
@@ -225,8 +229,14 @@
                std::int64_t now_ms);
     void schedule_copies(std::int64_t now_ms);
     placement_round make_round(std::string_view service, std::int64_t now_ms);
+    std::vector<placement_candidate> make_candidates(const occurrence_entry& occurrence, std::uint32_t step,
+                                                     std::uint32_t index,
+                                                     const std::vector<placement_view>& views,
+                                                     std::int64_t now_ms) const;
     int choose_view(const occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
-                    const std::vector<placement_view>& views, std::int64_t now_ms);
+                    const std::vector<placement_view>& views, std::int64_t now_ms) const;
+    void report_waiting_tasks(std::int64_t now_ms);
+    void report_waiting_step(const occurrence_entry& occurrence, std::uint32_t step, std::int64_t now_ms);
     bool advice_ready(occurrence_entry& occurrence, std::uint32_t step, std::int64_t now_ms);
     std::int64_t expected_ms(const job_entry& job, std::uint32_t step) const;
     std::int64_t critical_path_ms(const job_entry& job, const occurrence_progress* progress) const;
@@ -262,6 +272,8 @@
     std::int64_t wall_offset_ms_ = 0;  // time of day minus steady time
     std::int64_t loaded_ms_ = 0;
     std::int64_t last_forget_ms_ = 0;
+    std::int64_t last_waiting_report_ms_ = 0;
+    std::array<std::size_t, wait_reason_count> waiting_tasks_{};
     shard_counts counts_;
 };
 
--- a/src/decision/task_placement.cpp
+++ b/src/decision/task_placement.cpp
@@ -1,5 +1,7 @@
 #include "waxwingnotch/decision/task_placement.hpp"
 
+#include <algorithm>
+
 namespace waxwingnotch {
 
 namespace {
@@ -63,4 +65,43 @@
     return best;
 }
 
+const char* to_string(wait_reason reason)
+{
+    switch (reason) {
+    case wait_reason::none:
+        return "none";
+    case wait_reason::no_worker:
+        return "no worker takes tasks";
+    case wait_reason::no_room:
+        return "no worker has room";
+    case wait_reason::not_eligible:
+        return "no worker with room may run the task";
+    case wait_reason::worker_limit:
+        return "the limit of tasks per worker is reached";
+    }
+    return "unnamed";
+}
+
+wait_reason why_waiting(const step_spec& step, std::span<const placement_candidate> candidates)
+{
+    wait_reason reason = wait_reason::no_worker;
+    for (const placement_candidate& candidate : candidates) {
+        wait_reason here = wait_reason::none;
+        if (!fits(step, candidate.free)) {
+            here = wait_reason::no_room;
+        }
+        else if (!candidate.eligible) {
+            here = wait_reason::not_eligible;
+        }
+        else if (step.max_per_worker > 0 && candidate.same_step >= step.max_per_worker) {
+            here = wait_reason::worker_limit;
+        }
+        if (here == wait_reason::none) {
+            return here;
+        }
+        reason = std::max(reason, here);  // the candidate that comes closest
+    }
+    return reason;
+}
+
 }  // namespace waxwingnotch
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -10,6 +10,7 @@
 #include "waxwingnotch/net/address.hpp"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -414,13 +415,26 @@
     };
     std::int64_t jobs = 0;
     std::int64_t runs = 0;
+    std::array<std::int64_t, wait_reason_count> waiting{};
     for (const auto& [shard, owner] : state_.shards) {
+        for (std::size_t reason = 0; reason < waiting.size(); ++reason) {
+            waiting[reason] += static_cast<std::int64_t>(owner->core().waiting_tasks()[reason]);
+        }
         jobs += static_cast<std::int64_t>(owner->core().jobs());
         runs += static_cast<std::int64_t>(owner->core().runs());
     }
     set("shards_owned", "Shards that this node owns", static_cast<std::int64_t>(state_.shards.size()));
     set("jobs_known", "Jobs in the shards of this node", jobs);
     set("runs_active", "Runs that may be under way in the shards of this node", runs);
+    constexpr std::pair<wait_reason, const char*> waiting_names[] = {
+        {wait_reason::no_worker, "tasks_waiting_no_worker"},
+        {wait_reason::no_room, "tasks_waiting_no_room"},
+        {wait_reason::not_eligible, "tasks_waiting_not_eligible"},
+        {wait_reason::worker_limit, "tasks_waiting_worker_limit"},
+    };
+    for (const auto& [reason, name] : waiting_names) {
+        set(name, "Long-running tasks that wait for this reason", waiting[static_cast<std::size_t>(reason)]);
+    }
     set("configuration_version", "Version in force", state_.config ? state_.config->version : -1);
     set("store_straight", "1 if the store answers this node", state_.transport.direct_path_usable() ? 1 : 0);
 }
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -203,8 +203,10 @@
     }
 }
 
-int shard_core::choose_view(const occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
-                            const std::vector<placement_view>& views, std::int64_t now_ms)
+std::vector<placement_candidate> shard_core::make_candidates(const occurrence_entry& occurrence,
+                                                             std::uint32_t step, std::uint32_t index,
+                                                             const std::vector<placement_view>& views,
+                                                             std::int64_t now_ms) const
 {
     const step_spec& spec = occurrence.step(step);
     const auto advice =
@@ -255,7 +257,13 @@
         });
         candidate.eligible = label_matches && allowed && !has_run;
     }
-    return choose_worker(spec, candidates);
+    return candidates;
+}
+
+int shard_core::choose_view(const occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
+                            const std::vector<placement_view>& views, std::int64_t now_ms) const
+{
+    return choose_worker(occurrence.step(step), make_candidates(occurrence, step, index, views, now_ms));
 }
 
 bool shard_core::place(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -386,6 +386,7 @@
         }
     }
     forget_ended_jobs(now_ms);
+    report_waiting_tasks(now_ms);
     schedule_needed_ = true;
     copies_needed_ = true;
 }
--- a/tests/shard/shard_hosts_test.cpp
+++ b/tests/shard/shard_hosts_test.cpp
@@ -128,5 +128,30 @@
     EXPECT_EQ(owner->core->demand_of("svc").min_workers, 0U);
 }
 
+TEST(shard_core, tells_why_long_running_tasks_wait)
+{
+    const auto waiting_for = [](const shard_world::owner_ptr& owner, wait_reason reason) {
+        return owner->core->waiting_tasks()[static_cast<std::size_t>(reason)];
+    };
+    shard_world world(14);
+    const auto owner = world.take_over();
+    job_spec job = shard_world::long_running_job(3);
+    job.steps[0].max_per_worker = 1;
+    world.submit(job);
+    world.run(3'000);
+    EXPECT_EQ(waiting_for(owner, wait_reason::no_worker), 3U);
+    world.add_worker("a");
+    world.run(3'000);
+    EXPECT_EQ(waiting_for(owner, wait_reason::worker_limit), 2U);
+    world.add_worker("b", 500);
+    world.run(3'000);
+    EXPECT_EQ(waiting_for(owner, wait_reason::worker_limit), 2U);
+    world.add_worker("c");
+    world.add_worker("d");
+    world.run(3'000);
+    EXPECT_EQ(waiting_for(owner, wait_reason::worker_limit), 0U);
+    EXPECT_EQ(world.started.size(), 3U);
+}
+
 }  // namespace
 }  // namespace waxwingnotch
