--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -16,7 +16,7 @@
   "listenAddrs":{"front":"127.0.0.1:1","ready":"127.0.0.1:2","control":"127.0.0.1:3"},
   "seeds":["127.0.0.1:3","127.0.0.2:3"],"limits":{"cpuShare":0.12,"cores":2},"advice":"127.0.0.1:9",
   "bounds":{"graceS":2.5,"holdMaxMs":6000,"maintenanceS":2},
-  "platform":{"address":"127.0.0.1:4","parts":5,"ttlMinMs":700},"cloudApi":{"address":"127.0.0.1:5"},
+  "platform":{"address":"127.0.0.1:4","parts":5,"ttlMinMs":700},"cloudApi":{"address":"127.0.0.1:5","dutyPerS":310},
   "newField":[1]})";
 
 TEST(settings, are_decoded)
@@ -33,6 +33,16 @@
     EXPECT_EQ(read.value().drain_grace_ms, 2'500);
     EXPECT_EQ(read.value().max_lease_ms, 6'000);
     EXPECT_EQ(read.value().maintenance_ms, 2'000);
+    EXPECT_EQ(read.value().host_orders_per_s, 310);
+}
+
+TEST(settings, a_host_service_that_takes_no_orders_is_an_error)
+{
+    auto text = nlohmann::json::parse(settings_text);
+    text["cloudApi"]["dutyPerS"] = 0;
+    const auto read = decode_settings(text.dump());
+    ASSERT_FALSE(read);
+    EXPECT_NE(read.error().message.find("cloudApi.dutyPerS"), std::string::npos);
 }
 
 TEST(settings, error_names_the_missing_field)
