--- a/include/waxwingnotch/decision/pool_balance.hpp
+++ b/include/waxwingnotch/decision/pool_balance.hpp
@@ -21,6 +21,7 @@
     double capacity_factor = 1.4;           // wanted capacity as a multiple of the demand
     std::uint32_t min_pool_hosts = 2;       // hosts that each pool keeps for the start of its next burst
     std::uint32_t max_moves = 30;           // moves per plan
+    double kept_reserve = 0.5;              // share of its reserve that a pool does not give away
     std::int64_t return_delay_ms = 500;     // time that a surplus must last before hosts go to other pools
     std::int64_t surplus_delay_ms = 2'000;  // time that a surplus must last before hosts go to standby
 };
