--- a/include/waxwingnotch/decision/task_placement.hpp
+++ b/include/waxwingnotch/decision/task_placement.hpp
@@ -35,7 +35,8 @@
     none,          // a candidate can take it
     no_worker,     // there is no candidate
     no_room,       // the task fits into no candidate's free resources
-    not_eligible,  // no candidate with room has the label, is allowed for the step, or lacks a run of the task
+    not_eligible,  // no candidate with room has the label, is allowed for the step, or lacks a run of the
+                   // task
     worker_limit,  // each candidate that is left runs as many tasks of the step as one worker may
 };
 constexpr std::size_t wait_reason_count = 5;
--- a/include/waxwingnotch/store/store_routes.hpp
+++ b/include/waxwingnotch/store/store_routes.hpp
@@ -22,8 +22,8 @@
 class store_routes {
 public:
     struct options {
-        std::int64_t min_resend_ms = 120;  // shortest wait for an answer before another route is tried
-        double resend_factor = 4.0;        // the wait, as a multiple of the mean answer time
+        std::int64_t min_resend_ms = 120;      // shortest wait for an answer before another route is tried
+        double resend_factor = 4.0;            // the wait, as a multiple of the mean answer time
         std::int64_t direct_avoid_ms = 5'000;  // a failed direct route is avoided unless a probe succeeds
         std::int64_t peer_avoid_ms = 2'000;    // a failed peer is avoided
         std::int64_t probe_interval_ms = 300;  // between probes of a failed direct route
--- a/src/decision/pool_balance.cpp
+++ b/src/decision/pool_balance.cpp
@@ -18,7 +18,8 @@
     bool can_donate(const balance_policy& policy) const
     {
         const auto kept_reserve = static_cast<std::uint32_t>(pool->reserve * policy.kept_reserve);
-        return !idle.empty() && (pool->standby || have > std::max({need, policy.min_pool_hosts, kept_reserve}));
+        return !idle.empty() &&
+               (pool->standby || have > std::max({need, policy.min_pool_hosts, kept_reserve}));
     }
     /// Whether the pool has had more hosts than it keeps for @p delay_ms.
     bool has_surplus(std::int64_t delay_ms) const
--- a/src/node/host_keeper.cpp
+++ b/src/node/host_keeper.cpp
@@ -66,9 +66,8 @@
     : node_(node), authority_{node.settings.name, token},
       first_order_ms_(monotonic_ms() + node.settings.takeover_pause_ms)
 {
-    policy_.max_moves =
-        std::max(1U, static_cast<std::uint32_t>(move_share * node.settings.host_orders_per_s *
-                                                poll_interval_ms / ms_per_s));
+    policy_.max_moves = std::max(1U, static_cast<std::uint32_t>(move_share * node.settings.host_orders_per_s *
+                                                                poll_interval_ms / ms_per_s));
     log_event(log_level::info, "host_duty", {{"state", "acquired"}, {"token", token}});
     timer_ = node_.loop.every(poll_interval_ms, [this] { poll(); });
 }
@@ -219,9 +218,8 @@
         if (pool.standby) {
             continue;
         }
-        const auto assigned =
-            std::count_if(survey.list.hosts.begin(), survey.list.hosts.end(),
-                          [&](const host_row& row) { return row.pool == pool.name; });
+        const auto assigned = std::count_if(survey.list.hosts.begin(), survey.list.hosts.end(),
+                                            [&](const host_row& row) { return row.pool == pool.name; });
         reserve_.assign(pool.name, static_cast<std::uint32_t>(assigned), now);
         // A backlog asks for more hosts than the burst itself, as it is to be worked off in a short time.
         balance_pool without_backlog = pool;
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -56,8 +56,8 @@
         std::int64_t since_ms = 0;
     };
     std::map<int, undelivered_ends> undelivered;  // by shard
-    /// Stores the record of an accepted job or of a cancel: through the owner of the shard, or by an own append
-    /// if the owner is unknown or has not answered lately.
+    /// Stores the record of an accepted job or of a cancel: through the owner of the shard, or by an own
+    /// append if the owner is unknown or has not answered lately.
     /// @param done receives the outcome; `refused` if the record is certainly not stored
     void store_job_record(int shard, keyed_record record, std::function<void(store_status)> done);
     std::map<int, submission_route> submission_routes;  // by shard
--- a/src/store/store_routes.cpp
+++ b/src/store/store_routes.cpp
@@ -32,7 +32,7 @@
     const auto untried = [&](const std::string& route) {
         return std::find(tried.begin(), tried.end(), route) == tried.end();
     };
-    const store_route direct;
+    store_route direct;
     if (untried(direct) && (direct_usable(now_ms) || peers_.empty())) {
         return direct;
     }
--- a/src/store/transport.cpp
+++ b/src/store/transport.cpp
@@ -82,20 +82,21 @@
                   .timeout_ms = call.timeout_ms,
                   .reuse_connection = true};
     const std::int64_t sent_ms = monotonic_ms();
-    client_.send(out, [this, sent_ms, wait_ms = call.wait_ms, done = std::move(done)](const http_answer& answer) {
-        if (answer.outcome == call_outcome::timed_out) {
-            client_.close_idle_connections(address_);  // other idle connections may be dead too
-        }
-        const std::int64_t now = monotonic_ms();
-        if (failed(answer)) {
-            routes_.on_failure({}, now);
-        }
-        else {
-            routes_.on_answer({}, std::max<std::int64_t>(now - sent_ms - wait_ms, 0));
-        }
-        note_direct_result(answer);
-        done(answer);
-    });
+    client_.send(out,
+                 [this, sent_ms, wait_ms = call.wait_ms, done = std::move(done)](const http_answer& answer) {
+                     if (answer.outcome == call_outcome::timed_out) {
+                         client_.close_idle_connections(address_);  // other idle connections may be dead too
+                     }
+                     const std::int64_t now = monotonic_ms();
+                     if (failed(answer)) {
+                         routes_.on_failure({}, now);
+                     }
+                     else {
+                         routes_.on_answer({}, std::max<std::int64_t>(now - sent_ms - wait_ms, 0));
+                     }
+                     note_direct_result(answer);
+                     done(answer);
+                 });
 }
 
 void store_transport::send(const store_call& call, answer_handler done)
--- a/tests/decision/burst_reserve_test.cpp
+++ b/tests/decision/burst_reserve_test.cpp
@@ -59,8 +59,9 @@
         reserve.observe(pool, *rc::gen::inRange<std::uint32_t>(0, 2'000), 500);
     }
     const auto kept = reserve.hosts(*rc::gen::inRange<std::int64_t>(0, 200'000));
-    const std::uint32_t total = std::accumulate(
-        kept.begin(), kept.end(), 0U, [](std::uint32_t sum, const auto& entry) { return sum + entry.second; });
+    const std::uint32_t total =
+        std::accumulate(kept.begin(), kept.end(), 0U,
+                        [](std::uint32_t sum, const auto& entry) { return sum + entry.second; });
     RC_ASSERT(total <= assigned);
 }
 
--- a/tests/decision/task_placement_test.cpp
+++ b/tests/decision/task_placement_test.cpp
@@ -39,6 +39,7 @@
     const step_spec step = limited_step();
     std::vector<placement_candidate> candidates;
     const int count = *rc::gen::inRange(0, 6);
+    candidates.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         candidates.push_back({.capacity = host_size,
                               .free = {*rc::gen::inRange<std::int64_t>(0, 8'000), 32'000, 0},
--- a/tests/store/store_routes_test.cpp
+++ b/tests/store/store_routes_test.cpp
@@ -36,7 +36,9 @@
     store_routes routes;
     routes.set_peers({"a", "b"});
     std::vector<store_route> tried;
-    for (int attempt = 0; attempt < 3; ++attempt) {
+    constexpr std::size_t attempts = 3;
+    tried.reserve(attempts);
+    for (std::size_t attempt = 0; attempt < attempts; ++attempt) {
         tried.push_back(routes.next(tried, 0));
     }
     EXPECT_EQ(tried, (std::vector<store_route>{direct, "a", "b"}));
