--- a/include/waxwingnotch/store/transport.hpp
+++ b/include/waxwingnotch/store/transport.hpp
@@ -56,10 +56,11 @@
 
     void attempt(const pending_ptr& send);
     void resend_later(const pending_ptr& send);
-    void on_attempt_answer(const pending_ptr& send, const store_route& route, std::int64_t sent_ms,
-                           const http_answer& answer);
+    void on_attempt_answer(const pending_ptr& send, const http_answer& answer);
     void send_via_peer(const store_call& call, const std::string& peer, answer_handler done);
     void probe(const store_call& call);
+    void note_result(const store_route& route, const std::string& address, std::int64_t earliest_ms,
+                     const http_answer& answer);
     void note_direct_result(const http_answer& answer);
     static bool failed(const http_answer& answer);
 
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr int status_not_owner = 421;
 constexpr int status_bad_gateway = 502;
 constexpr std::int64_t max_relay_ms = 5'000;
 
@@ -135,18 +134,26 @@
                          .body = {},
                          .timeout_ms = timeout_ms,
                          .reuse_connection = true};
-    node.client.send(call, [&node, address, done = std::move(done)](const http_answer& answer) {
-        const bool answered = answer.outcome == call_outcome::answered;
-        if (!answered) {
-            node.client.close_idle_connections(address);
-        }
-        if (!answered || answer.status == status_not_owner) {
-            node.group->refresh_owners();
-        }
-        done({answered, answer.status, answer.body});
+    call_owner(node, call, [done = std::move(done)](const http_answer& answer) {
+        done({answer.outcome == call_outcome::answered, answer.status, answer.body});
     });
 }
 
+void call_owner(node_state& node, const http_call& call, answer_handler done)
+{
+    node.client.send(call,
+                     [&node, address = call.address, done = std::move(done)](const http_answer& answer) {
+                         const bool answered = answer.outcome == call_outcome::answered;
+                         if (!answered) {
+                             node.client.close_idle_connections(address);
+                         }
+                         if (!answered || answer.status == status_not_owner) {
+                             node.group->refresh_owners();
+                         }
+                         done(answer);
+                     });
+}
+
 void internal_api::handle(const http_exchange_ptr& exchange)
 {
     const std::string& path = exchange->path();
--- a/src/node/job_records.cpp
+++ b/src/node/job_records.cpp
@@ -10,17 +10,26 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_not_owner = 421;
+constexpr int status_unknown = 502;
 
 /// Answers of an owner to a submitted record.
 constexpr std::pair<int, store_status> answer_statuses[] = {
-    {status_ok, store_status::ok},
+    {200, store_status::ok},
     {400, store_status::rejected},
-    {502, store_status::unknown},
+    {status_unknown, store_status::unknown},
     {503, store_status::refused},
 };
 
+store_status outcome_of(int status)
+{
+    for (const auto& [known, meaning] : answer_statuses) {
+        if (known == status) {
+            return meaning;
+        }
+    }
+    return store_status::unknown;
+}
+
 }  // namespace
 
 int status_of_stored_record(store_status outcome)
@@ -30,7 +39,7 @@
             return status;
         }
     }
-    return 502;
+    return status_unknown;
 }
 
 void node_state::store_job_record(int shard, keyed_record record, std::function<void(store_status)> done)
@@ -49,34 +58,28 @@
                          .body = record.value.value_or(""),
                          .timeout_ms = route.timeout_ms(),
                          .reuse_connection = true};
-    client.send(call, [this, shard, owner, now, record = std::move(record),
-                       done = std::move(done)](const http_answer& answer) {
-        submission_route& used = submission_routes[shard];
-        if (answer.outcome == call_outcome::answered && answer.status != status_not_owner) {
-            used.on_answer(monotonic_ms() - now);
-            for (const auto& [status, meaning] : answer_statuses) {
-                if (status == answer.status) {
-                    done(meaning);
-                    return;
-                }
+    call_owner(
+        *this, call,
+        [this, shard, now, record = std::move(record), done = std::move(done)](const http_answer& answer) {
+            submission_route& used = submission_routes[shard];
+            const bool answered = answer.outcome == call_outcome::answered;
+            if (answered && answer.status != status_not_owner) {
+                used.on_answer(monotonic_ms() - now);
+                done(outcome_of(answer.status));
+                return;
             }
-            done(store_status::unknown);
-            return;
-        }
-        group->refresh_owners();
-        if (answer.outcome != call_outcome::answered) {
-            client.close_idle_connections(owner);
-            used.on_timeout(monotonic_ms());
-            log_event(log_level::info, "submit_direct",
-                      {{"key", record.key}, {"shard", shard}, {"reason", "the owner has not answered"}});
-        }
-        // The owner may have stored the record. A second record with the same key has no further effect, but
-        // if this append is refused, the outcome is still unknown.
-        const bool may_be_stored = answer.outcome != call_outcome::answered && answer.bytes_sent;
-        job_appender(shard).append(record, [done, may_be_stored](store_status outcome) {
-            done(may_be_stored && outcome == store_status::refused ? store_status::unknown : outcome);
+            if (!answered) {
+                used.on_timeout(monotonic_ms());
+                log_event(log_level::info, "submit_direct",
+                          {{"key", record.key}, {"shard", shard}, {"reason", "the owner has not answered"}});
+            }
+            // The owner may have stored the record. A second record with the same key has no further effect,
+            // but if this append is refused, the outcome is still unknown.
+            const bool may_be_stored = !answered && answer.bytes_sent;
+            job_appender(shard).append(record, [done, may_be_stored](store_status outcome) {
+                done(may_be_stored && outcome == store_status::refused ? store_status::unknown : outcome);
+            });
         });
-    });
 }
 
 }  // namespace waxwingnotch
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -6,11 +6,11 @@
 #include "worker_client.hpp"
 
 #include "waxwingnotch/base/clock.hpp"
+#include "waxwingnotch/base/hash.hpp"
 #include "waxwingnotch/base/log.hpp"
 #include "waxwingnotch/net/address.hpp"
 
 #include <algorithm>
-#include <array>
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -70,7 +70,6 @@
     bool ready() const;
     void stop();
     void reload();
-    void update_metrics();
 
     node_options options_;
     node_state state_;
@@ -121,7 +120,7 @@
         exchange->reply(exchange->path() != adapter::ready_path ? 404 : ready() ? 200 : 503, {}, "");
     });
     metrics_server_.handle([this](const http_exchange_ptr& exchange) {
-        update_metrics();
+        update_metrics(state_);
         exchange->reply(200, {{"Content-Type", "text/plain"}}, state_.counters.render());
     });
 }
@@ -371,7 +370,7 @@
     }
     // Each node starts with another peer, so that relayed calls spread over the peers.
     if (!peers.empty()) {
-        const std::size_t first = std::hash<std::string>()(state_.settings.internal_address) % peers.size();
+        const std::size_t first = stable_hash(state_.settings.internal_address) % peers.size();
         std::rotate(peers.begin(), peers.begin() + static_cast<std::ptrdiff_t>(first), peers.end());
     }
     state_.transport.set_peers(std::move(peers));
@@ -408,37 +407,6 @@
     }
 }
 
-void node::update_metrics()
-{
-    auto set = [this](const char* name, const char* help, std::int64_t value) {
-        state_.counters.make_gauge(name, help).set(value);
-    };
-    std::int64_t jobs = 0;
-    std::int64_t runs = 0;
-    std::array<std::int64_t, wait_reason_count> waiting{};
-    for (const auto& [shard, owner] : state_.shards) {
-        for (std::size_t reason = 0; reason < waiting.size(); ++reason) {
-            waiting[reason] += static_cast<std::int64_t>(owner->core().waiting_tasks()[reason]);
-        }
-        jobs += static_cast<std::int64_t>(owner->core().jobs());
-        runs += static_cast<std::int64_t>(owner->core().runs());
-    }
-    set("shards_owned", "Shards that this node owns", static_cast<std::int64_t>(state_.shards.size()));
-    set("jobs_known", "Jobs in the shards of this node", jobs);
-    set("runs_active", "Runs that may be under way in the shards of this node", runs);
-    constexpr std::pair<wait_reason, const char*> waiting_names[] = {
-        {wait_reason::no_worker, "tasks_waiting_no_worker"},
-        {wait_reason::no_room, "tasks_waiting_no_room"},
-        {wait_reason::not_eligible, "tasks_waiting_not_eligible"},
-        {wait_reason::worker_limit, "tasks_waiting_worker_limit"},
-    };
-    for (const auto& [reason, name] : waiting_names) {
-        set(name, "Long-running tasks that wait for this reason", waiting[static_cast<std::size_t>(reason)]);
-    }
-    set("configuration_version", "Version in force", state_.config ? state_.config->version : -1);
-    set("store_straight", "1 if the store answers this node", state_.transport.direct_path_usable() ? 1 : 0);
-}
-
 void node::reload()
 {
     auto settings = read_settings(options_.settings_file);
--- /dev/null
+++ b/src/node/node_metrics.cpp
@@ -0,0 +1,40 @@
+/// Gauges of a node; its counters are updated where they count.
+#include "node/node_state.hpp"
+
+#include <array>
+#include <utility>
+
+namespace waxwingnotch {
+
+void update_metrics(node_state& node)
+{
+    auto set = [&node](const char* name, const char* help, std::int64_t value) {
+        node.counters.make_gauge(name, help).set(value);
+    };
+    std::int64_t jobs = 0;
+    std::int64_t runs = 0;
+    std::array<std::int64_t, wait_reason_count> waiting{};
+    for (const auto& [shard, owner] : node.shards) {
+        for (std::size_t reason = 0; reason < waiting.size(); ++reason) {
+            waiting[reason] += static_cast<std::int64_t>(owner->core().waiting_tasks()[reason]);
+        }
+        jobs += static_cast<std::int64_t>(owner->core().jobs());
+        runs += static_cast<std::int64_t>(owner->core().runs());
+    }
+    set("shards_owned", "Shards that this node owns", static_cast<std::int64_t>(node.shards.size()));
+    set("jobs_known", "Jobs in the shards of this node", jobs);
+    set("runs_active", "Runs that may be under way in the shards of this node", runs);
+    constexpr std::pair<wait_reason, const char*> waiting_names[] = {
+        {wait_reason::no_worker, "tasks_waiting_no_worker"},
+        {wait_reason::no_room, "tasks_waiting_no_room"},
+        {wait_reason::not_eligible, "tasks_waiting_not_eligible"},
+        {wait_reason::worker_limit, "tasks_waiting_worker_limit"},
+    };
+    for (const auto& [reason, name] : waiting_names) {
+        set(name, "Long-running tasks that wait for this reason", waiting[static_cast<std::size_t>(reason)]);
+    }
+    set("configuration_version", "Version in force", node.config ? node.config->version : -1);
+    set("store_straight", "1 if the store answers this node", node.transport.direct_path_usable() ? 1 : 0);
+}
+
+}  // namespace waxwingnotch
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -80,13 +80,24 @@
     std::string body;
 };
 
+/// Sets the gauges of the metrics page.
+void update_metrics(node_state& node);
+
+/// Status of the answer of a node that does not own the shard, or has not loaded it.
+constexpr int status_not_owner = 421;
+
+/// Sends a call to a peer that is said to own a shard. Looks for the owners again if it does not answer or is
+/// not the owner.
+void call_owner(node_state& node, const http_call& call, answer_handler done);
+
 /// Sends a query to the owner of a shard: this node or a peer.
 /// @param path path of the internal interface with its query, without the shard
 /// @param timeout_ms of the call to a peer; the call is not retried
 void query_owner(node_state& node, const std::string& method, int shard, const std::string& path,
                  std::int64_t timeout_ms, std::function<void(const owner_reply&)> done);
 
-/// Answers a query about a shard. The status is 421 if this node does not own the shard or has not loaded it.
+/// Answers a query about a shard. The status is status_not_owner if this node does not own the shard or
+/// has not loaded it.
 owner_reply answer_shard_query(node_state& node, int shard, const std::string& path,
                                const std::function<std::string(std::string_view)>& query);
 
--- a/src/shard/core_waiting.cpp
+++ b/src/shard/core_waiting.cpp
@@ -4,6 +4,8 @@
 
 #include "waxwingnotch/base/log.hpp"
 
+#include <algorithm>
+
 namespace waxwingnotch {
 
 namespace {
@@ -37,22 +39,20 @@
                                      std::int64_t now_ms)
 {
     const std::vector<task_progress>& tasks = occurrence.progress.steps[step];
-    const placement_round round = make_round(occurrence.job->spec.service, now_ms);
-    std::size_t waiting = 0;
-    std::uint32_t first = 0;
-    wait_reason reason = wait_reason::none;
-    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        if (tasks[index].phase != task_phase::waiting) {
-            continue;
-        }
-        if (waiting++ == 0) {
-            first = index;
-            reason = why_waiting(occurrence.step(step),
-                                 make_candidates(occurrence, step, index, round.views, now_ms));
-        }
+    const auto waits = [](const task_progress& task) {
+        return task.phase == task_phase::waiting;
+    };
+    const auto found = std::find_if(tasks.begin(), tasks.end(), waits);
+    if (found == tasks.end()) {
+        return;
     }
+    const auto first = static_cast<std::uint32_t>(found - tasks.begin());
+    const auto waiting = static_cast<std::size_t>(std::count_if(found, tasks.end(), waits));
+    const placement_round round = make_round(occurrence.job->spec.service, now_ms);
+    const wait_reason reason =
+        why_waiting(occurrence.step(step), make_candidates(occurrence, step, first, round.views, now_ms));
     waiting_tasks_[static_cast<std::size_t>(reason)] += waiting;
-    if (waiting == 0 || reason == wait_reason::none) {
+    if (reason == wait_reason::none) {
         return;
     }
     const resources& need = occurrence.step(step).need;
--- a/src/store/transport.cpp
+++ b/src/store/transport.cpp
@@ -81,22 +81,29 @@
                   .body = call.body,
                   .timeout_ms = call.timeout_ms,
                   .reuse_connection = true};
-    const std::int64_t sent_ms = monotonic_ms();
-    client_.send(out,
-                 [this, sent_ms, wait_ms = call.wait_ms, done = std::move(done)](const http_answer& answer) {
-                     if (answer.outcome == call_outcome::timed_out) {
-                         client_.close_idle_connections(address_);  // other idle connections may be dead too
-                     }
-                     const std::int64_t now = monotonic_ms();
-                     if (failed(answer)) {
-                         routes_.on_failure({}, now);
-                     }
-                     else {
-                         routes_.on_answer({}, std::max<std::int64_t>(now - sent_ms - wait_ms, 0));
-                     }
-                     note_direct_result(answer);
-                     done(answer);
-                 });
+    client_.send(out, [this, earliest_ms = monotonic_ms() + call.wait_ms,
+                       done = std::move(done)](const http_answer& answer) {
+        note_result({}, address_, earliest_ms, answer);
+        note_direct_result(answer);
+        done(answer);
+    });
+}
+
+/// Updates what is known of a route by the outcome of a call over it.
+/// @param address where the call went
+/// @param earliest_ms when the call was sent, plus the time that the store was asked to wait
+void store_transport::note_result(const store_route& route, const std::string& address,
+                                  std::int64_t earliest_ms, const http_answer& answer)
+{
+    if (answer.outcome == call_outcome::timed_out) {
+        client_.close_idle_connections(address);  // other idle connections may be dead too
+    }
+    const std::int64_t now = monotonic_ms();
+    if (failed(answer)) {
+        routes_.on_failure(route, now);
+        return;
+    }
+    routes_.on_answer(route, std::max<std::int64_t>(now - earliest_ms, 0));
 }
 
 void store_transport::send(const store_call& call, answer_handler done)
@@ -109,12 +116,11 @@
 
 void store_transport::attempt(const pending_ptr& send)
 {
-    const std::int64_t now = monotonic_ms();
-    const store_route route = routes_.next(send->tried, now);
+    const store_route route = routes_.next(send->tried, monotonic_ms());
     send->tried.push_back(route);
     ++send->open;
-    const auto on_answer = [this, send, route, now](const http_answer& answer) {
-        on_attempt_answer(send, route, now, answer);
+    const auto on_answer = [this, send](const http_answer& answer) {
+        on_attempt_answer(send, answer);
     };
     if (route.empty()) {
         send_direct(send->call, on_answer);
@@ -148,19 +154,9 @@
     });
 }
 
-void store_transport::on_attempt_answer(const pending_ptr& send, const store_route& route,
-                                        std::int64_t sent_ms, const http_answer& answer)
+void store_transport::on_attempt_answer(const pending_ptr& send, const http_answer& answer)
 {
     --send->open;
-    const std::int64_t now = monotonic_ms();
-    if (!route.empty()) {
-        if (failed(answer)) {
-            routes_.on_failure(route, now);
-        }
-        else {
-            routes_.on_answer(route, std::max<std::int64_t>(now - sent_ms - send->call.wait_ms, 0));
-        }
-    }
     if (send->finished) {
         return;
     }
@@ -197,13 +193,12 @@
                   .body = call.body,
                   .timeout_ms = call.timeout_ms + relay_margin_ms,
                   .reuse_connection = true};
-    client_.send(out, [this, peer, done = std::move(done)](const http_answer& answer) {
-        if (answer.outcome == call_outcome::timed_out) {
-            client_.close_idle_connections(peer);
-        }
+    client_.send(out, [this, peer, earliest_ms = monotonic_ms() + call.wait_ms,
+                       done = std::move(done)](const http_answer& answer) {
         if (answer.outcome == call_outcome::answered) {
             last_peer_answer_ms_ = monotonic_ms();
         }
+        note_result(peer, peer, earliest_ms, answer);
         done(answer);
     });
 }
--- a/tests/store/store_test.cpp
+++ b/tests/store/store_test.cpp
@@ -255,6 +255,22 @@
     http_server server_;
 };
 
+/// A store or peer that accepts calls and never answers.
+class silent_server {
+public:
+    explicit silent_server(event_loop& loop) : server_(loop)
+    {
+        server_.handle([this](const http_exchange_ptr& exchange) { exchanges_.push_back(exchange); });
+        address = "127.0.0.1:" + std::to_string(server_.listen("127.0.0.1", 0).value());
+    }
+    std::size_t calls() const { return exchanges_.size(); }
+    std::string address;
+
+private:
+    http_server server_;
+    std::vector<http_exchange_ptr> exchanges_;
+};
+
 TEST_F(store_test, transport_uses_a_peer_when_the_store_refuses)
 {
     answering_server refusing(loop, 503);
@@ -276,14 +292,11 @@
 
 TEST_F(store_test, transport_keeps_an_unknown_outcome_when_a_peer_refuses)
 {
-    http_server unresponsive(loop);
-    std::vector<http_exchange_ptr> exchanges;
-    unresponsive.handle([&](const http_exchange_ptr& exchange) { exchanges.push_back(exchange); });
-    const std::string address = "127.0.0.1:" + std::to_string(unresponsive.listen("127.0.0.1", 0).value());
+    silent_server unresponsive(loop);
     answering_server peer(loop, 503);
     http_client client(loop);
     store_transport transport(client);
-    transport.set_address(address);
+    transport.set_address(unresponsive.address);
     transport.set_peers({peer.address});
     http_answer got{.outcome = call_outcome::answered};
     transport.send({.method = "POST", .path = "/x", .timeout_ms = 50}, [&](const http_answer& answer) {
@@ -295,22 +308,6 @@
     EXPECT_EQ(peer.calls, 2);
 }
 
-/// A store or peer that accepts calls and never answers.
-class silent_server {
-public:
-    explicit silent_server(event_loop& loop) : server_(loop)
-    {
-        server_.handle([this](const http_exchange_ptr& exchange) { exchanges_.push_back(exchange); });
-        address = "127.0.0.1:" + std::to_string(server_.listen("127.0.0.1", 0).value());
-    }
-    std::size_t calls() const { return exchanges_.size(); }
-    std::string address;
-
-private:
-    http_server server_;
-    std::vector<http_exchange_ptr> exchanges_;
-};
-
 // A store that had gone silent held up each append for its whole timeout, and again each time the direct path
 // was tried with an append (tkc-sapporo-large trouble-1: appends of 0.6 to 1.6 s for 9 s).
 TEST_F(store_test, transport_does_not_wait_for_the_timeout_of_a_silent_store_and_a_silent_peer)
