--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,7 +19,7 @@
         ends.append(how)
 
     cluster.publish([route("r-1", "/grade/", "desk", maxAttempts=4)], [("desk", False)])
-    for number in range(6):
+    for number in range(12):
         worker = await cluster.add_worker(f"i-desk{number}", "desk", lambda task: TASK_S)
         worker.needs = lambda task: (1000, 1024)
         worker.on_end = on_end
