Accept only numeric addresses, and look no name up

What callers saw: a node that stopped answering for as long as a name server took, if another writer put a host name into a worker's registration. Cause: parse_endpoint() took any text; a port out of range became 0, and evhttp resolves a name on the loop's thread. Change: parse_endpoint() is in base and returns nothing unless the address is an IP with a port; http_client fails a call to any other address at once. Evidence: by reading; no name server is at hand here, so the block itself was not measured.

--- a/src/config/names.hpp
+++ b/src/config/names.hpp
@@ -27,10 +27,6 @@
     std::map<std::string, source_location> names_;
 };
 
-/// Splits "ip:port".
-/// @return false unless the text is a numeric IPv4 address, or IPv6 in brackets, with a port
-bool split_address(std::string_view text, std::string& ip, std::uint16_t& port);
-
 /// Reports an address that is not "ip:port" with a numeric IP.
 void check_address(const std::string& address, const source_location& location, findings& problems);
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -2,9 +2,9 @@
 
 #include "entry/entry_parts.hpp"
 
+#include "waxwingnotch/base/address.hpp"
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/log.hpp"
-#include "waxwingnotch/net/address.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -153,8 +153,11 @@
 
 result<void> entry_node::parts::listen()
 {
-    const endpoint callers = parse_endpoint(options.listen_address);
-    const auto port = server.listen(callers.ip, callers.port);
+    const std::optional<endpoint> callers = parse_endpoint(options.listen_address);
+    if (!callers) {
+        return fail(error_code::invalid_argument, "not a numeric address: " + options.listen_address);
+    }
+    const auto port = server.listen(callers->ip, callers->port);
     if (!port) {
         return port.error();
     }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,6 +1,6 @@
 #include "waxwingnotch/net/http_client.hpp"
 
-#include "waxwingnotch/net/address.hpp"
+#include "waxwingnotch/base/address.hpp"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -109,7 +109,7 @@
 
 std::shared_ptr<http_client::connection> http_client::new_connection(const std::string& address)
 {
-    const endpoint target = parse_endpoint(address);
+    const endpoint target = parse_endpoint(address).value_or(endpoint{});
     auto link = std::make_shared<connection>();
     link->client = this;
     link->address = address;
@@ -144,6 +144,15 @@
 
 call_id http_client::send(const http_call& call, answer_handler done)
 {
+    if (!is_connectable(call.address)) {
+        // evhttp would look up a name, which blocks the loop.
+        loop_.defer([done = std::move(done), alive = alive_] {
+            if (*alive) {
+                done({});
+            }
+        });
+        return next_id_++;
+    }
     auto item = std::make_shared<pending_call>();
     item->client = this;
     item->id = next_id_++;
--- a/src/net/websocket_link.cpp
+++ b/src/net/websocket_link.cpp
@@ -1,6 +1,6 @@
 #include "waxwingnotch/net/websocket_link.hpp"
 
-#include "waxwingnotch/net/address.hpp"
+#include "waxwingnotch/base/address.hpp"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -30,7 +30,8 @@
 result<socket_address> resolve(std::string_view address)
 {
     // evutil_parse_sockaddr_port() rejects port 0, which stands for any free port.
-    const endpoint target = parse_endpoint(address);
+    const std::optional<endpoint> parsed = parse_endpoint(address);
+    const endpoint target = parsed.value_or(endpoint{});
     socket_address resolved;
     auto* v4 = reinterpret_cast<sockaddr_in*>(&resolved.storage);
     auto* v6 = reinterpret_cast<sockaddr_in6*>(&resolved.storage);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -5,10 +5,10 @@
 #include "store_client.hpp"
 #include "worker_client.hpp"
 
+#include "waxwingnotch/base/address.hpp"
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/hash.hpp"
 #include "waxwingnotch/base/log.hpp"
-#include "waxwingnotch/net/address.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -127,7 +127,7 @@
 
 bool node::listen_on(http_server& server, const std::string& address, const char* what)
 {
-    const endpoint target = parse_endpoint(address);
+    const endpoint target = parse_endpoint(address).value_or(endpoint{});  // checked with the settings
     auto port = server.listen(target.ip, target.port);
     if (!port) {
         log_event(log_level::error, "listen", {{"for", what}, {"reason", port.error().message}});
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -1,6 +1,6 @@
 #include "standin.hpp"
 
-#include "waxwingnotch/net/address.hpp"
+#include "waxwingnotch/base/address.hpp"
 
 #include <docopt/docopt.h>
 
@@ -81,7 +81,8 @@
     waxwingnotch::event_loop loop;
     waxwingnotch::http_server server(loop);
     server.handle(make_role(loop, options));
-    const waxwingnotch::endpoint address = waxwingnotch::parse_endpoint(options["--listen"].asString());
+    const waxwingnotch::endpoint address =
+        waxwingnotch::parse_endpoint(options["--listen"].asString()).value_or(waxwingnotch::endpoint{});
     const auto port = server.listen(address.ip, address.port);
     if (!port) {
         std::cerr << port.error().message << "\n";
--- a/standin/relay.cpp
+++ b/standin/relay.cpp
@@ -1,6 +1,6 @@
 #include "standin.hpp"
 
-#include "waxwingnotch/net/address.hpp"
+#include "waxwingnotch/base/address.hpp"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -100,7 +100,8 @@
     item.parent = &parent;
     attach_socket<0>(item, socket);
     attach_socket<1>(item, -1);
-    const waxwingnotch::endpoint to = waxwingnotch::parse_endpoint(parent.target);
+    const waxwingnotch::endpoint to =
+        waxwingnotch::parse_endpoint(parent.target).value_or(waxwingnotch::endpoint{});
     bufferevent_socket_connect_hostname(item.sides[1].channel, nullptr, AF_INET, to.ip.c_str(), to.port);
 }
 
