Limit the tasks of a job and of its repeats that are open at once

What callers saw: a submission of 240 kB (16,000 steps of 10,000 tasks) was answered 200, its owner took more than 13 GB and was killed, and so was the next owner; a job with 1,000,000 repeats due at once took 8.7 GB and 157 s of processor time. Cause: only the tasks of one step were limited, and all repeats that were due were opened at once. Change: 10,000 tasks and 1,000 steps for a job; repeats open while the tasks of the job's open occurrences stay within twice that.

--- a/include/waxwingnotch/job/spec.hpp
+++ b/include/waxwingnotch/job/spec.hpp
@@ -62,6 +62,8 @@
 
     /// Number of times that the steps run.
     std::uint32_t occurrences() const { return repeat_count == 0 ? 1 : repeat_count; }
+    /// Number of tasks of one occurrence.
+    std::uint64_t tasks() const;
     /// Whether some step runs until the job is cancelled.
     bool long_running() const;
 };
@@ -101,9 +103,16 @@
     int partition_of(std::string_view service, int partitions) const;
 };
 
+// Bounds of one job. What a submission can ask for with few bytes must not exceed a node's memory.
+constexpr std::size_t max_steps = 1'000;
+constexpr std::uint64_t max_tasks = 10'000;          // of all steps
+constexpr std::uint64_t max_stored_tasks = 100'000;  // of a job that an earlier version has accepted
+constexpr std::uint32_t max_repeats = 1'000'000;
+
 /// Checks the values that a caller chooses: counts, ranges and dependencies.
+/// @param task_limit of all steps
 /// @return empty if the job is valid, else a description of the first error
-std::string validate(const job_spec& job);
+std::string validate(const job_spec& job, std::uint64_t task_limit = max_tasks);
 
 /// Whether @p id has the form of a job id.
 bool is_job_id(std::string_view id);
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -43,6 +43,9 @@
     std::int64_t inherited_lease_ms = 8'000;
     // How long the jobs that have ended are kept; twice the time promised to callers.
     std::int64_t ended_job_retention_ms = 240'000;
+    // Tasks of the open occurrences of one job, unless one occurrence alone has more. Without a limit, a
+    // short submission whose repeats are all due at once takes the memory of every node that owns its shard.
+    std::uint64_t max_open_tasks = 2 * max_tasks;
 };
 
 /// Orders to workers.
@@ -167,6 +170,8 @@
     const shard_counts& counts() const { return counts_; }
     std::size_t jobs() const { return jobs_.size(); }
     std::size_t runs() const { return runs_.size(); }
+    /// Occurrences of jobs that have not ended.
+    std::size_t open_occurrences() const { return open_.size(); }
     std::size_t suspected_occurrences() const { return suspects_.size(); }
     /// Long-running tasks that wait, by the reason found in the latest check, at most a second ago.
     const std::array<std::size_t, wait_reason_count>& waiting_tasks() const { return waiting_tasks_; }
--- a/src/job/spec.cpp
+++ b/src/job/spec.cpp
@@ -1,6 +1,7 @@
 #include "waxwingnotch/job/spec.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace waxwingnotch {
 
@@ -29,11 +30,15 @@
 
 constexpr std::size_t id_length = 16;
 constexpr std::size_t max_payload_bytes = 4'000;  // documented on the callers' page
-constexpr std::uint32_t max_tasks = 10'000;  // in one step; keeps a job's record far below the store's limit
-constexpr std::uint32_t max_repeats = 1'000'000;
 
 }  // namespace
 
+std::uint64_t job_spec::tasks() const
+{
+    return std::accumulate(steps.begin(), steps.end(), std::uint64_t{0},
+                           [](std::uint64_t sum, const step_spec& step) { return sum + step.task_count; });
+}
+
 bool job_spec::long_running() const
 {
     return std::any_of(steps.begin(), steps.end(), [](const step_spec& step) { return step.long_running; });
@@ -80,7 +85,7 @@
     return id.size() == id_length && id.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
 }
 
-std::string validate(const job_spec& job)
+std::string validate(const job_spec& job, std::uint64_t task_limit)
 {
     if (job.payload.size() > max_payload_bytes) {
         return "the payload has " + std::to_string(job.payload.size()) + " bytes, at most " +
@@ -92,6 +97,10 @@
     if (job.repeat_count > max_repeats) {
         return "a job may run at most " + std::to_string(max_repeats) + " times";
     }
+    if (job.steps.size() > max_steps) {
+        return "a job may have at most " + std::to_string(max_steps) + " steps";
+    }
+    std::uint64_t tasks = 0;
     for (std::size_t index = 0; index < job.steps.size(); ++index) {
         const step_spec& step = job.steps[index];
         const std::string name = "step " + std::to_string(index);
@@ -99,6 +108,11 @@
             return name + " has " + std::to_string(step.task_count) + " tasks, expected 1 to " +
                    std::to_string(max_tasks);
         }
+        tasks += step.task_count;
+        if (tasks > task_limit) {
+            return "the steps up to " + std::to_string(index) + " have " + std::to_string(tasks) +
+                   " tasks, at most " + std::to_string(task_limit) + " are allowed in a job";
+        }
         if (step.need.cpu_milli < 0 || step.need.memory_mb < 0 || step.need.gpus < 0) {
             return name + " asks for a negative amount of a resource";
         }
--- a/src/shard/core_jobs.cpp
+++ b/src/shard/core_jobs.cpp
@@ -84,7 +84,9 @@
         if (job.spec.repeat_count > 0) {
             due_ms = job.spec.first_ms + number * job.spec.interval_ms - wall_offset_ms_;
             const bool has_progress = loaded_progress_.contains(job.spec.id + "." + std::to_string(number));
-            if (!has_progress && due_ms > now_ms) {
+            const std::uint64_t open = job.next_occurrence - job.completed_occurrences;
+            const bool full = open > 0 && (open + 1) * job.spec.tasks() > options_.max_open_tasks;
+            if (!has_progress && (due_ms > now_ms || full)) {
                 return;
             }
         }
--- a/tests/shard/shard_core_test.cpp
+++ b/tests/shard/shard_core_test.cpp
@@ -291,6 +291,34 @@
     EXPECT_EQ(owner->core->state_of(id_of(1)), job_state::completed);
 }
 
+// 1,000,000 repeats that were due at once took 8.7 GB and kept the nodes from answering.
+TEST(shard_core, opens_repeats_that_are_due_at_once_only_as_earlier_ones_end)
+{
+    shard_world world(14);
+    world.options.max_open_tasks = 12;
+    const auto owner = world.take_over();
+    job_spec job = shard_world::job(id_of(1), 4);
+    job.repeat_count = 1'000'000;
+    world.submit(job);
+    world.run(1'000);
+    EXPECT_EQ(owner->core->open_occurrences(), 3U);
+}
+
+TEST(shard_core, runs_all_repeats_of_a_job_that_are_due_at_once)
+{
+    shard_world world(14);
+    world.options.max_open_tasks = 2;  // less than one occurrence
+    world.add_worker("a");
+    const auto owner = world.take_over();
+    job_spec job = shard_world::job(id_of(1), 4);
+    job.repeat_count = 8;
+    world.submit(job);
+    world.run(20'000);
+    EXPECT_EQ(owner->core->state_of(id_of(1)), job_state::completed);
+    EXPECT_EQ(owner->core->counts().ends_done, 32U);
+    EXPECT_TRUE(world.violations.empty());
+}
+
 TEST(shard_core, starts_all_tasks_of_a_gang_or_none)
 {
     shard_world world(15);
--- a/tests/shard/shard_world.hpp
+++ b/tests/shard/shard_world.hpp
@@ -50,6 +50,7 @@
     bool store_down = false;
     std::vector<std::string> violations;  // descriptions of events that must not happen
     std::map<std::string, int> started;   // number of starts by task
+    shard_options options;                // of the next owner
     std::int64_t task_ms = 300;
     // Tasks that crash the worker that starts them, and how long after the start.
     std::map<std::string, std::int64_t> crashing_tasks;
@@ -124,7 +125,6 @@
     {
         auto created = std::make_shared<owner>();
         created->epoch = ++epoch;
-        shard_options options;
         options.epoch = created->epoch;
         created->core = std::make_unique<shard_core>(options);
         shard_core& core = *created->core;
