Bound the nesting and the numbers of what other parties write

What callers saw: processes that ended by themselves, again and again. A registration, configuration, wave, submission or answer nested 120,000 levels deep ended every node that read it with SIGSEGV; a row of the host list of another type ended it by an exception that nobody caught; a version of 1e300 made every later configuration count as older, and a clock near 2^63 kept a task running for good. Cause: documents were copied and written out by recursion as deep as their writer nested them (parse_object() copied its result; json.value() copies and throws), and numbers were cast before their range was known. Change: read_json() refuses more than 32 levels before a value exists; field_reader checks each field's type and range, and a document with an unusable field is refused with the field's name: a caller gets 400 with it, a registration or row is skipped, a configuration leaves the one in force, an answer counts as unknown.

--- a/src/job/codec.cpp
+++ b/src/job/codec.cpp
@@ -1,10 +1,9 @@
 /// Records of jobs and their progress. They are arrays, which are shorter than maps. A new field goes to the
 /// end, and readers must use its default where it is missing.
+#include "waxwingnotch/base/json_reader.hpp"
 #include "waxwingnotch/job/progress.hpp"
 #include "waxwingnotch/job/spec.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <charconv>
 
 namespace waxwingnotch {
@@ -92,7 +91,11 @@
         task.phase = task_phase::done;
         return task;
     }
-    task.phase = static_cast<task_phase>(row.at(2).get<int>());
+    const int phase = row.at(2).get<int>();
+    if (phase < 0 || phase > static_cast<int>(task_phase::failed)) {
+        throw json::other_error::create(500, "unknown phase " + std::to_string(phase), &row);
+    }
+    task.phase = static_cast<task_phase>(phase);
     for (const json& run : row.at(3)) {
         task.runs.push_back({run.at(0).get<std::uint32_t>(),
                              {run.at(1).get<std::string>(), run.at(2).get<std::int64_t>()},
@@ -122,7 +125,11 @@
 result<job_spec> decode_job(std::string_view bytes)
 {
     try {
-        const json row = json::from_cbor(bytes);
+        const auto record = read_cbor_record(bytes);
+        if (!record) {
+            return fail(error_code::malformed, "job record: " + record.error().message);
+        }
+        const json& row = record.value();
         job_spec job;
         job.id = row.at(0).get<std::string>();
         job.queue = row.at(1).get<std::string>();
@@ -136,7 +143,7 @@
         job.interval_ms = row.at(7).get<std::int64_t>();
         job.accepted_ms = row.at(8).get<std::int64_t>();
         job.max_attempts = row.at(9).get<std::uint32_t>();
-        if (const std::string problem = validate(job); !problem.empty()) {
+        if (const std::string problem = validate(job, max_stored_tasks); !problem.empty()) {
             return fail(error_code::malformed, "job record: " + problem);
         }
         return job;
@@ -162,9 +169,12 @@
 result<occurrence_progress> decode_progress(std::string_view bytes)
 {
     try {
-        const json steps = json::from_cbor(bytes);
+        const auto record = read_cbor_record(bytes);
+        if (!record) {
+            return fail(error_code::malformed, "progress record: " + record.error().message);
+        }
         occurrence_progress progress;
-        for (const json& rows : steps) {
+        for (const json& rows : record.value()) {
             std::vector<task_progress>& tasks = progress.steps.emplace_back();
             for (const json& row : rows) {
                 tasks.push_back(task_from_json(row));
--- a/src/node/callers.cpp
+++ b/src/node/callers.cpp
@@ -4,6 +4,9 @@
 
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/log.hpp"
+#include "waxwingnotch/base/rejected_input.hpp"
+
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -13,6 +16,7 @@
 namespace {
 
 constexpr std::int64_t default_deadline_ms = 3'000;  // for requests without a Deadline-Ms header
+constexpr std::int64_t max_deadline_ms = 600'000;    // as long as an idle connection is kept open
 constexpr std::int64_t response_margin_ms = 250;     // for sending the answer back to the caller
 constexpr std::int64_t retry_ms = 60;                // between attempts to reach the store or the owner
 constexpr std::int64_t owner_timeout_ms = 500;       // of one query to the owner
@@ -109,8 +113,8 @@
     request->id = id;
     request->shard = node_.shard_of(queue.service);
     request->received_ms = monotonic_ms();
-    const std::int64_t caller_timeout_ms =
-        parse_integer(exchange->header("Deadline-Ms"), default_deadline_ms);
+    const std::int64_t caller_timeout_ms = std::clamp<std::int64_t>(
+        parse_integer(exchange->header("Deadline-Ms"), default_deadline_ms), 0, max_deadline_ms);
     request->deadline_ms = request->received_ms +
                            std::max<std::int64_t>(caller_timeout_ms - response_margin_ms, response_margin_ms);
     return request;
@@ -189,7 +193,10 @@
     }
     auto job = adapter::decode_job_body(exchange->body());
     if (!job) {
-        finish(*request, 400, R"({"error":"the job cannot be read"})", job.error().message.c_str());
+        const std::string body =
+            nlohmann::json{{"error", "the job cannot be read: " + job.error().message}}.dump();
+        note_rejected_input(input_source::caller, id, job.error().message);
+        finish(*request, 400, body, job.error().message.c_str());
         return;
     }
     job.value().id = id;
--- a/src/node/host_keeper.cpp
+++ b/src/node/host_keeper.cpp
@@ -2,11 +2,11 @@
 #include "node/host_parts.hpp"
 
 #include "waxwingnotch/base/clock.hpp"
+#include "waxwingnotch/base/json_fields.hpp"
 #include "waxwingnotch/base/log.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
+#include <limits>
 #include <optional>
 #include <set>
 
@@ -29,14 +29,30 @@
     if (!answer.answered || answer.status != 200) {
         return std::nullopt;
     }
-    const auto body = nlohmann::json::parse(answer.body, nullptr, false);
-    if (!body.is_object()) {
-        return drain_state{.known = false, .runs = 1, .serving = true, .unstored = true};
-    }
-    return drain_state{.known = body.value("known", false),
-                       .runs = body.value("runs", std::size_t{1}),
-                       .serving = body.value("serving", true),
-                       .unstored = body.value("unstored", true)};
+    const auto document = read_json(answer.body);
+    const nlohmann::json body = document ? document.value() : nlohmann::json();
+    return drain_state{.known = bool_or(body, "known"),
+                       .runs =
+                           static_cast<std::size_t>(std::max<std::int64_t>(integer_or(body, "runs", 1), 0)),
+                       .serving = bool_or(body, "serving", true),
+                       .unstored = bool_or(body, "unstored", true)};
+}
+
+/// Decodes the answer to a question for the load of a service.
+template <class Load>
+void decode_load(const nlohmann::json& body, Load& load)
+{
+    const auto amount = [&](const char* name) {
+        return std::max<std::int64_t>(integer_or(body, name), 0);
+    };
+    load.known = true;
+    load.waiting_cpu_ms = amount("waiting_cpu_ms");
+    load.running_cpu_milli = amount("running_cpu_milli");
+    load.running_memory_mb = amount("running_memory_mb");
+    load.min_workers = static_cast<std::uint32_t>(
+        std::min<std::int64_t>(amount("min_workers"), std::numeric_limits<std::uint32_t>::max()));
+    const std::vector<std::string> busy = string_list(body, "busy");
+    load.busy = {busy.begin(), busy.end()};
 }
 
 }  // namespace
@@ -127,15 +143,9 @@
                         if (!*alive) {
                             return;
                         }
-                        const auto body = nlohmann::json::parse(answer.body, nullptr, false);
-                        if (answer.answered && answer.status == 200 && body.is_object()) {
-                            pool_load& load = survey->loads[name];
-                            load.known = true;
-                            load.waiting_cpu_ms = body.value("waiting_cpu_ms", std::int64_t{0});
-                            load.running_cpu_milli = body.value("running_cpu_milli", std::int64_t{0});
-                            load.running_memory_mb = body.value("running_memory_mb", std::int64_t{0});
-                            load.min_workers = body.value("min_workers", 0U);
-                            load.busy = body.value("busy", std::set<std::string>());
+                        const auto document = read_json(answer.body);
+                        if (answer.answered && answer.status == 200 && document) {
+                            decode_load(document.value(), survey->loads[name]);
                         }
                         if (--survey->open == 0) {
                             balance(*survey);
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -4,11 +4,12 @@
 #include "node/node_state.hpp"
 
 #include "waxwingnotch/base/clock.hpp"
+#include "waxwingnotch/base/json_fields.hpp"
 #include "waxwingnotch/base/log.hpp"
-
-#include <nlohmann/json.hpp>
+#include "waxwingnotch/base/rejected_input.hpp"
 
 #include <charconv>
+#include <limits>
 
 namespace waxwingnotch {
 
@@ -182,6 +183,33 @@
     return rows.dump();
 }
 
+/// Reads what encode_ends() has written.
+/// @return nothing if a row cannot be read
+std::optional<std::vector<ended_row>> decode_ends(const nlohmann::json& rows)
+{
+    if (!rows.is_array()) {
+        return std::nullopt;
+    }
+    std::vector<ended_row> ends;
+    for (const nlohmann::json& row : rows) {
+        constexpr std::size_t fields = 4;
+        if (!row.is_array() || row.size() < fields || !row[0].is_string() || !row[3].is_string()) {
+            return std::nullopt;
+        }
+        const auto run = integer_within(row[1], 0, std::numeric_limits<std::uint32_t>::max());
+        const auto kind = integer_within(row[2], 0, static_cast<int>(end_kind::gang_incomplete));
+        if (!run || !kind) {
+            return std::nullopt;
+        }
+        ends.push_back({.number = 0,
+                        .task = row[0].get<std::string>(),
+                        .run = static_cast<std::uint32_t>(*run),
+                        .kind = static_cast<end_kind>(*kind),
+                        .checkpoint = row[3].get<std::string>()});
+    }
+    return ends;
+}
+
 void internal_api::accept_ends(const http_exchange_ptr& exchange)
 {
     const int shard = static_cast<int>(parse_integer(exchange->query("shard").value_or(""), -1));
@@ -190,24 +218,19 @@
         exchange->reply(status_not_owner, {}, "");
         return;
     }
-    std::vector<ended_row> ends;
-    try {
-        for (const nlohmann::json& row : nlohmann::json::parse(exchange->body())) {
-            ended_row item;
-            item.task = row.at(0).get<std::string>();
-            item.run = row.at(1).get<std::uint32_t>();
-            item.kind = static_cast<end_kind>(row.at(2).get<int>());
-            item.checkpoint = row.at(3).get<std::string>();
-            ends.push_back(std::move(item));
-        }
+    const auto document = read_json(exchange->body());
+    std::optional<std::vector<ended_row>> ends;
+    if (document) {
+        ends = decode_ends(document.value());
     }
-    catch (const nlohmann::json::exception& problem) {
-        log_event(log_level::error, "ends_unreadable", {{"shard", shard}, {"reason", problem.what()}});
+    if (!ends) {
+        note_rejected_input(input_source::entry_node, "/shard/ends",
+                            document ? "an end is unreadable" : document.error().message);
         exchange->reply(400, {}, "the ends cannot be read");
         return;
     }
-    log_event(log_level::info, "ends_reported", {{"shard", shard}, {"ends", ends.size()}});
-    owner->report_ends(ends);
+    log_event(log_level::info, "ends_reported", {{"shard", shard}, {"ends", ends->size()}});
+    owner->report_ends(*ends);
     exchange->reply(200, {}, "");
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -9,6 +9,7 @@
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/hash.hpp"
 #include "waxwingnotch/base/log.hpp"
+#include "waxwingnotch/base/rejected_input.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -195,8 +196,7 @@
     if (record.key == adapter::configuration_key) {
         auto config = adapter::decode_configuration(*record.value);
         if (!config) {
-            log_event(log_level::error, "configuration",
-                      {{"outcome", "ignored"}, {"reason", config.error().message}});
+            note_rejected_input(input_source::operator_record, record.key, config.error().message);
             return;
         }
         // Versions rise, so a record that is read again or is older has no effect.
@@ -216,7 +216,7 @@
     if (record.key.starts_with(adapter::wave_prefix)) {
         auto wave = adapter::decode_wave(*record.value);
         if (!wave) {
-            log_event(log_level::error, "wave", {{"key", record.key}, {"reason", wave.error().message}});
+            note_rejected_input(input_source::operator_record, record.key, wave.error().message);
             return;
         }
         state_.wave_seen_ms.try_emplace(wave.value().number, monotonic_ms());
@@ -241,8 +241,7 @@
                                               : result<worker_entry>(fail(error_code::not_found, "removed"));
     if (!entry) {
         if (record.value) {
-            log_event(log_level::warning, "worker_entry",
-                      {{"key", record.key}, {"reason", entry.error().message}});
+            note_rejected_input(input_source::worker_entry, record.key, entry.error().message);
             return;
         }
         state_.registry.erase(record.key);
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -45,6 +45,23 @@
     EXPECT_NE(read.error().message.find("cloudApi.dutyPerS"), std::string::npos);
 }
 
+TEST(settings, addresses_and_numbers_out_of_range_are_errors)
+{
+    const auto message = [](const char* section, const char* name, const nlohmann::json& value) {
+        auto text = nlohmann::json::parse(settings_text);
+        text[section][name] = value;
+        const auto read = decode_settings(text.dump());
+        return read ? std::string() : read.error().message;
+    };
+    EXPECT_NE(message("platform", "address", "store.example:4").find("platform.address"), std::string::npos);
+    EXPECT_NE(message("listenAddrs", "front", "127.0.0.1:70000").find("listenAddrs.front"),
+              std::string::npos);
+    EXPECT_NE(message("cloudApi", "address", "127.0.0.1").find("cloudApi.address"), std::string::npos);
+    EXPECT_NE(message("platform", "parts", 1e300).find("platform.parts"), std::string::npos);
+    EXPECT_NE(message("bounds", "graceS", -1).find("bounds.graceS"), std::string::npos);
+    EXPECT_EQ(message("bounds", "graceS", nullptr), "");
+}
+
 TEST(settings, error_names_the_missing_field)
 {
     auto text = nlohmann::json::parse(settings_text);
@@ -108,6 +125,81 @@
     EXPECT_FALSE(decode_worker("i-1", "[1]"));
 }
 
+// One odd entry among those of the workers ended every node, or its numbers were taken as the largest
+// integer.
+TEST(worker, registration_with_odd_values_is_rejected)
+{
+    const auto changed = [](const char* name, const nlohmann::json& value) {
+        auto text = nlohmann::json::parse(worker_text);
+        text[name] = value;
+        return decode_worker("i-1", text.dump()).has_value();
+    };
+    for (const nlohmann::json& value :
+         {nlohmann::json(1e300), nlohmann::json(-1), nlohmann::json(1ULL << 63U)}) {
+        EXPECT_FALSE(changed("capacity", {{"cpu", value}, {"memMb", 1}}));
+        EXPECT_FALSE(changed("capacity", {{"cpu", 1}, {"memMb", value}}));
+        EXPECT_FALSE(changed("born", value));
+    }
+    for (const char* address : {"127.0.0.1:70000", "127.0.0.1:0", "localhost:80", ":80", "127.0.0.1:-1"}) {
+        EXPECT_FALSE(changed("address", address)) << address;
+    }
+    EXPECT_FALSE(changed("labels", {1, 2}));
+    EXPECT_FALSE(decode_worker("i\r\n1", worker_text));
+    EXPECT_FALSE(decode_worker("\xff", worker_text));
+    EXPECT_FALSE(decode_worker("", worker_text));
+    const std::string text = worker_text;
+    constexpr std::size_t deep = 120'000;
+    EXPECT_FALSE(decode_worker("i-1", text.substr(0, text.size() - 1) + R"(,"x":)" + std::string(deep, '[') +
+                                          std::string(deep, ']') + "}"));
+}
+
+// A version beyond the range was taken as the largest integer, so every later version counted as older.
+TEST(configuration, numbers_out_of_range_are_refused_with_their_field)
+{
+    const auto message = [](const char* text) {
+        const auto read = decode_configuration(text);
+        return read ? std::string() : read.error().message;
+    };
+    EXPECT_NE(message(R"({"version":1e300})").find("version"), std::string::npos);
+    EXPECT_NE(message(R"({"version":-1})").find("version"), std::string::npos);
+    EXPECT_NE(message(R"({"version":1,"routes":[{},{"stretch":1e300}]})").find("routes[1].stretch"),
+              std::string::npos);
+    EXPECT_NE(message(R"({"version":1,"routes":[{"maxAttempts":-1}]})").find("maxAttempts"),
+              std::string::npos);
+    EXPECT_NE(message(R"({"version":1,"routes":5})"), "");
+    EXPECT_NE(message(R"({"version":1,"services":[null]})"), "");
+    EXPECT_EQ(message(R"({"version":1,"routes":null})"), "");
+    EXPECT_FALSE(decode_wave(R"({"wave":1e300})"));
+    EXPECT_FALSE(decode_wave(R"({"wave":1,"finishByS":-1})"));
+    EXPECT_FALSE(decode_wave(R"({"wave":1,"machines":[5]})"));
+}
+
+TEST(job_body, numbers_out_of_range_are_refused_with_their_field)
+{
+    const auto message = [](const std::string& text) {
+        const auto read = decode_job_body(text);
+        return read ? std::string() : read.error().message;
+    };
+    EXPECT_NE(message(R"({"steps":[{},{"cpu":1e300}]})").find("step 1.cpu"), std::string::npos);
+    EXPECT_NE(message(R"({"steps":[{"memMb":"much"}]})").find("memMb"), std::string::npos);
+    EXPECT_NE(message(R"({"steps":[{"estimateMs":-1}]})").find("estimateMs"), std::string::npos);
+    EXPECT_NE(message(R"({"steps":[{}],"firstMs":9e18})").find("firstMs"), std::string::npos);
+    EXPECT_NE(message(R"({"steps":[{}],"intervalMs":-1})").find("intervalMs"), std::string::npos);
+    EXPECT_NE(message(R"({"steps":[{},{"dependsOn":[4294967296]}]})"), "");
+    std::string many = R"({"steps":[{})";
+    for (std::size_t step = 0; step < max_steps; ++step) {
+        many += ",{}";
+    }
+    EXPECT_NE(message(many + "]}").find("1001 steps"), std::string::npos);
+}
+
+TEST(job_body, a_dependency_that_is_repeated_is_kept_once)
+{
+    const auto read = decode_job_body(R"({"steps":[{},{},{"dependsOn":[1,0,1,0,1]}]})");
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value().steps[2].depends_on, (std::vector<std::uint32_t>{0, 1}));
+}
+
 TEST(job_body, is_decoded)
 {
     const auto read =
@@ -288,6 +380,64 @@
     EXPECT_EQ(poll_once(address), order_result::not_listening);
 }
 
+// The clock of a worker was taken as it was, so its leases reached to the end of time.
+TEST_F(worker_calls, an_answer_with_an_odd_clock_counts_as_no_answer)
+{
+    EXPECT_EQ(poll(200, R"({"clockMs":9223372036854775807})").outcome, order_result::no_answer);
+    EXPECT_EQ(poll(200, R"({"clockMs":-1})").outcome, order_result::no_answer);
+    EXPECT_EQ(poll(200, R"({"running":[]})").outcome, order_result::no_answer);
+    EXPECT_EQ(poll(200, "no JSON").outcome, order_result::no_answer);
+    EXPECT_EQ(poll(200, R"({"clockMs":1,"x":)" + std::string(100'000, '[') + std::string(100'000, ']') + "}")
+                  .outcome,
+              order_result::no_answer);
+}
+
+TEST_F(worker_calls, numbers_of_a_row_that_are_out_of_range_make_it_unreadable)
+{
+    const poll_answer got =
+        poll(200, R"({"clockMs":5,"running":[["a.0.0.1",1e300,"",1,1],["a.0.0.2",-1,"",1,1],
+        ["a.0.0.3",4294967296,"",1,1],["a.0.0.4",1,"",1e300,1e300]],
+        "finished":[[1e300,"a.0.0.1",1,"done",""],[0,"a.0.0.1",1,"done",""],[1,"a.0.0.1",-1,"done",""]]})");
+    ASSERT_EQ(got.running.size(), 1U);
+    EXPECT_EQ(got.running[0].task, "a.0.0.4");
+    EXPECT_TRUE(got.ended.empty());
+}
+
+/// Lists the hosts of a service that answers with a given body.
+class host_calls : public testing::Test {
+protected:
+    host_listing list(const std::string& body)
+    {
+        http_server server(loop);
+        server.handle([&](const http_exchange_ptr& exchange) { exchange->reply(200, {}, body); });
+        http_client client(loop);
+        host_client hosts(client, "127.0.0.1:" + std::to_string(server.listen("127.0.0.1", 0).value()));
+        host_listing got;
+        hosts.list([&](const host_listing& answer) {
+            got = answer;
+            loop.stop();
+        });
+        loop.run();
+        return got;
+    }
+    event_loop loop;
+};
+
+// A row that is not an object, or a capacity that is none, ended the node with the host duty by an exception.
+TEST_F(host_calls, rows_of_other_types_are_skipped)
+{
+    const host_listing got = list(R"({"machines":[5,null,[],{"machine":"a","capacity":null},{"machine":7},
+        {"machine":"b","capacity":{"cpu":1e300}},{"machine":"c","pool":"p","state":"up","capacity":{"cpu":8}}],
+        "nextToken":null})");
+    ASSERT_TRUE(got.ok);
+    ASSERT_EQ(got.hosts.size(), 1U);
+    EXPECT_EQ(got.hosts[0].name, "c");
+    EXPECT_EQ(got.hosts[0].capacity.cpu_milli, 8);
+    EXPECT_FALSE(list(R"({"machines":"abc"})").ok);
+    EXPECT_FALSE(
+        list(R"({"machines":[],"x":)" + std::string(100'000, '[') + std::string(100'000, ']') + "}").ok);
+}
+
 TEST_F(worker_calls, invalid_rows_are_skipped)
 {
     const poll_answer got = poll(
--- a/tests/job/job_test.cpp
+++ b/tests/job/job_test.cpp
@@ -47,6 +47,47 @@
     EXPECT_NE(validate(job), "");
 }
 
+// 16,000 steps with 10,000 tasks each fit into one submission; its owner took 13 GB and was killed, and so
+// was the next one.
+TEST(job, limits_the_tasks_of_all_steps)
+{
+    job_spec job = valid_job();
+    job.steps[0].task_count = 6'000;
+    job.steps[1].task_count = 4'000;
+    EXPECT_EQ(validate(job), "");
+    job.steps[1].task_count = 4'001;
+    EXPECT_NE(validate(job).find("10001 tasks"), std::string::npos);
+    job = valid_job();
+    job.steps.assign(max_steps + 1, {});
+    EXPECT_NE(validate(job), "");
+}
+
+// A job that was accepted under the limits of an earlier version is not lost.
+TEST(job, a_stored_job_beyond_the_limit_of_submissions_is_read)
+{
+    job_spec job = valid_job();
+    job.steps[0].task_count = 10'000;
+    job.steps[1].task_count = 10'000;
+    EXPECT_NE(validate(job), "");
+    const auto read = decode_job(encode_job(job));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value().tasks(), 20'000U);
+    job.steps.resize(11, job.steps[0]);
+    for (step_spec& step : job.steps) {
+        step.task_count = 10'000;
+    }
+    EXPECT_FALSE(decode_job(encode_job(job)));
+}
+
+TEST(progress, a_record_that_is_nested_deeply_or_has_an_unknown_phase_is_refused)
+{
+    EXPECT_FALSE(decode_progress(std::string(200'000, '\x81') + '\0'));
+    EXPECT_FALSE(decode_job(std::string(200'000, '\x81') + '\0'));
+    // One task: last run 1, no failures, phase 9, no runs, no checkpoint.
+    EXPECT_FALSE(decode_progress("\x81\x81\x85\x01" + std::string(1, '\0') + "\x09\x80\x60"));
+    EXPECT_TRUE(decode_progress("\x81\x81\x85\x01" + std::string(1, '\0') + "\x01\x80\x60"));
+}
+
 TEST(job, checks_the_form_of_an_id)
 {
     EXPECT_TRUE(is_job_id("0123456789abcdef"));
