--- a/include/waxwingnotch/base/log.hpp
+++ b/include/waxwingnotch/base/log.hpp
@@ -56,6 +56,10 @@
 /// @param fields inputs and outcome, written in this order
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields);
 
+/// Waits for the reader of standard output, at most 300 ms, until all accepted lines are written. Call before
+/// the process ends.
+void flush_log();
+
 /// Parses "debug", "info", "warning" or "error".
 /// @return false if @p text is none of them
 bool parse_log_level(std::string_view text, log_level& level);
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,6 +1,7 @@
 #include "waxwingnotch/base/log.hpp"
 
 #include "waxwingnotch/base/clock.hpp"
+#include "waxwingnotch/base/crash_report.hpp"
 
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
@@ -14,6 +15,7 @@
 #include <boost/smart_ptr/make_shared.hpp>
 #include <fcntl.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -137,7 +139,6 @@
         flush();
     }
 
-private:
     /// @return whether all buffered bytes are written
     bool flush()
     {
@@ -149,19 +150,28 @@
             if (size <= 0) {
                 return false;
             }
+            set_log_line_open(static_cast<std::size_t>(size) < unwritten_.size());
             unwritten_.erase(0, static_cast<std::size_t>(size));
         }
         return true;
     }
 
+private:
     std::string unwritten_;  // bytes of accepted lines that are not written yet
 };
 
+boost::shared_ptr<nonblocking_output>& current_output()
+{
+    static boost::shared_ptr<nonblocking_output> output;
+    return output;
+}
+
 void add_standard_output_sink(int max_lines_per_s)
 {
     using sink_type = logging::sinks::synchronous_sink<nonblocking_output>;
     output_limiter().enable(max_lines_per_s);
-    auto sink = boost::make_shared<sink_type>(boost::make_shared<nonblocking_output>());
+    current_output() = boost::make_shared<nonblocking_output>();
+    auto sink = boost::make_shared<sink_type>(current_output());
     sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
     logging::core::get()->add_sink(sink);
 }
@@ -183,6 +193,7 @@
 {
     current_settings() = {options.level, options.node};
     logging::core::get()->remove_all_sinks();
+    current_output().reset();
     output_limiter().disable();
     if (options.standard_output) {
         add_standard_output_sink(options.max_lines_per_s);
@@ -215,6 +226,22 @@
     BOOST_LOG(logger) << line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
+void flush_log()
+{
+    // The platform gives a node at least 700 ms between the end of its drain and the kill.
+    constexpr std::int64_t limit_ms = 300;
+    const std::int64_t started_ms = monotonic_ms();
+    while (current_output() != nullptr && !current_output()->flush()) {
+        const std::int64_t left_ms = limit_ms - (monotonic_ms() - started_ms);
+        pollfd ready{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+        // POLLERR: the reader has gone.
+        if (left_ms <= 0 || poll(&ready, 1, static_cast<int>(left_ms)) <= 0 ||
+            (ready.revents & POLLOUT) == 0 || (ready.revents & POLLERR) != 0) {
+            return;
+        }
+    }
+}
+
 bool parse_log_level(std::string_view text, log_level& level)
 {
     for (const log_level candidate :
