Say why a node ends, and act on signals during its start

Nodes ended without a word on real machines: SIGHUP in the first milliseconds took its default action, a port that was in use ended the node at once, and faults left no line. A std::logic_error of a running node was taken for a wrong command line.

--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -15,22 +15,31 @@
     const char* name;
     const char* usage;
     int (*run)(const arguments& args);
+    bool long_running = false;  // an exception ends the process with a report, not with a usage text
 };
 
 constexpr subcommand commands[] = {
-    {"serve", usage_serve, run_serve},       {"check", usage_check, run_check},
-    {"publish", usage_publish, run_publish}, {"watch", usage_watch, run_watch},
-    {"status", usage_status, run_status},    {"explain", usage_explain, run_explain},
-    {"audit", usage_audit, run_audit},       {"drain", usage_drain, run_drain},
-    {"restore", usage_restore, run_restore}, {"wave", usage_wave, run_wave},
-    {"node", usage_node, run_node_command},
+    {"serve", usage_serve, run_serve, true},
+    {"check", usage_check, run_check},
+    {"publish", usage_publish, run_publish},
+    {"watch", usage_watch, run_watch},
+    {"status", usage_status, run_status},
+    {"explain", usage_explain, run_explain},
+    {"audit", usage_audit, run_audit},
+    {"drain", usage_drain, run_drain},
+    {"restore", usage_restore, run_restore},
+    {"wave", usage_wave, run_wave},
+    {"node", usage_node, run_node_command, true},
 };
 
 int run_subcommand(const subcommand& command, const std::vector<std::string>& command_line)
 {
+    arguments args;
     try {
-        const arguments args = docopt::docopt_parse(command.usage, command_line, true, false);
-        return command.run(args);
+        args = docopt::docopt_parse(command.usage, command_line, true, false);
+        if (!command.long_running) {
+            return command.run(args);
+        }
     }
     catch (const std::logic_error& problem) {
         // std::stol() throws this for an option value that is not an integer. docopt uses it as well.
@@ -47,6 +56,9 @@
         std::cerr << "waxwingnotch " << command.name << ": " << problem.what() << "\n\n" << command.usage;
         return exit_usage;
     }
+    // Outside of the handlers: an exception that nothing catches is reported with the stack of its throw.
+    // Within them, a std::out_of_range of a running node would end it as a wrong command line.
+    return command.run(args);
 }
 
 }  // namespace
--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -3,8 +3,10 @@
 #include "cli/commands.hpp"
 #include "documents.hpp"
 
+#include "waxwingnotch/base/crash_report.hpp"
 #include "waxwingnotch/cli/cli.hpp"
 
+#include <charconv>
 #include <cstdlib>
 #include <iostream>
 
@@ -21,15 +23,17 @@
     if (options.settings_file.empty()) {
         std::cerr << "waxwingnotch node: neither --settings nor " << adapter::settings_variable
                   << " names a settings file\n";
+        report_process_end("command line", "no settings file is named", exit_usage);
         return exit_usage;
     }
     const std::string port = option_text(args, "--metrics-port");
-    const long number = std::stol(port);
-    if (number < 0 || number > 65'535) {
+    const char* const end = port.data() + port.size();
+    const auto [parsed_to, problem] = std::from_chars(port.data(), end, options.metrics_port);
+    if (problem != std::errc() || parsed_to != end) {
         std::cerr << "waxwingnotch node: --metrics-port=" << port << " is not a port from 0 to 65535\n";
+        report_process_end("command line", "--metrics-port is not a port", exit_usage);
         return exit_usage;
     }
-    options.metrics_port = static_cast<std::uint16_t>(number);
     return run_node(options);
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,13 +1,17 @@
 #include "waxwingnotch/node/node.hpp"
 
 #include "documents.hpp"
+#include "node/libevent_log.hpp"
+#include "node/listen.hpp"
 #include "node/node_state.hpp"
 #include "store_client.hpp"
 #include "worker_client.hpp"
 
 #include "waxwingnotch/base/clock.hpp"
+#include "waxwingnotch/base/crash_report.hpp"
 #include "waxwingnotch/base/hash.hpp"
 #include "waxwingnotch/base/log.hpp"
+#include "waxwingnotch/base/process.hpp"
 #include "waxwingnotch/net/address.hpp"
 
 #include <algorithm>
@@ -31,6 +35,9 @@
 constexpr std::int64_t ends_retry_ms = 400;    // between attempts to deliver ends to the next owner
 constexpr std::int64_t ends_keep_ms = 60'000;  // longer than any lease that tasks of the shard may wait for
 constexpr std::int64_t peer_timeout_ms = 500;  // one call to another node
+// A node that is started again waits for the ports as long as the process before it may drain, and this
+// longer.
+constexpr std::int64_t listen_margin_ms = 2'000;
 
 result<node_settings> read_settings(const std::string& file)
 {
@@ -43,15 +50,21 @@
     return adapter::decode_settings(content.str());
 }
 
+/// Why a node ended.
+struct node_end {
+    const char* reason;
+    std::string detail;
+    int status = 0;
+};
+
 /// An entry node: its servers, followers and components.
 class node {
 public:
     node(node_settings settings, node_options options);
-    int run();
+    node_end run();
 
 private:
-    bool listen();
-    bool listen_on(http_server& server, const std::string& address, const char* what);
+    result<bool> listen();
     void follow_operator_topic();
     void enable_registry_follower(bool enabled);
     void on_operator_record(const keyed_record& record);
@@ -79,6 +92,7 @@
     http_server ready_server_;
     http_server internal_server_;
     http_server metrics_server_;
+    optional_listener metrics_listener_;
     std::unique_ptr<keyed_follower> operator_follower_;
     std::unique_ptr<keyed_follower> registry_follower_;
     std::unique_ptr<host_manager> host_manager_;
@@ -93,7 +107,7 @@
 node::node(node_settings settings, node_options options)
     : options_(std::move(options)), state_(std::move(settings)), callers_(state_), internal_(state_),
       caller_server_(state_.loop), ready_server_(state_.loop), internal_server_(state_.loop),
-      metrics_server_(state_.loop)
+      metrics_server_(state_.loop), metrics_listener_(state_.loop, metrics_server_)
 {
     state_.store = std::make_unique<adapter::store_client>(state_.transport);
     state_.workers = std::make_unique<adapter::worker_client>(state_.client);
@@ -125,28 +139,12 @@
     });
 }
 
-bool node::listen_on(http_server& server, const std::string& address, const char* what)
+result<bool> node::listen()
 {
-    const endpoint target = parse_endpoint(address);
-    auto port = server.listen(target.ip, target.port);
-    if (!port) {
-        log_event(log_level::error, "listen", {{"for", what}, {"reason", port.error().message}});
-        return false;
-    }
-    return true;
-}
-
-bool node::listen()
-{
-    const bool listening = listen_on(ready_server_, state_.settings.ready_address, "the balancer") &&
-                           listen_on(internal_server_, state_.settings.internal_address, "entry nodes") &&
-                           listen_on(caller_server_, state_.settings.caller_address, "client accounts");
-    if (listening && options_.metrics_port != 0) {
-        // Optional: the node runs without the metrics listener if this fails.
-        listen_on(metrics_server_, state_.settings.ip + ":" + std::to_string(options_.metrics_port),
-                  "metrics");
-    }
-    return listening;
+    return listen_with_retries({{&internal_server_, state_.settings.internal_address, "entry nodes"},
+                                {&caller_server_, state_.settings.caller_address, "client accounts"},
+                                {&ready_server_, state_.settings.ready_address, "the balancer"}},
+                               state_.settings.drain_grace_ms + listen_margin_ms);
 }
 
 bool node::ready() const
@@ -445,40 +443,57 @@
     });
 }
 
-int node::run()
+node_end node::run()
 {
     log_event(log_level::info, "start",
               {{"data_centre", state_.settings.data_centre}, {"store", state_.settings.store_address}});
-    if (!listen()) {
-        return 1;
+    const auto listening = listen();
+    if (!listening) {
+        return {.reason = "cannot listen", .detail = listening.error().message, .status = 1};
+    }
+    if (!listening.value()) {
+        return {.reason = "stopped", .detail = "by a signal while the ports were in use"};
+    }
+    if (options_.metrics_port != 0) {
+        metrics_listener_.start(state_.settings.ip, options_.metrics_port, "metrics");
     }
     update_peers();
     sigterm_ = state_.loop.on_signal(SIGTERM, [this] { stop(); });
     sigint_ = state_.loop.on_signal(SIGINT, [this] { stop(); });
     sighup_ = state_.loop.on_signal(SIGHUP, [this] { reload(); });
+    release_control_signals();
     follow_operator_topic();
     join_group();
     ends_timer_ = state_.loop.every(ends_retry_ms, [this] { deliver_ends(); });
+    state_.watch.start();
     state_.loop.run();
     host_manager_.reset();
     state_.shards.clear();
-    return 0;
+    return {.reason = "stopped", .detail = {}};
 }
 
-}  // namespace
-
-int run_node(const node_options& options)
+/// Runs a node in a scope of its own, so that its end is reported after its parts are gone.
+node_end run_with_settings(const node_options& options)
 {
     auto settings = read_settings(options.settings_file);
     if (!settings) {
-        log_event(log_level::error, "settings",
-                  {{"file", options.settings_file}, {"reason", settings.error().message}});
-        return 1;
+        return {"settings", options.settings_file + ": " + settings.error().message, 1};
     }
+    set_crash_report_node(settings.value().name);
     init_log({.level = log_level::info, .file = {}, .node = settings.value().name, .standard_output = true});
-    std::signal(SIGPIPE, SIG_IGN);
     node process(std::move(settings.value()), options);
     return process.run();
 }
 
+}  // namespace
+
+int run_node(const node_options& options)
+{
+    log_libevent_messages();
+    const node_end end = run_with_settings(options);
+    flush_log();
+    report_process_end(end.reason, end.detail, end.status);
+    return end.status;
+}
+
 }  // namespace waxwingnotch
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -1,6 +1,8 @@
 /// Gauges of a node; its counters are updated where they count.
 #include "node/node_state.hpp"
 
+#include "waxwingnotch/base/process.hpp"
+
 #include <array>
 #include <utility>
 
@@ -44,6 +46,16 @@
     for (const auto& [reason, name] : waiting_names) {
         set(name, "Long-running tasks that wait for this reason", waiting[static_cast<std::size_t>(reason)]);
     }
+    constexpr std::int64_t ms_per_s = 1'000;
+    const process_usage usage = read_process_usage();
+    set("resident_memory_bytes", "Resident memory of this process", usage.resident_bytes);
+    set("open_descriptors", "Open file descriptors of this process", usage.open_descriptors);
+    set("max_descriptors", "Limit of the system on open_descriptors; -1: none", usage.max_descriptors);
+    set("processor_ms", "Processor time of this process since its start", usage.processor_ms);
+    set("uptime_s", "Seconds since the start of this process", node.watch.uptime_ms() / ms_per_s);
+    set("loop_late_max_ms", "Longest delay of a periodic timer by a busy event loop, since the start",
+        node.watch.late_max_ms());
+    set("loop_late_recent_ms", "The same within the last 10 to 20 s", node.watch.late_recent_ms());
     set("configuration_version", "Version in force", node.config ? node.config->version : -1);
     set("store_straight", "1 if the store answers this node", node.transport.direct_path_usable() ? 1 : 0);
 }
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -2,6 +2,8 @@
 /// Components of an entry node and their shared state.
 #pragma once
 
+#include "node/process_watch.hpp"
+
 #include "waxwingnotch/base/counters.hpp"
 #include "waxwingnotch/decision/burst_reserve.hpp"
 #include "waxwingnotch/decision/pool_balance.hpp"
@@ -32,6 +34,7 @@
 
     node_settings settings;
     event_loop loop;
+    process_watch watch{loop};
     http_client client;
     store_transport transport;
     std::unique_ptr<log_store> store;
