Order no start that its worker has lost the room for

An assignment waits for the store, for seconds while the store is slow. Its start was ordered whatever the worker had reported meanwhile, so a worker that does not check its capacity was brought over it, and one that does rejected the start.

Cause: the room was checked at the assignment only.

Change: on_stored() compares the task with the room that is left beside the runs whose start has been ordered, and requeues it if it does not fit.

Test: shard_core.orders_no_start_that_a_worker_has_lost_the_room_for fails on the code before (4 runs on a worker with room for 2) and passes now.

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -203,6 +203,7 @@
     void end_run(run_entry& run, end_kind kind, const std::string& checkpoint, std::int64_t now_ms);
     void requeue(run_entry& run, const char* reason, std::int64_t now_ms);
     void request_stop(run_entry& run, std::int64_t now_ms);
+    static resources ordered_resources(const worker_state& worker);
     void stop_task(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
                    std::int64_t now_ms);
     void complete_gang(occurrence_entry& occurrence, std::uint32_t step, std::int64_t now_ms);
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -241,6 +241,18 @@
     stops_.push_back({run.worker->target(), {run.task, run.number, token_of(*run.worker)}});
 }
 
+/// @return what the runs on @p worker reserve whose start has been ordered
+resources shard_core::ordered_resources(const worker_state& worker)
+{
+    resources total;
+    for (const run_entry* run : worker.runs) {
+        if (run->stage != run_stage::writing) {
+            total += run->occurrence->step(run->step).reserved();
+        }
+    }
+    return total;
+}
+
 void shard_core::on_stored(std::uint64_t batch, std::int64_t now_ms)
 {
     stored_batch_ = std::max(stored_batch_, batch);
@@ -273,6 +285,10 @@
             requeue(*run, "the worker left before the start order was sent", now_ms);
             continue;
         }
+        if (!fits(run->occurrence->step(run->step), worker.entry.capacity - ordered_resources(worker))) {
+            requeue(*run, "the worker lost the room before the start order was sent", now_ms);
+            continue;
+        }
         run->stage = run_stage::starting;
         run->ordered_ms = now_ms;
         run->progress_ms = now_ms;
--- a/tests/shard/shard_core_test.cpp
+++ b/tests/shard/shard_core_test.cpp
@@ -119,6 +119,32 @@
     EXPECT_EQ(owner->core->state_of(id_of(1)), job_state::completed);
 }
 
+// The store may take seconds for an assignment. Its start was ordered although the worker had lost the room
+// for it meanwhile; a worker that does not check its capacity would have started it.
+TEST(shard_core, orders_no_start_that_a_worker_has_lost_the_room_for)
+{
+    shard_world world(4);
+    world.task_ms = 60'000;
+    world.add_worker("a");
+    const auto owner = world.take_over();
+    world.submit(shard_world::job(id_of(1), 1));
+    world.run(500);
+    world.store_down = true;
+    world.submit(shard_world::job(id_of(2), 3));
+    world.run(1'000);
+    world.workers["a"].entry.capacity.cpu_milli = 2'000;
+    owner->core->put_worker(world.workers["a"].entry, world.now);
+    world.store_down = false;
+    world.run(1'000);
+    EXPECT_EQ(world.workers["a"].running.size(), 2U);
+    world.workers["a"].entry.capacity.cpu_milli = 4'000;
+    owner->core->put_worker(world.workers["a"].entry, world.now);
+    world.run(500);
+    EXPECT_EQ(world.workers["a"].running.size(), 4U);
+    EXPECT_EQ(owner->core->counts().rejected, 0U);
+    EXPECT_TRUE(world.violations.empty());
+}
+
 TEST(shard_core, acknowledges_no_end_before_it_is_stored)
 {
     shard_world world(5);
