--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -208,6 +208,7 @@
     void end_run(run_entry& run, end_kind kind, const std::string& checkpoint, std::int64_t now_ms);
     void requeue(run_entry& run, const char* reason, std::int64_t now_ms);
     void request_stop(run_entry& run, std::int64_t now_ms);
+    static resources ordered_resources(const worker_state& worker);
     void stop_task(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
                    std::int64_t now_ms);
     void complete_gang(occurrence_entry& occurrence, std::uint32_t step, std::int64_t now_ms);
@@ -242,8 +243,12 @@
     void clear_suspicion(run_entry& run);
     void describe_runs(placement_view& view, std::int64_t now_ms) const;
     void reserve_isolation(std::string_view service, placement_round& round, std::int64_t now_ms);
+    struct isolation_quota;
+    void reserve_idle_workers(std::string_view service, placement_round& round, std::int64_t now_ms);
+    void reserve_for_suspects(std::string_view service, placement_round& round, isolation_quota quota,
+                              std::int64_t now_ms);
     void reserve_for_step(const occurrence_entry& occurrence, std::uint32_t step, placement_round& round,
-                          std::size_t& may_empty, std::int64_t now_ms);
+                          isolation_quota& quota, std::int64_t now_ms);
     bool isolation_allows(const occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
                           const placement_view& view) const;
 
