Check CBOR without recursion before it is read

A string of indefinite length may hold only strings of definite length, but the library reads ones of indefinite length there too, by recursion and without a call of the SAX handler that bounded the nesting. A record of 60,000 bytes 0x7f in the log ended each `serve` node that read it with SIGSEGV. Messages between peers and the log's answers had no check at all: there, 200,000 nested arrays or strings did the same.

The new check walks the items with a fixed stack: nesting to 16, chunks of strings, lengths that the bytes back, no tags, no floating-point numbers, no integers beyond 64 bits with sign.

--- a/src/fleet/records.cpp
+++ b/src/fleet/records.cpp
@@ -59,7 +59,7 @@
 result<batch> decode(std::string_view bytes)
 {
     try {
-        const json root = read_cbor(bytes);
+        const json root = parse_bounded_cbor(bytes);
         batch value;
         root.at("w").get_to(value.writer);
         root.at("i").get_to(value.incarnation);
--- a/src/fleet/snapshot.cpp
+++ b/src/fleet/snapshot.cpp
@@ -144,7 +144,7 @@
     for (const json& item : groups) {
         const json::binary_t& bytes = item.get_binary();
         const std::string_view text(reinterpret_cast<const char*>(bytes.data()), bytes.size());
-        for (const json& claim : read_cbor(text)) {
+        for (const json& claim : parse_bounded_cbor(text)) {
             read_claim(claim, state);
         }
     }
@@ -222,7 +222,7 @@
 result<fleet_state> decode_state(std::string_view bytes)
 {
     try {
-        return read_state(read_cbor(bytes));
+        return read_state(parse_bounded_cbor(bytes));
     }
     catch (const json::exception& problem) {
         return fail(error_code::malformed, problem.what());
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -1,5 +1,7 @@
 #include "waxwingnotch/peer/messages.hpp"
 
+#include "fleet/cbor_reader.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace waxwingnotch {
@@ -141,7 +143,7 @@
 result<peer_message> decode_peer_message(std::string_view bytes)
 {
     try {
-        return decode_map(json::from_cbor(bytes.begin(), bytes.end()));
+        return decode_map(parse_bounded_cbor(bytes));
     }
     catch (const json::exception& problem) {
         return fail(error_code::malformed, problem.what());
--- a/src/platform/log_follower.cpp
+++ b/src/platform/log_follower.cpp
@@ -1,5 +1,7 @@
 #include "waxwingnotch/platform/log_follower.hpp"
 
+#include "fleet/cbor_reader.hpp"
+
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/log.hpp"
 
@@ -26,7 +28,7 @@
     using nlohmann::json;
     try {
         std::vector<log_entry> entries;
-        for (const json& item : json::from_cbor(body.begin(), body.end())) {
+        for (const json& item : parse_bounded_cbor(body)) {
             const json::binary_t& bytes = item.at(2).get_binary();
             entries.push_back({item.at(0).get<std::int64_t>(), item.at(1).get<std::int64_t>(),
                                std::string(bytes.begin(), bytes.end())});
--- a/tests/peer/membership_test.cpp
+++ b/tests/peer/membership_test.cpp
@@ -49,4 +49,18 @@
     EXPECT_FALSE(decode_peer_message("\xff\xff"));
 }
 
+// Guards against a message whose nesting overflows the stack of the node that reads it, and against numbers
+// whose conversion is undefined.
+TEST(messages, deep_nesting_and_invalid_numbers_are_rejected)
+{
+    for (const char head : {'\x81', '\x9f', '\x7f', '\x5f'}) {
+        EXPECT_FALSE(decode_peer_message(std::string(200'000, head)));
+    }
+    std::string bytes = encode(records_request_message{1});
+    ASSERT_TRUE(decode_peer_message(bytes));
+    const std::size_t from = bytes.find("from") + 4;
+    bytes.replace(from, 1, std::string("\xfb\x7f\xe0\0\0\0\0\0\0", 9));  // 8.9e307
+    EXPECT_FALSE(decode_peer_message(bytes));
+}
+
 }  // namespace waxwingnotch
