Answer a peer's request behind the kept records with the state

A node that loads a peer's state skips entries, and keeps the older ones until the next entry arrives. A request for records from the skipped range then counted from beyond the end of the kept ones: std::length_error, which nothing catches, so the `serve` node ended. The new test fails with that exception without the change.

--- a/src/peer/peer_mesh.cpp
+++ b/src/peer/peer_mesh.cpp
@@ -142,7 +142,8 @@
     if (offset >= end) {
         return;
     }
-    if (recent_.empty() || offset < recent_.front().offset) {
+    // Entries that this node skipped by loading a state are not kept, so the kept ones may end before `end`.
+    if (recent_.empty() || offset < recent_.front().offset || offset > recent_.back().offset) {
         from.link->send(encode(state_message{end, handlers_.encode_state()}));
         return;
     }
--- a/tests/peer/peer_mesh_test.cpp
+++ b/tests/peer/peer_mesh_test.cpp
@@ -1,3 +1,4 @@
+#include "waxwingnotch/peer/messages.hpp"
 #include "waxwingnotch/peer/peer_mesh.hpp"
 
 #include <gtest/gtest.h>
@@ -67,5 +68,43 @@
     EXPECT_FALSE(known);
 }
 
+// Guards against a node that ends because a peer requests records between those that it keeps and those that
+// it has skipped by loading a state.
+TEST(peer_mesh, a_request_behind_the_kept_records_is_answered_with_the_state)
+{
+    constexpr std::int64_t loaded_offset = 100;
+    event_loop loop;
+    auto handlers = handlers_of("b");
+    handlers.self = [] {
+        heartbeat beat;
+        beat.node = "b";
+        beat.offset = loaded_offset;
+        return beat;
+    };
+    peer_mesh mesh(loop, mesh_options{"b", {}}, handlers);
+    mesh.retain_records(std::vector<log_entry>{{0, 1, "x"}, {1, 1, "y"}});
+    const auto port = mesh.listen("127.0.0.1:0");
+    ASSERT_TRUE(port);
+    mesh.start();
+
+    std::int64_t received = -1;
+    websocket_link_ptr link;
+    link_handlers asking;
+    asking.opened = [&] {
+        link->send(encode(records_request_message{50}));
+    };
+    asking.message = [&](const std::string& bytes) {
+        const auto message = decode_peer_message(bytes);
+        if (const auto* state = message ? std::get_if<state_message>(&message.value()) : nullptr) {
+            received = state->next_offset;
+            loop.stop();
+        }
+    };
+    link = websocket_link::connect(loop, "127.0.0.1:" + std::to_string(port.value()), std::move(asking));
+    const timer test_timeout = loop.after(test_timeout_ms, [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(received, loaded_offset);
+}
+
 }  // namespace
 }  // namespace waxwingnotch
