Limit the size of an answer to the HTTP client

An answer of a worker, the store or a service was read to its end, whatever its size, so one of them could take all memory of a node. The limits are those of the server: 64 MB of body, 64 KB of headers. The new test, a server that announces 100 GB, waits for its timeout without the change.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -16,6 +16,10 @@
 
 namespace {
 
+// Same as the limits of http_server; a larger answer fails the call.
+constexpr ev_ssize_t max_body_bytes = 64L << 20U;
+constexpr ev_ssize_t max_header_bytes = 64L << 10U;
+
 evhttp_cmd_type to_command(std::string_view method)
 {
     if (method == "POST") {
@@ -116,6 +120,8 @@
     link->handle = evhttp_connection_base_new(loop_.native(), nullptr, target.ip.c_str(), target.port);
     // evhttp must not reconnect by itself.
     evhttp_connection_set_retries(link->handle, 0);
+    evhttp_connection_set_max_body_size(link->handle, max_body_bytes);
+    evhttp_connection_set_max_headers_size(link->handle, max_header_bytes);
     // evhttp fills the output buffer only after it has connected, so bytes that leave the buffer were
     // written to the socket. When it resets a failed connection, it drains the unsent bytes after closing
     // the descriptor; those are not counted.
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -16,7 +16,7 @@
 class raw_server {
 public:
     /// Reaction to request number `count`, counted from 1 over all connections.
-    enum class reaction { answer, close, silence };
+    enum class reaction { answer, close, silence, announce_too_much };
     using reaction_function = std::function<reaction(int count)>;
 
     raw_server(event_loop& loop, reaction_function reaction_to)
@@ -70,6 +70,10 @@
             const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
             bufferevent_write(channel, answer.data(), answer.size());
         }
+        else if (next == reaction::announce_too_much) {
+            const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\nok";
+            bufferevent_write(channel, answer.data(), answer.size());
+        }
         else if (next == reaction::close) {
             self->channels_.erase(channel);
             bufferevent_free(channel);
@@ -121,6 +125,13 @@
     EXPECT_FALSE(answer.bytes_sent);
 }
 
+// Guards against an answer that takes all memory of the process.
+TEST_F(http_client_test, an_answer_beyond_the_limit_is_not_read)
+{
+    const raw_server server(loop_, [](int) { return raw_server::reaction::announce_too_much; });
+    EXPECT_EQ(call(server.address(), true).outcome, call_outcome::failed);
+}
+
 // Guards against reporting a request as not run although the server read it before closing, and against
 // evhttp retrying it by itself.
 TEST_F(http_client_test, a_request_is_not_retried_when_the_server_closes)
