Read malformed TOML and odd JSON documents without ending the process

A broken assertion of the library is now a finding with its location.

Inventories and rules as JSON may hold numbers whose conversion to an integer field is undefined, such as 1e308 or 2^64, and any nesting. They are rejected.

Found by fuzzing settings_toml, inventory_toml, rules_toml and rules_json. config_test passes with AddressSanitizer and UndefinedBehaviorSanitizer.

--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
+#include <limits>
+
 namespace waxwingnotch {
 
 using nlohmann::json;
@@ -49,11 +52,29 @@
     return items;
 }
 
+constexpr int max_nesting = 16;               // documents need 4
+constexpr double max_real = 4'294'967'295.0;  // fits each type of integer field
+constexpr auto max_integer = static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+
+/// Rejects what the library follows by recursion or converts with an undefined result: deep nesting, integers
+/// beyond 64 bits with sign, and real numbers that do not fit the integer field in which they may stand.
+bool check_event(int depth, json::parse_event_t event, json& value)
+{
+    const bool too_large =
+        event == json::parse_event_t::value &&
+        ((value.is_number_float() && !(value.get<double>() > -1 && value.get<double>() <= max_real)) ||
+         (value.is_number_unsigned() && value.get<std::uint64_t>() > max_integer));
+    if (depth > max_nesting || too_large) {
+        throw json::other_error::create(500, "nested too deeply, or a number is out of range", nullptr);
+    }
+    return true;
+}
+
 template <class Value, class Read>
 result<Value> read_json(std::string_view text, Read read)
 {
     try {
-        return read(json::parse(text));
+        return read(json::parse(text, check_event));
     }
     catch (const json::exception& problem) {
         return fail(error_code::malformed, problem.what());
--- a/src/config/toml_reader.cpp
+++ b/src/config/toml_reader.cpp
@@ -1,10 +1,38 @@
 #include "config/toml_reader.hpp"
 
 #include <algorithm>
+#include <cctype>
 #include <sstream>
 
 namespace waxwingnotch {
 
+namespace {
+
+/// The library asserts that a key follows `[`, without a location.
+/// @return the first character in place of such a key; the start of the file if there is none
+source_location location_of_bad_header(std::string_view text, std::string_view file)
+{
+    constexpr std::string_view spaces = " \t";
+    std::uint32_t line = 1;
+    for (std::size_t start = 0; start < text.size(); ++line) {
+        const std::size_t end = std::min(text.find('\n', start), text.size());
+        const std::size_t bracket = text.find_first_not_of(spaces, start);
+        if (bracket < end && text[bracket] == '[') {
+            const std::size_t key = std::min(text.find_first_not_of(" \t[", bracket), text.size());
+            const auto first = static_cast<unsigned char>(key < text.size() ? text[key] : '\0');
+            const bool starts_a_key = std::isalnum(first) != 0 || first == '_' || first == '-' ||
+                                      first == '"' || first == '\'' || first >= 0x80;
+            if (!starts_a_key) {
+                return {std::string(file), line, static_cast<std::uint32_t>(key - start + 1)};
+            }
+        }
+        start = end + 1;
+    }
+    return {std::string(file), 1, 1};
+}
+
+}  // namespace
+
 toml::table parse_toml(std::string_view text, std::string_view file, findings& problems)
 {
     try {
@@ -16,6 +44,11 @@
                        "valid TOML");
         return {};
     }
+    catch (const toml_assertion&) {
+        problems.error(location_of_bad_header(text, file), "a key or table header that cannot be read",
+                       "valid TOML");
+        return {};
+    }
 }
 
 source_location location_of(const toml::node& node, std::string_view file)
--- a/src/config/toml_reader.hpp
+++ b/src/config/toml_reader.hpp
@@ -4,6 +4,21 @@
 
 #include "waxwingnotch/base/findings.hpp"
 
+#include <stdexcept>
+
+namespace waxwingnotch {
+
+/// A broken assertion of the TOML library. It asserts things that depend on the text, such as that a key
+/// follows `[`, so a typing error in a file would end the process.
+struct toml_assertion : std::logic_error {
+    using std::logic_error::logic_error;
+};
+
+}  // namespace waxwingnotch
+
+// The library uses this instead of assert().
+#define TOML_ASSERT(condition)                                                                               \
+    ((condition) ? static_cast<void>(0) : throw waxwingnotch::toml_assertion(#condition))
 #include <toml++/toml.h>
 
 #include <cstdint>
--- a/tests/config/parse_test.cpp
+++ b/tests/config/parse_test.cpp
@@ -63,4 +63,31 @@
     EXPECT_EQ(inventory_to_json(inventory_from_json(text).value()), text);
 }
 
+// Guards against a typing error that ends the process: the library asserts that a key follows a bracket.
+TEST(parse, a_bracket_without_a_key_is_a_finding_with_its_location)
+{
+    for (const std::string& header : {std::string("[)"), std::string("[\0", 2), std::string("[[ =")}) {
+        findings problems;
+        parse_rules("[retry]\nmax_attempts = 1\n" + header, "f", problems);
+        ASSERT_EQ(problems.items().size(), 1U);
+        const std::string found = to_string(problems.items()[0]);
+        EXPECT_TRUE(found.starts_with("f:3:" + std::to_string(header.size()) + ": error: found a key"))
+            << found;
+    }
+}
+
+// Guards against documents whose numbers have no defined conversion, so that two builds could differ, and
+// against nesting that the library follows by recursion.
+TEST(json, numbers_out_of_range_and_deep_nesting_are_rejected)
+{
+    const std::string start = R"({"services":{},"teams":{"t":{"quota_slots":)";
+    EXPECT_TRUE(rules_from_json(start + "8}}}"));
+    EXPECT_TRUE(rules_from_json(start + "8.0}}}"));
+    for (const char* number : {"1e308", "-1e308", "18446744073709551615", "1e19", "5e9", "-2.5"}) {
+        EXPECT_FALSE(rules_from_json(start + number + "}}}")) << number;
+    }
+    EXPECT_FALSE(rules_from_json(start + std::string(100'000, '[') + std::string(100'000, ']') + "}}}"));
+    EXPECT_FALSE(inventory_from_json(R"({"data_centres":{},"racks":{},"pools":{},"hosts":{},"x":1e308})"));
+}
+
 }  // namespace waxwingnotch
