Skip services that were added after the survey of the hosts began

What callers saw: the node with the host duty ended with status 2 and the usage text when the operator added a service; the next node with the duty followed if the change came in its survey too. Cause: query_loads() asks for the load of the services of one configuration, and balance() looked each service of the newest configuration up with std::map::at(), which throws; the command line took the exception for a wrong option. Class: state of one version is indexed by names of another. The other .at() calls of the node use keys of the same container.

--- a/src/node/host_keeper.cpp
+++ b/src/node/host_keeper.cpp
@@ -170,10 +170,11 @@
     }
     std::vector<balance_pool> pools;
     for (const service_config& service : node_.config->services) {
-        const pool_load& load = survey.loads.at(service.name);
-        if (!load.known) {
-            continue;  // does not take part while its demand is unknown
+        const auto found = survey.loads.find(service.name);
+        if (found == survey.loads.end() || !found->second.known) {
+            continue;  // its demand is unknown, or the service was added after the survey began
         }
+        const pool_load& load = found->second;
         pools.push_back({.name = service.name,
                          .standby = service.standby,
                          .running_cpu_milli = load.running_cpu_milli,
--- a/tests/inputs/cases.py
+++ b/tests/inputs/cases.py
@@ -3,6 +3,7 @@
 would."""
 import asyncio
 import json
+import signal
 
 LEVELS = 120_000  # within 262,144 bytes
 NESTED = b"[" * LEVELS + b"]" * LEVELS
@@ -155,6 +156,38 @@
     cluster.publish([ROUTE], [("desk", False), ("other", False)])
 
 
+@case
+async def services_added_while_hosts_are_counted(cluster):
+    """The duty that counts hosts waits for the frozen owner of some services while the operator adds others."""
+    names = [("desk", False), ("other", False), ("third", False)]
+    cluster.publish([ROUTE], names)
+    await asyncio.sleep(1)
+    for node in cluster.nodes:
+        node.signal(signal.SIGSTOP)
+        for _ in range(12):
+            names.append((f"service-{len(names)}", False))
+            cluster.publish([ROUTE], names)
+            await asyncio.sleep(0.07)
+        node.signal(signal.SIGCONT)
+        await asyncio.sleep(2)
+
+
+@case
+async def bodies_of_many_megabytes(cluster):
+    async def send(number):
+        ip, port = cluster.nodes[0].addresses["front"].rsplit(":", 1)
+        try:
+            _, writer = await asyncio.open_connection(ip, int(port))
+            writer.write(b"POST " + JOB + b" HTTP/1.1\r\nHost: jobs.example\r\nContent-Length: 60000000\r\n\r\n")
+            for _ in range(600):
+                writer.write(b"x" * 100_000)
+                await asyncio.wait_for(writer.drain(), 2)
+            writer.close()
+        except (OSError, asyncio.TimeoutError):
+            pass
+    await asyncio.gather(*(send(number) for number in range(8)))
+
+
 @case
 async def clock_of_a_worker(cluster):
     answer_polls(cluster, b'{"clockMs":9223372036854775807,"running":[],"finished":[]}')
