Keep a node within its memory and descriptors whatever callers send

What callers saw: six bodies of 60 MB took 462 MB, above the limit at which a node is killed; with 4,100 open connections libevent called accept() in a loop with a message each (5.4 million lines in 16 s), and the node could not reach the store either. A share as dutyPerS, such as 0.5, ended the start. Cause: the server read bodies of up to 64 MB before maxBodyBytes was looked at, kept idle connections for 600 s, and had no callback for failed accepts; dutyPerS was cut to an integer. Change: bodies of callers are limited to the configuration's maxBodyBytes (1 MB at least), of peers to 4 MB; idle connections close after the operator's idleTimeoutMs; accepting pauses for 100 ms after a failure, and while three quarters of the descriptors are in use, in which time the node is not ready.

--- a/include/waxwingnotch/base/process.hpp
+++ b/include/waxwingnotch/base/process.hpp
@@ -21,6 +21,12 @@
 /// @return the number of the signal; 0 after @p limit_ms without one
 int wait_for_stop_signal(std::int64_t limit_ms);
 
+/// @return how many descriptors the system allows this process
+std::int64_t process_descriptor_limit();
+
+/// @return whether all descriptors below @p limit are open; always false on an error
+bool descriptors_used_up_to(int limit);
+
 /// What this process uses; -1 where the system does not tell.
 struct process_usage {
     std::int64_t resident_bytes = -1;
--- a/include/waxwingnotch/job/spec.hpp
+++ b/include/waxwingnotch/job/spec.hpp
@@ -94,6 +94,7 @@
     std::vector<queue_config> queues;
     std::vector<service_config> services;  // sorted by name
     std::size_t max_body_bytes = 262'144;
+    std::int64_t idle_timeout_ms = 600'000;  // then a caller's connection without traffic is closed
 
     /// @return the queue that a request belongs to, or null
     const queue_config* match(std::string_view host, std::string_view path) const;
--- a/include/waxwingnotch/net/http_server.hpp
+++ b/include/waxwingnotch/net/http_server.hpp
@@ -93,18 +93,26 @@
     result<std::uint16_t> listen(const std::string& ip, std::uint16_t port);
     /// Closes the listening socket; open connections stay open.
     void stop_accepting();
+    /// Pauses or resumes accepting; clients meanwhile wait in the queue of the socket.
+    void set_accepting(bool accepting);
+    /// Answers longer bodies with 413 without reading them. Applies to connections that are accepted later.
+    void limit_body(std::size_t max_bytes);
+    /// Closes connections without traffic for this long. Applies to connections that are accepted later.
+    void set_idle_timeout(std::int64_t timeout_ms);
     /// @return number of requests without a reply yet
     std::size_t open_exchanges() const { return open_exchanges_.size(); }
 
 private:
     friend class http_exchange;
     static void dispatch(evhttp_request* request, void* self);
+    void pause_after_failed_accept();
 
     evhttp* http_;
     evhttp_bound_socket* socket_ = nullptr;
     std::function<void(http_exchange_ptr)> handler_;
     event_loop& loop_;
     std::set<http_exchange*> open_exchanges_;
+    timer accept_pause_;
 };
 
 }  // namespace waxwingnotch
--- a/include/waxwingnotch/node/settings.hpp
+++ b/include/waxwingnotch/node/settings.hpp
@@ -18,8 +18,9 @@
     std::vector<std::string> seeds;  // internal addresses of some entry nodes; may be stale
     std::string store_address;
     std::string host_service_address;        // of the host service; empty: none
-    int host_orders_per_s = 64;              // moves and maintenance orders that the host service takes
+    double host_orders_per_s = 64;           // moves and maintenance orders that the host service takes
     std::string policy_address;              // of the policy service; empty: none
+    int max_descriptors = 0;                 // open files that this process may have; 0: not told
     int processor_milli = 1'000;             // processor share of this host, thousandths of a core
     int partitions = 8;                      // per topic in the store
     std::int64_t min_ttl_ms = 1'000;         // shortest group membership TTL that the store allows
--- a/src/base/process.cpp
+++ b/src/base/process.cpp
@@ -5,6 +5,7 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
 #include <ctime>
 #include <fstream>
@@ -17,6 +18,7 @@
 constexpr std::int64_t ms_per_s = 1'000;
 constexpr std::int64_t us_per_ms = 1'000;
 constexpr std::int64_t ns_per_ms = 1'000'000;
+constexpr std::int64_t max_descriptors = 1 << 20;  // taken as the limit where the system sets none
 
 sigset_t stop_signals()
 {
@@ -97,6 +99,25 @@
     return number > 0 ? number : 0;
 }
 
+std::int64_t process_descriptor_limit()
+{
+    rlimit descriptors{};
+    const bool limited =
+        getrlimit(RLIMIT_NOFILE, &descriptors) == 0 && descriptors.rlim_cur <= max_descriptors;
+    return limited ? static_cast<std::int64_t>(descriptors.rlim_cur) : max_descriptors;
+}
+
+bool descriptors_used_up_to(int limit)
+{
+    // Yields the lowest descriptor that is free, which costs less than listing those that are open.
+    const int lowest_free = fcntl(STDIN_FILENO, F_DUPFD_CLOEXEC, 0);
+    if (lowest_free < 0) {
+        return errno == EMFILE;
+    }
+    close(lowest_free);
+    return lowest_free >= limit;
+}
+
 process_usage read_process_usage()
 {
     process_usage usage{.resident_bytes = resident_bytes(), .open_descriptors = count_open_descriptors()};
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "waxwingnotch/net/http_server.hpp"
 
+#include "waxwingnotch/base/log.hpp"
 #include "waxwingnotch/net/http_client.hpp"
 
 #include <event2/buffer.h>
@@ -7,12 +8,14 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <cerrno>
 #include <cstdlib>
 #include <cstring>
+#include <map>
 
 namespace waxwingnotch {
 
@@ -21,6 +24,14 @@
 constexpr ev_ssize_t max_body_bytes = 64L << 20U;
 constexpr ev_ssize_t max_header_bytes = 64L << 10U;
 constexpr int idle_timeout_s = 600;
+constexpr std::int64_t accept_pause_ms = 100;  // after a failed accept, mostly for want of descriptors
+
+/// Servers by the handle that libevent passes to the callback of a failed accept.
+std::map<void*, http_server*>& servers_by_handle()
+{
+    static std::map<void*, http_server*> servers;
+    return servers;
+}
 
 std::string method_name(evhttp_cmd_type type)
 {
@@ -170,6 +181,7 @@
     evhttp_set_timeout(http_, idle_timeout_s);
     evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
     evhttp_set_gencb(http_, dispatch, this);
+    servers_by_handle()[http_] = this;
 }
 
 http_server::~http_server()
@@ -178,6 +190,7 @@
     for (http_exchange* exchange : std::set<http_exchange*>(open_exchanges_)) {
         exchange->detach();
     }
+    servers_by_handle().erase(http_);
     evhttp_free(http_);
 }
 
@@ -195,6 +208,10 @@
         return fail(error_code::io,
                     "cannot listen on " + ip + ":" + std::to_string(port) + ": " + std::strerror(errno));
     }
+    // Without this callback, libevent tries again at once and writes a message for each failure.
+    evconnlistener_set_error_cb(evhttp_bound_socket_get_listener(socket_), [](evconnlistener*, void* handle) {
+        servers_by_handle().at(handle)->pause_after_failed_accept();
+    });
     sockaddr_storage bound{};
     socklen_t size = sizeof bound;
     auto* address = reinterpret_cast<sockaddr*>(&bound);
@@ -207,8 +224,38 @@
     return ntohs(network_port);
 }
 
+void http_server::pause_after_failed_accept()
+{
+    log_event(log_level::warning, "accept_failed", {{"reason", std::strerror(errno)}});
+    set_accepting(false);
+    accept_pause_ = loop_.after(accept_pause_ms, [this] { set_accepting(true); });
+}
+
+void http_server::set_accepting(bool accepting)
+{
+    if (socket_ == nullptr) {
+        return;
+    }
+    evconnlistener* listener = evhttp_bound_socket_get_listener(socket_);
+    accepting ? evconnlistener_enable(listener) : evconnlistener_disable(listener);
+}
+
+void http_server::limit_body(std::size_t max_bytes)
+{
+    evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(max_bytes));
+}
+
+void http_server::set_idle_timeout(std::int64_t timeout_ms)
+{
+    constexpr std::int64_t us_per_ms = 1'000;
+    constexpr std::int64_t ms_per_s = 1'000;
+    const timeval timeout{timeout_ms / ms_per_s, timeout_ms % ms_per_s * us_per_ms};
+    evhttp_set_timeout_tv(http_, &timeout);
+}
+
 void http_server::stop_accepting()
 {
+    accept_pause_.cancel();
     if (socket_ != nullptr) {
         evhttp_del_accept_socket(http_, socket_);
         socket_ = nullptr;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -36,6 +36,10 @@
 constexpr std::int64_t ends_retry_ms = 400;    // between attempts to deliver ends to the next owner
 constexpr std::int64_t ends_keep_ms = 60'000;  // longer than any lease that tasks of the shard may wait for
 constexpr std::int64_t peer_timeout_ms = 500;  // one call to another node
+constexpr std::size_t max_caller_body_bytes = 1U << 20U;  // read until a configuration allows more
+constexpr std::size_t max_peer_body_bytes = 4U << 20U;    // twice the store's limit for one call
+constexpr std::int64_t descriptors_check_ms = 100;
+constexpr int caller_descriptor_percent = 75;  // of the descriptors; the rest is for the node's own calls
 // A node that is started again waits for the ports as long as the process before it may drain, and this
 // longer.
 constexpr std::int64_t listen_margin_ms = 2'000;
@@ -82,6 +86,7 @@
                          std::function<void(bool)> done);
     void update_peers();
     bool ready() const;
+    void guard_descriptors();
     void stop();
     void reload();
 
@@ -103,6 +108,8 @@
     timer sighup_;
     timer drain_timer_;
     timer ends_timer_;
+    timer descriptors_timer_;
+    bool descriptors_short_ = false;
 };
 
 node::node(node_settings settings, node_options options)
@@ -129,6 +136,9 @@
             state_.group->release(shard);
         }
     };
+    caller_server_.limit_body(max_caller_body_bytes);
+    internal_server_.limit_body(max_peer_body_bytes);
+    ready_server_.limit_body(0);
     caller_server_.handle([this](const http_exchange_ptr& exchange) { callers_.handle(exchange); });
     internal_server_.handle([this](const http_exchange_ptr& exchange) { internal_.handle(exchange); });
     ready_server_.handle([this](const http_exchange_ptr& exchange) {
@@ -150,7 +160,24 @@
 
 bool node::ready() const
 {
-    return state_.config != nullptr && !state_.stopping;
+    return state_.config != nullptr && !state_.stopping && !descriptors_short_;
+}
+
+/// Accepts no callers while most descriptors are in use, so that enough are left for calls to the store, the
+/// workers and the other nodes. The balancer sends new connections elsewhere meanwhile.
+void node::guard_descriptors()
+{
+    const std::int64_t told = state_.settings.max_descriptors;
+    const std::int64_t allowed = process_descriptor_limit();
+    const std::int64_t limit = told > 0 ? std::min(told, allowed) : allowed;
+    const bool used_up = descriptors_used_up_to(static_cast<int>(limit * caller_descriptor_percent / 100));
+    if (used_up == descriptors_short_) {
+        return;
+    }
+    descriptors_short_ = used_up;
+    caller_server_.set_accepting(!used_up);
+    log_event(log_level::warning, "descriptors",
+              {{"limit", limit}, {"outcome", used_up ? "accepts no callers" : "accepts callers again"}});
 }
 
 void node::follow_operator_topic()
@@ -206,6 +233,8 @@
                   {{"version", state_.config->version},
                    {"queues", state_.config->queues.size()},
                    {"outcome", "in force"}});
+        caller_server_.limit_body(std::max(state_.config->max_body_bytes, max_caller_body_bytes));
+        caller_server_.set_idle_timeout(state_.config->idle_timeout_ms);
         for (auto& [shard, owner] : state_.shards) {
             configure_shard(shard, *owner);
         }
@@ -464,6 +493,7 @@
     follow_operator_topic();
     join_group();
     ends_timer_ = state_.loop.every(ends_retry_ms, [this] { deliver_ends(); });
+    descriptors_timer_ = state_.loop.every(descriptors_check_ms, [this] { guard_descriptors(); });
     state_.watch.start();
     state_.loop.run();
     host_manager_.reset();
