Ask the policy service about workers that come later, and take a ticket's time from its queue

In pools of more than 100 workers the rest was never asked about. Cause: the node read the time of validity from the answer only, where the protocol does not promise it; an answer stood for the whole step, and workers without a ticket in it counted as refused. Change: each worker has its own ticket with its own end; workers without a decision are asked about while tasks of the step wait; a refusal is kept for the worker's life, a ticket that a worker rejects is dropped alone. An answer that cannot be used and one that allows nobody are logged. The policy service is asked more often where hosts move between pools; that load was not measured.

--- a/include/waxwingnotch/job/spec.hpp
+++ b/include/waxwingnotch/job/spec.hpp
@@ -78,7 +78,8 @@
     double stretch = 1.0;        // allowed multiple of the run time
     int priority = 0;            // 0 comes first
     std::uint32_t max_attempts = 1;
-    bool needs_advice = false;  // a policy service names the workers allowed to run a step
+    bool needs_advice = false;             // a policy service names the workers allowed to run a step
+    std::int64_t advice_valid_ms = 3'000;  // of a ticket, where the policy service's answer does not say it
 };
 
 /// A service: a pool of workers.
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -272,6 +272,7 @@
                     const std::vector<placement_view>& views, std::int64_t now_ms) const;
     void report_waiting_tasks(std::int64_t now_ms);
     void report_waiting_step(const occurrence_entry& occurrence, std::uint32_t step, std::int64_t now_ms);
+    std::int64_t advice_valid_ms(const std::string& step) const;
     bool advice_ready(occurrence_entry& occurrence, std::uint32_t step, std::int64_t now_ms);
     std::int64_t expected_ms(const job_entry& job, std::uint32_t step) const;
     std::int64_t critical_path_ms(const job_entry& job, const occurrence_progress* progress) const;
--- a/src/shard/core_jobs.cpp
+++ b/src/shard/core_jobs.cpp
@@ -11,6 +11,13 @@
 
 constexpr std::int64_t forget_interval_ms = 5'000;  // between checks for ended jobs to forget
 
+/// Whether both have the same steps with as many tasks.
+bool same_shape(const occurrence_progress& a, const occurrence_progress& b)
+{
+    return std::equal(a.steps.begin(), a.steps.end(), b.steps.begin(), b.steps.end(),
+                      [](const auto& left, const auto& right) { return left.size() == right.size(); });
+}
+
 }  // namespace
 
 shard_core::shard_core(shard_options options) : options_(options) {}
@@ -108,7 +115,7 @@
     const auto saved = loaded_progress_.find(occurrence.key());
     if (saved != loaded_progress_.end()) {
         auto progress = decode_progress(saved->second);
-        if (progress && progress.value().steps.size() == occurrence.progress.steps.size()) {
+        if (progress && same_shape(progress.value(), occurrence.progress)) {
             occurrence.progress = std::move(progress.value());
         }
         else {
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -7,6 +7,8 @@
 #include "waxwingnotch/shard/shard_core.hpp"
 
 #include <algorithm>
+#include <optional>
+#include <set>
 
 namespace waxwingnotch {
 
@@ -109,12 +111,24 @@
     worker_incarnation incarnation() const { return {entry.id, entry.started_ms}; }
 };
 
-/// Permissions of the policy service for a step.
+/// What the policy service has said about the workers for a step. Whether a worker is allowed does not change
+/// in its life, so one that was refused is not asked about again.
 struct shard_core::advice_entry {
-    bool asked = false;
-    std::int64_t asked_ms = 0;
-    std::int64_t valid_until_ms = 0;
-    std::map<std::string, std::string> tickets;  // by worker id
+    struct ticket {
+        std::string text;
+        std::int64_t valid_until_ms = 0;
+    };
+    std::vector<std::string> asked;         // workers of the latest request; empty: none is open
+    std::optional<std::int64_t> asked_ms;   // of the latest request
+    std::map<std::string, ticket> tickets;  // by worker id
+    std::set<std::string> refused;          // worker ids
+
+    /// @return the ticket of the worker, or null without one that is valid until @p time_ms
+    const ticket* valid_ticket(const std::string& worker, std::int64_t time_ms) const
+    {
+        const auto found = tickets.find(worker);
+        return found != tickets.end() && found->second.valid_until_ms > time_ms ? &found->second : nullptr;
+    }
 };
 
 /// A worker and its free resources during one scheduling round.
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -296,8 +296,8 @@
         std::string ticket;
         const std::string step = occurrence.key() + "." + std::to_string(run->step);
         if (const auto advice = advice_.find(step); advice != advice_.end()) {
-            const auto row = advice->second.tickets.find(worker.entry.id);
-            ticket = row == advice->second.tickets.end() ? std::string() : row->second;
+            const advice_entry::ticket* valid = advice->second.valid_ticket(worker.entry.id, now_ms);
+            ticket = valid == nullptr ? std::string() : valid->text;
         }
         ++counts_.starts;
         starts_.push_back(
@@ -359,7 +359,10 @@
         ++counts_.rejected;
         worker.avoid_until_ms = now_ms + rejection_pause_ms;
         if (answer.outcome == order_result::bad_ticket) {
-            advice_.erase(run.occurrence->key() + "." + std::to_string(run.step));
+            const auto advice = advice_.find(run.occurrence->key() + "." + std::to_string(run.step));
+            if (advice != advice_.end()) {
+                advice->second.tickets.erase(worker_id);
+            }
         }
         requeue(run, to_string(answer.outcome), now_ms);
     }
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -18,6 +18,7 @@
 constexpr double copy_delay_factor = 2.5;        // a copy starts after this multiple of the expected time
 constexpr std::int64_t min_copy_delay_ms = 600;  // and not before
 constexpr std::int64_t ranking_valid_ms = 500;   // learned run times change by a few percent meanwhile
+constexpr double max_waiting_cpu_ms = 1e15;      // of one occurrence; the sum over all stays within 64 bits
 constexpr std::int64_t default_task_ms = 500;    // expected run time of a task without an estimate
 
 }  // namespace
@@ -55,7 +56,7 @@
 /// @return core-milliseconds that the waiting tasks are expected to take
 std::int64_t shard_core::waiting_cpu_ms(const occurrence_entry& occurrence, bool ready_only) const
 {
-    std::int64_t total = 0;
+    double total = 0;  // the product of three numbers of a caller may exceed 64 bits
     for (std::uint32_t step = 0; step < occurrence.progress.steps.size(); ++step) {
         const step_spec& spec = occurrence.step(step);
         if (ready_only && !occurrence.progress.ready(spec)) {
@@ -64,9 +65,10 @@
         const auto left =
             std::count_if(occurrence.progress.steps[step].begin(), occurrence.progress.steps[step].end(),
                           [](const task_progress& task) { return task.phase == task_phase::waiting; });
-        total += left * expected_ms(*occurrence.job, step) * spec.need.cpu_milli / 1'000;
+        total += static_cast<double>(left) * static_cast<double>(expected_ms(*occurrence.job, step)) *
+                 static_cast<double>(spec.need.cpu_milli) / 1'000;
     }
-    return total;
+    return static_cast<std::int64_t>(std::min(total, max_waiting_cpu_ms));
 }
 
 /// Cpu and memory that the waiting tasks of ready steps need; cpu only where it is to be reserved.
@@ -279,8 +281,7 @@
     }
     const auto advice =
         advice_.empty() ? advice_.end() : advice_.find(occurrence.key() + "." + std::to_string(step));
-    if (advice != advice_.end() && advice->second.valid_until_ms > 0 &&
-        (advice->second.valid_until_ms <= now_ms || !advice->second.tickets.contains(worker.entry.id))) {
+    if (advice != advice_.end() && advice->second.valid_ticket(worker.entry.id, now_ms) == nullptr) {
         return false;
     }
     const std::vector<active_run>& runs = occurrence.progress.steps[step][index].runs;
@@ -397,51 +398,83 @@
     }
 }
 
-/// Requests permissions for the step if it needs any and has no valid ones.
-/// @return whether the step needs no permissions or has valid ones
+/// Requests permissions for the step if it needs any, for workers without a decision: also for those that
+/// have come since the last request.
+/// @return whether the step needs no permissions, or a worker has a valid one
 bool shard_core::advice_ready(occurrence_entry& occurrence, std::uint32_t step, std::int64_t now_ms)
 {
+    const std::string name = occurrence.key() + "." + std::to_string(step);
     const queue_config* queue = config_ ? config_->queue(occurrence.job->spec.queue) : nullptr;
     if (queue == nullptr || !queue->needs_advice) {
+        if (!advice_.empty()) {
+            advice_.erase(name);  // the queue needed permissions under an earlier configuration
+        }
         return true;
     }
-    const std::string name = occurrence.key() + "." + std::to_string(step);
     advice_entry& entry = advice_[name];
-    if (entry.valid_until_ms - ticket_margin_ms > now_ms) {
-        return true;
-    }
-    if (entry.asked && now_ms - entry.asked_ms < advice_retry_ms) {
-        return false;
-    }
-    entry.asked = true;
-    entry.asked_ms = now_ms;
     std::vector<std::string> workers;
+    bool any_valid = false;
     for (const placement_view& view : make_round(occurrence.job->spec.service, now_ms).views) {
-        const bool not_allowed = !entry.tickets.empty() && !entry.tickets.contains(view.worker->entry.id);
-        if (!not_allowed && workers.size() < max_advice_workers) {
-            workers.push_back(view.worker->entry.id);
+        const std::string& id = view.worker->entry.id;
+        if (entry.valid_ticket(id, now_ms + ticket_margin_ms) != nullptr) {
+            any_valid = true;
+        }
+        else if (!entry.refused.contains(id) && workers.size() < max_advice_workers) {
+            workers.push_back(id);
         }
     }
-    if (!workers.empty()) {
+    const bool may_ask = !entry.asked_ms || now_ms - *entry.asked_ms >= advice_retry_ms;
+    if (!workers.empty() && may_ask) {
+        entry.asked_ms = now_ms;
+        entry.asked = workers;
         advice_requests_.push_back({name, std::move(workers)});
     }
-    return false;
+    return any_valid;
 }
 
 void shard_core::on_advice(const std::string& step, const advice_answer& answer, std::int64_t now_ms)
 {
     const auto found = advice_.find(step);
-    if (found == advice_.end() || !answer.ok) {
+    if (found == advice_.end()) {
         return;
     }
-    found->second.tickets.clear();
+    advice_entry& entry = found->second;
+    const std::vector<std::string> asked = std::exchange(entry.asked, {});
+    if (!answer.ok) {
+        log_event(log_level::warning, "advice",
+                  {{"step", step}, {"workers", asked.size()}, {"outcome", "no usable answer"}});
+        return;
+    }
+    const std::int64_t valid_ms = answer.valid_ms > 0 ? answer.valid_ms : advice_valid_ms(step);
+    std::set<std::string> allowed;
     for (const advice_row& row : answer.allowed) {
-        found->second.tickets[row.worker_id] = row.ticket;
+        if (std::find(asked.begin(), asked.end(), row.worker_id) != asked.end()) {
+            entry.tickets[row.worker_id] = {row.ticket, now_ms + valid_ms};
+            allowed.insert(row.worker_id);
+        }
+    }
+    for (const std::string& worker : asked) {
+        if (!allowed.contains(worker)) {
+            entry.tickets.erase(worker);
+            entry.refused.insert(worker);
+        }
+    }
+    if (entry.tickets.empty()) {
+        log_event(log_level::warning, "advice",
+                  {{"step", step}, {"workers", entry.refused.size()}, {"outcome", "no worker is allowed"}});
     }
-    found->second.valid_until_ms = now_ms + answer.valid_ms;
     schedule_needed_ = true;
 }
 
+/// @return for how long the queue of the step's job lets a ticket be valid
+std::int64_t shard_core::advice_valid_ms(const std::string& step) const
+{
+    const auto job = jobs_.find(step.substr(0, step.find('.')));
+    const queue_config* queue =
+        config_ && job != jobs_.end() ? config_->queue(job->second->spec.queue) : nullptr;
+    return queue == nullptr ? 0 : queue->advice_valid_ms;
+}
+
 shard_effects shard_core::take_effects(std::int64_t now_ms)
 {
     shard_effects out;
--- a/tests/shard/shard_world.hpp
+++ b/tests/shard/shard_world.hpp
@@ -52,6 +52,9 @@
     std::map<std::string, int> started;   // number of starts by task
     shard_options options;                // of the next owner
     std::int64_t task_ms = 300;
+    // Answers the requests for permissions; set: the queue needs them.
+    std::function<advice_answer(const std::vector<std::string>& workers)> policy;
+    std::vector<std::vector<std::string>> advice_requests;  // the workers of each
     // Tasks that crash the worker that starts them, and how long after the start.
     std::map<std::string, std::int64_t> crashing_tasks;
     std::map<std::string, int> crashes;  // workers that crashed under a crashing task, by task
@@ -128,7 +131,9 @@
         options.epoch = created->epoch;
         created->core = std::make_unique<shard_core>(options);
         shard_core& core = *created->core;
-        core.set_config(config());
+        auto configuration = std::make_shared<cluster_config>(*config());
+        configuration->queues[0].needs_advice = policy != nullptr;
+        core.set_config(configuration);
         for (const auto& [id, worker] : workers) {
             if (worker.failure != order_result::other_instance) {
                 core.put_worker(worker.entry, now);
@@ -267,6 +272,15 @@
                     owner->core->on_stop(effect.worker.id, effect.order, answer, now);
                 });
         }
+        for (const advice_effect& effect : effects.advice) {
+            advice_requests.push_back(effect.workers);
+            after(draw(10, 40), [this, owner, effect] {
+                if (!owner->terminated) {
+                    owner->core->on_advice(effect.step, policy(effect.workers), now);
+                    pump(owner);
+                }
+            });
+        }
         for (const poll_effect& effect : effects.polls) {
             const std::int64_t sent = now;
             send_poll(owner, effect, sent);
