--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -6,11 +6,11 @@
 #include "fleet/document_patch.hpp"
 #include "store_client.hpp"
 
+#include "waxwingnotch/base/address.hpp"
 #include "waxwingnotch/config/json.hpp"
 #include "waxwingnotch/config/parse.hpp"
 #include "waxwingnotch/fleet/snapshot.hpp"
 #include "waxwingnotch/job/progress.hpp"
-#include "waxwingnotch/net/address.hpp"
 #include "waxwingnotch/net/websocket_codec.hpp"
 #include "waxwingnotch/peer/messages.hpp"
 #include "waxwingnotch/platform/log_follower.hpp"
@@ -127,9 +127,10 @@
 
 bool read_endpoint(std::string_view input)
 {
-    const endpoint parts = parse_endpoint(input);
-    require(parts.ip.size() <= input.size(), "an address is part of the text");
-    return parts.port != 0;
+    const auto parts = parse_endpoint(input);
+    require(!parts || parts->ip.size() <= input.size(), "an address is part of the text");
+    require(!is_connectable(input) || parts->port != 0, "a connectable address has a port");
+    return parts.has_value();
 }
 
 bool read_peer_message(std::string_view input)
