--- a/src/base/crash_report.cpp
+++ b/src/base/crash_report.cpp
@@ -32,7 +32,7 @@
 constexpr std::size_t max_line = 4'000;
 constexpr std::size_t line_end_room = 4;  // for the end of a list, of the object and of the line
 // backtrace() needs 3 KiB and the kernel saves up to 11 KiB of registers (AVX-512, AMX).
-constexpr std::size_t signal_stack_size = 64 * 1024;
+constexpr std::size_t signal_stack_size = 65'536;
 // The line waits this long for a reader that is slow. Shorter than the time in which the others notice that
 // the node is gone (its group membership, 1.5 s).
 constexpr std::int64_t write_limit_ms = 500;
@@ -240,12 +240,18 @@
 
 /// Frames of a stack, the innermost first.
 struct call_stack {
-    std::array<void*, max_frames> frames{};
+    std::array<std::uintptr_t, max_frames> frames{};
     std::size_t size = 0;
     std::size_t first = 0;        // frames before it belong to the report
     bool first_is_exact = false;  // else all are return addresses
 
-    void read() { size = static_cast<std::size_t>(backtrace(frames.data(), max_frames)); }
+    void read()
+    {
+        std::array<void*, max_frames> found{};
+        size = static_cast<std::size_t>(backtrace(found.data(), max_frames));
+        std::transform(found.begin(), found.end(), frames.begin(),
+                       [](const void* frame) { return reinterpret_cast<std::uintptr_t>(frame); });
+    }
 
     /// Reads the stack of the code that a signal has interrupted.
     void read_interrupted(const void* context)
@@ -253,18 +259,16 @@
         read();
         first_is_exact = true;
         const interrupted_code code = read_registers(context);
-        const auto* const found = std::find(frames.data(), frames.data() + size, to_frame(code.instruction));
+        const auto* const found = std::find(frames.data(), frames.data() + size, code.instruction);
         if (found != frames.data() + size) {
             first = static_cast<std::size_t>(found - frames.data());
             return;
         }
         // A jump to a wrong address cannot be unwound.
-        frames[0] = to_frame(code.instruction);
-        frames[1] = to_frame(code.caller);
+        frames[0] = code.instruction;
+        frames[1] = code.caller;
         size = 2;
     }
-
-    static void* to_frame(std::uintptr_t address) { return reinterpret_cast<void*>(address); }
 };
 
 void write_stack(line_writer& line, const call_stack& stack)
@@ -274,7 +278,7 @@
     line.name("stack");
     line.raw("[");
     for (std::size_t at = stack.first; at < stack.size && line.has_room(frame_room); ++at) {
-        const auto address = reinterpret_cast<std::uintptr_t>(stack.frames[at]);
+        const std::uintptr_t address = stack.frames[at];
         const bool exact = stack.first_is_exact && at == stack.first;
         line.raw(at > stack.first ? "," : "");
         // The instruction before a return address is the call, whose source line is wanted.
--- a/tests/base/crash_report_test.cpp
+++ b/tests/base/crash_report_test.cpp
@@ -86,8 +86,8 @@
     EXPECT_EXIT(
         {
             report_to_standard_error();
-            volatile int* volatile target = reinterpret_cast<int*>(0x10);
-            *target = 1;
+            volatile int* volatile target = nullptr;
+            target[4] = 1;
         },
         testing::KilledBySignal(SIGSEGV),
         R"("node":"front-1","event":"process_end","reason":"signal","signal":"SIGSEGV","code":1,"address":"0x10".*"stack":\["base_test\+0x)");
