Show what started a recursion that overflows the stack

The report held only the 48 innermost frames, which all belong to the recursion. On x86-64 the return address is read from the stack only when the interrupted instruction cannot be unwound, because an overflow makes that place unreadable.

--- a/src/base/crash_report.cpp
+++ b/src/base/crash_report.cpp
@@ -1,12 +1,12 @@
 #include "waxwingnotch/base/crash_report.hpp"
 
 #include <cxxabi.h>
-#include <execinfo.h>
 #include <fcntl.h>
 #include <link.h>
 #include <poll.h>
 #include <ucontext.h>
 #include <unistd.h>
+#include <unwind.h>
 
 #include <algorithm>
 #include <array>
@@ -23,7 +23,10 @@
 
 namespace {
 
-constexpr std::size_t max_frames = 48;
+constexpr std::size_t inner_frames = 24;  // of a stack, that are written
+constexpr std::size_t outer_frames = 20;  // of a deeper stack; they tell what started it
+// A recursion that fills a stack of 8 MiB has fewer frames than this.
+constexpr std::size_t max_depth = 200'000;
 constexpr std::size_t max_modules = 64;
 constexpr std::size_t max_module_name = 48;
 constexpr std::size_t max_node_name = 64;
@@ -31,7 +34,7 @@
 // A write of up to PIPE_BUF (4,096) bytes to a pipe is done as a whole or not at all.
 constexpr std::size_t max_line = 4'000;
 constexpr std::size_t line_end_room = 4;  // for the end of a list, of the object and of the line
-// backtrace() needs 3 KiB and the kernel saves up to 11 KiB of registers (AVX-512, AMX).
+// The unwinder needs 3 KiB and the kernel saves up to 11 KiB of registers (AVX-512, AMX).
 constexpr std::size_t signal_stack_size = 65'536;
 // The line waits this long for a reader that is slow. Shorter than the time in which the others notice that
 // the node is gone (its group membership, 1.5 s).
@@ -219,55 +222,77 @@
     line.raw("\"");
 }
 
-/// Registers of the code that a signal has interrupted.
-struct interrupted_code {
-    std::uintptr_t instruction = 0;
-    std::uintptr_t caller = 0;  // return address, if the instruction is the first one of a function
-};
-
-interrupted_code read_registers(const void* context)
+/// Instruction that a signal has interrupted.
+std::uintptr_t interrupted_at(const ucontext_t& context)
 {
-    const auto& registers = static_cast<const ucontext_t*>(context)->uc_mcontext;
 #if defined(__x86_64__)
-    const auto* const top = reinterpret_cast<const std::uintptr_t*>(registers.gregs[REG_RSP]);
-    return {.instruction = static_cast<std::uintptr_t>(registers.gregs[REG_RIP]), .caller = *top};
+    return static_cast<std::uintptr_t>(context.uc_mcontext.gregs[REG_RIP]);
 #elif defined(__aarch64__)
-    return {.instruction = registers.pc, .caller = registers.regs[30]};
+    return context.uc_mcontext.pc;
 #else
 #error "the registers of this architecture are not known here"
 #endif
 }
 
+/// Return address of a function of which not one instruction has run. Only for that case, because it reads
+/// the stack, which an overflow has made unreadable at this place.
+std::uintptr_t caller_of_interrupted(const ucontext_t& context)
+{
+#if defined(__x86_64__)
+    // NOLINTNEXTLINE(performance-no-int-to-ptr): a register
+    return *reinterpret_cast<const std::uintptr_t*>(context.uc_mcontext.gregs[REG_RSP]);
+#elif defined(__aarch64__)
+    constexpr int link_register = 30;
+    return context.uc_mcontext.regs[link_register];
+#endif
+}
+
 /// Frames of a stack, the innermost first.
 struct call_stack {
-    std::array<std::uintptr_t, max_frames> frames{};
-    std::size_t size = 0;
+    std::array<std::uintptr_t, inner_frames> inner{};
+    std::size_t size = 0;         // of inner
     std::size_t first = 0;        // frames before it belong to the report
     bool first_is_exact = false;  // else all are return addresses
+    std::array<std::uintptr_t, outer_frames> outer{};
+    std::size_t further = 0;  // frames beyond inner; the last of them are in outer, a ring
 
-    void read()
-    {
-        std::array<void*, max_frames> found{};
-        size = static_cast<std::size_t>(backtrace(found.data(), max_frames));
-        std::transform(found.begin(), found.end(), frames.begin(),
-                       [](const void* frame) { return reinterpret_cast<std::uintptr_t>(frame); });
-    }
+    void read() { _Unwind_Backtrace(add, this); }
 
     /// Reads the stack of the code that a signal has interrupted.
-    void read_interrupted(const void* context)
+    void read_interrupted(const ucontext_t& context)
     {
         read();
         first_is_exact = true;
-        const interrupted_code code = read_registers(context);
-        const auto* const found = std::find(frames.data(), frames.data() + size, code.instruction);
-        if (found != frames.data() + size) {
-            first = static_cast<std::size_t>(found - frames.data());
+        const std::uintptr_t instruction = interrupted_at(context);
+        const std::uintptr_t* const begin = inner.data();
+        const std::uintptr_t* const end = begin + size;
+        const std::uintptr_t* const found = std::find(begin, end, instruction);
+        if (found != end) {
+            first = static_cast<std::size_t>(found - begin);
             return;
         }
         // A jump to a wrong address cannot be unwound.
-        frames[0] = code.instruction;
-        frames[1] = code.caller;
+        inner[0] = instruction;
+        inner[1] = caller_of_interrupted(context);
         size = 2;
+        further = 0;
+    }
+
+private:
+    static _Unwind_Reason_Code add(_Unwind_Context* context, void* self)
+    {
+        call_stack& stack = *static_cast<call_stack*>(self);
+        const std::uintptr_t address = _Unwind_GetIP(context);
+        if (address == 0) {  // beyond the outermost frame, or a jump to 0
+            return _URC_END_OF_STACK;
+        }
+        if (stack.size < inner_frames) {
+            stack.inner[stack.size++] = address;
+        }
+        else {
+            stack.outer[stack.further++ % outer_frames] = address;
+        }
+        return stack.further < max_depth ? _URC_NO_REASON : _URC_END_OF_STACK;
     }
 };
 
@@ -278,12 +303,22 @@
     line.name("stack");
     line.raw("[");
     for (std::size_t at = stack.first; at < stack.size && line.has_room(frame_room); ++at) {
-        const std::uintptr_t address = stack.frames[at];
+        const std::uintptr_t address = stack.inner[at];
         const bool exact = stack.first_is_exact && at == stack.first;
         line.raw(at > stack.first ? "," : "");
         // The instruction before a return address is the call, whose source line is wanted.
         write_frame(line, exact ? address : address - 1);
     }
+    const std::size_t left_out = stack.further - std::min(stack.further, outer_frames);
+    if (left_out > 0) {
+        line.raw(",\"");
+        line.number(left_out, 10);
+        line.raw(" frames left out\"");
+    }
+    for (std::size_t at = left_out; at < stack.further && line.has_room(frame_room); ++at) {
+        line.raw(",");
+        write_frame(line, stack.outer[at % outer_frames] - 1);
+    }
     line.finish(true);
     write_bounded(line.text());
 }
@@ -312,7 +347,7 @@
     call_stack stack;
     if (stage == report_stage::none) {
         state.stage = report_stage::reading_stack;
-        stack.read_interrupted(context);
+        stack.read_interrupted(*static_cast<const ucontext_t*>(context));
     }
     // Reading a damaged stack can fault again. This handler then runs once more and reports without the
     // stack.
@@ -387,9 +422,8 @@
     state.fd = fd;
     state.stage = report_stage::none;
     state.started_ms = clock_ms(CLOCK_MONOTONIC);
-    // The first call loads a library, which a signal handler must not do.
-    void* frame = nullptr;
-    backtrace(&frame, 1);
+    // The first call may allocate, which a signal handler must not do.
+    call_stack().read();
     state.modules = 0;
     dl_iterate_phdr(add_module, nullptr);
 
--- a/tests/base/crash_report_test.cpp
+++ b/tests/base/crash_report_test.cpp
@@ -93,7 +93,8 @@
         R"("node":"front-1","event":"process_end","reason":"signal","signal":"SIGSEGV","code":1,"address":"0x10".*"stack":\["base_test\+0x)");
 }
 
-// Guards against a report that needs room on the stack that has overflowed.
+// Guards against a report that needs room on the stack that has overflowed, and against a stack that shows
+// only the recursion and not what started it.
 TEST_F(crash_report, a_stack_overflow_is_reported)
 {
     EXPECT_EXIT(
@@ -101,7 +102,8 @@
             report_to_standard_error();
             std::exit(overflow_stack(0));
         },
-        testing::KilledBySignal(SIGSEGV), R"("signal":"SIGSEGV".*"stack":\["base_test\+0x)");
+        testing::KilledBySignal(SIGSEGV),
+        R"("signal":"SIGSEGV".*"stack":\["base_test\+0x.*","[0-9]+ frames left out",.*"base_test\+0x[0-9a-f]+"\]\})");
 }
 
 // Guards against a report that is lost because a call through a null pointer cannot be unwound.
