--- /dev/null
+++ b/tests/soak/checker.py
@@ -0,0 +1,271 @@
+"""Checks the promises of the platform's pages on what callers, workers and the system saw. Shares no code with the
+product or with the soak; the records are dictionaries with `at` in seconds and `event`:
+
+    fault     until                                a disturbance that lasts from `at` to `until`
+    calm                                           the last disturbance is over
+    submit    job, steps [{count, after, lasting}], doomed     `doomed`: it cannot be completed
+    answer    call (submit, get, cancel), job, sent, status, state, node
+    unanswered job                                 nobody answers for this job at the end
+    cut       node, sent                           a connection ended without an answer to a whole request
+    start, end (how), ack    task, run, worker     `worker` names one life of a worker
+    lapse, crash             worker
+    node_start, node_stop (status, seconds), node_end (status, lines)      node
+    sample    node, pid, memory, descriptors, processor, ready, disturbed
+"""
+import collections
+
+MAX_ATTEMPTS = 4
+CONTACT_S = 3.0  # contactMs
+CANCEL_S = 3.0  # cancel_ms
+STOP_S = 0.2  # stopMs
+GRACE_S = 6.0
+LOSS_SLACK_S = 0.2  # lossSlackMs
+READY_S = 10.0  # traffic starts that long after the machines
+FINISH_S = 26.0  # recoveryS and finish_s
+STATUS_S = 110.0  # status_s, less the time that a state may be asked late
+MEMORY_MB = 260
+DESCRIPTORS = 4_100 - 200  # of maxFds, 200 are reserved for files
+FULL_CORE_S, FULL_CORE = 5.0, 0.95  # no load of the soak needs a whole core for so long
+
+
+class Job:
+    def __init__(self, steps, doomed):
+        self.steps = steps
+        self.doomed = doomed
+        self.sends = 0
+        self.refusals = 0
+        self.accepted = None  # time of the first 2xx
+        self.cancel_sent = None
+        self.cancelled = None
+        self.finished = None  # time of the last `done`
+        self.crashed = False  # a worker crashed under one of its tasks
+        self.given_up = False  # shown as failed, with a cause
+
+
+class Task:
+    def __init__(self):
+        self.running = {}  # (worker, run): since
+        self.done = []  # [worker, run, at, noted]
+        self.starts = []
+        self.failed = 0
+
+
+class Checker:
+    def __init__(self):
+        self.jobs = {}
+        self.tasks = collections.defaultdict(Task)
+        self.faults = []
+        self.broken = []  # (at, promise, what)
+        self.calm = None
+        self.stops = []  # (node, at) of planned stops in undisturbed times
+        self.ready = {}  # node: last time it was ready, was disturbed or was started
+        self.busy = collections.defaultdict(list)  # (node, pid): samples (at, processor)
+        self.peaks = collections.defaultdict(float)
+        self.reported = set()
+
+    def breach(self, at, promise, what, once=None):
+        """@param once reports a promise for this subject only once"""
+        if once is not None and (promise, once) in self.reported:
+            return
+        self.reported.add((promise, once))
+        self.broken.append((at, promise, what))
+
+    def undisturbed(self, begin, end):
+        return not any(since <= end and until >= begin for since, until in self.faults)
+
+    def see(self, record):
+        getattr(self, "see_" + record["event"], lambda _: None)(record)
+
+    def see_fault(self, record):
+        self.faults.append((record["at"], record["until"]))
+
+    def see_calm(self, record):
+        self.calm = record["at"]
+
+    # callers
+
+    def see_submit(self, record):
+        job = self.jobs.setdefault(record["job"], Job(record["steps"], record["doomed"]))
+        job.sends += 1
+
+    def see_answer(self, record):
+        job, status = self.jobs[record["job"]], record["status"]
+        getattr(self, "answered_" + record["call"])(record, job, status)
+
+    def answered_submit(self, record, job, status):
+        if 200 <= status < 300:
+            job.accepted = job.accepted or record["at"]
+        elif 400 <= status < 500 or status == 503:
+            job.refusals += 1
+
+    def answered_cancel(self, record, job, status):
+        job.cancel_sent = min(job.cancel_sent or record["sent"], record["sent"])
+        if 200 <= status < 300:
+            job.cancelled = job.cancelled or record["at"]
+
+    def answered_get(self, record, job, status):
+        name, at = record["job"], record["at"]
+        if status == 410:
+            old = job.finished and record["sent"] > job.finished + STATUS_S
+            if job.accepted and record["sent"] > job.accepted and not job.cancel_sent and not old:
+                self.breach(at, "LOST", f"{record['node']} answers 410 for {name}, accepted at {job.accepted:.3f}",
+                            name)
+            return
+        state = record.get("state")
+        if state == "completed":
+            missing = [task for task in self.tasks_of(name) if not self.tasks[task].done]
+            if missing:
+                self.breach(at, "COMPLETED", f"{name} is shown as completed, {missing[0]} has not ended done", name)
+        if state == "failed" and not job.crashed:
+            if not any(self.tasks[task].failed >= MAX_ATTEMPTS for task in self.tasks_of(name)):
+                self.breach(at, "FAILED", f"{name} is shown as failed, no task has failed {MAX_ATTEMPTS} times", name)
+        job.given_up = job.given_up or state == "failed"
+        if state == "cancelled" and not job.cancel_sent:
+            self.breach(at, "FAILED", f"{name} is shown as cancelled, nobody has cancelled it", name)
+
+    def see_unanswered(self, record):
+        self.breach(record["at"], "LOST", f"{record['job']} gets no answer at the end", record["job"])
+
+    def see_cut(self, record):
+        near = any(node == record["node"] and at - 0.1 <= record["at"] <= at + GRACE_S + 1 for node, at in self.stops)
+        if near and record["at"] - record["sent"] > LOSS_SLACK_S and \
+                self.undisturbed(record["sent"] - CONTACT_S, record["at"]):
+            self.breach(record["at"], "STOP", f"{record['node']} has left a request without an answer after "
+                        f"{record['at'] - record['sent']:.3f} s of a planned stop")
+
+    # workers
+
+    def tasks_of(self, name):
+        return [f"{name}.0.{step}.{index}" for step, row in enumerate(self.jobs[name].steps)
+                for index in range(row["count"])]
+
+    def see_start(self, record):
+        at, name = record["at"], record["task"]
+        where = f"{name} run {record['run']} starts on {record['worker']}"
+        job = self.jobs.get(name.split(".")[0])
+        if job is None or name not in self.tasks_of(name.split(".")[0]):
+            self.breach(at, "UNASKED", f"{where}, nobody has sent it")
+            return
+        task = self.tasks[name]
+        if task.running:
+            self.breach(at, "TWICE", f"{where} beside {sorted(task.running)}")
+        for worker, run, done_at, noted in task.done:
+            if noted:
+                self.breach(at, "TWICE", f"{where}, run {run} was done on {worker} at {done_at:.3f} and noted")
+        for earlier in job.steps[int(name.split(".")[2])]["after"]:
+            for index in range(job.steps[earlier]["count"]):
+                needed = f"{name.split('.')[0]}.0.{earlier}.{index}"
+                if not self.tasks[needed].done:
+                    self.breach(at, "ORDER", f"{where} before {needed} is done")
+        if job.cancelled and at > job.cancelled + CANCEL_S and self.undisturbed(at - CANCEL_S - CONTACT_S, at):
+            self.breach(at, "CANCEL", f"{where}, its job was cancelled at {job.cancelled:.3f}")
+        task.running[record["worker"], record["run"]] = at
+        task.starts.append((at, record["run"], record["worker"]))
+
+    def see_end(self, record):
+        task, job = self.tasks[record["task"]], self.jobs.get(record["task"].split(".")[0])
+        task.running.pop((record["worker"], record["run"]), None)
+        if record["how"] == "failed":
+            task.failed += 1
+        if record["how"] == "done":
+            task.done.append([record["worker"], record["run"], record["at"], False])
+            if job and all(self.tasks[name].done for name in self.tasks_of(record["task"].split(".")[0])):
+                job.finished = record["at"]
+
+    def see_ack(self, record):
+        task = self.tasks[record["task"]]
+        for end in task.done:
+            if end[:2] != [record["worker"], record["run"]] or end[3] is None:
+                continue
+            end[3] = True
+            for at, run, worker in task.starts:
+                if at > end[2]:
+                    self.breach(record["at"], "TWICE", f"{record['task']} run {run} started on {worker} at {at:.3f}, "
+                                f"run {end[1]} was done on {end[0]} at {end[2]:.3f} and is noted now")
+
+    def see_lapse(self, record):
+        """A lapsed lease before the acknowledgement makes an end void."""
+        for task in self.tasks.values():
+            for end in task.done:
+                if end[0] == record["worker"] and end[3] is False:
+                    end[3] = None
+
+    def see_crash(self, record):
+        for name, task in self.tasks.items():
+            for worker, run in list(task.running):
+                if worker == record["worker"]:
+                    del task.running[worker, run]
+                    self.jobs[name.split(".")[0]].crashed = True
+
+    # processes
+
+    def see_node_start(self, record):
+        self.ready[record["node"]] = record["at"]
+
+    def see_node_stop(self, record):
+        if record["status"] is None:
+            self.breach(record["at"], "STOP", f"{record['node']} runs on {record['seconds']:.1f} s after SIGTERM")
+        elif record["status"] != 0:
+            self.breach(record["at"], "STOP", f"{record['node']} ends with status {record['status']} after SIGTERM")
+
+    def see_signal(self, record):
+        if record["signal"] == "SIGTERM":
+            self.stops.append((record["node"], record["at"]))
+
+    def see_node_end(self, record):
+        self.breach(record["at"], "ENDS", f"{record['node']} has ended by itself with status {record['status']}; "
+                    "its last lines:\n    " + "\n    ".join(record["lines"]))
+
+    def see_sample(self, record):
+        at, node = record["at"], record["node"]
+        for key in ("memory", "descriptors"):
+            self.peaks[key] = max(self.peaks[key], record[key])
+        if record["memory"] > MEMORY_MB:
+            self.breach(at, "MEMORY", f"{node} has {record['memory']:.0f} MB resident", node)
+        if record["descriptors"] > DESCRIPTORS:
+            self.breach(at, "DESCRIPTORS", f"{node} has {record['descriptors']} descriptors open", node)
+        if record["ready"] or record["disturbed"]:
+            self.ready[node] = at
+        elif at - self.ready.setdefault(node, at) > READY_S:
+            self.breach(at, "READY", f"{node} is not ready, undisturbed since {self.ready[node]:.3f}", node)
+        samples = self.busy[node, record["pid"]]
+        samples.append((at, record["processor"]))
+        while len(samples) > 2 and samples[1][0] <= at - FULL_CORE_S:
+            samples.pop(0)
+        span = at - samples[0][0]
+        if span > 0:
+            self.peaks["cores"] = max(self.peaks["cores"], (record["processor"] - samples[0][1]) / max(span, 1))
+        if span >= FULL_CORE_S and record["processor"] - samples[0][1] > FULL_CORE * span:
+            self.breach(at, "PROCESSOR", f"{node} has used a full core for {span:.1f} s", node)
+
+    # end of the run
+
+    def finish(self, at):
+        """@return what is left to do, for a caller that waits for it until FINISH_S after the last disturbance"""
+        return [name for name, job in self.jobs.items() if self.unfinished(name, job)]
+
+    def unfinished(self, name, job):
+        if job.cancelled or (job.cancel_sent and not job.cancelled):
+            return bool(job.cancelled) and any(self.tasks[task].running for task in self.tasks_of(name))
+        if not job.accepted or job.doomed:
+            return False
+        if job.given_up or any(self.tasks[task].failed >= MAX_ATTEMPTS for task in self.tasks_of(name)):
+            return False
+        for step, row in enumerate(job.steps):
+            for index in range(row["count"]):
+                task = self.tasks[f"{name}.0.{step}.{index}"]
+                if not (task.running if row.get("lasting") else task.done):
+                    return True
+        return False
+
+    def close(self, at):
+        """Called at the end: nothing may be left, and nothing may have started of what was refused."""
+        for name, job in self.jobs.items():
+            if self.unfinished(name, job):
+                promise = "CANCEL" if job.cancelled else "LOST"
+                what = "still runs" if job.cancelled else "is not finished"
+                self.breach(at, promise, f"{name} {what} {at - self.calm:.1f} s after the last disturbance", name)
+            if job.sends and job.refusals == job.sends and not job.accepted:
+                started = [task for task in self.tasks_of(name) if self.tasks[task].starts]
+                if started:
+                    self.breach(at, "REFUSED", f"{started[0]} has started, every attempt to submit was refused", name)
--- /dev/null
+++ b/tests/soak/faulty_platform.py
@@ -0,0 +1,265 @@
+"""The users' platform with faults: the stand-ins of review/standin, a store that misbehaves for some or all nodes,
+workers that crash and return, and a relay that harms connections."""
+import asyncio
+import json
+import os
+import sys
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+sys.path.insert(0, os.path.join(ROOT, "review", "standin"))
+from users_platform import HttpServer, Store, Worker, dump, now_ms, wall_ms  # noqa: E402
+
+BEAT_S = 1.5
+LAPSE_S = 3 * BEAT_S  # a worker that sends nothing for this long loses its entry
+
+
+class Pipe(asyncio.Protocol):
+    """One side of a relayed connection."""
+
+    def __init__(self, relay, other=None):
+        self.relay = relay
+        self.other = other
+        self.transport = None
+        self.waiting = []  # bytes that arrived before the other side was connected
+        self.direction = "back" if other else "forth"
+        self.mute = False  # silent for good, whatever the relay does later
+        self.due = 0.0
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.relay.pipes.add(self)
+        if not self.other:
+            asyncio.ensure_future(self.connect())
+
+    async def connect(self):
+        ip, port = self.relay.target.rsplit(":", 1)
+        try:
+            _, self.other = await asyncio.get_running_loop().create_connection(
+                lambda: Pipe(self.relay, self), ip, int(port))
+        except OSError:
+            self.transport.abort()
+            return
+        if self.transport.is_closing():
+            self.other.transport.abort()
+            return
+        waiting, self.waiting = self.waiting, []
+        for data in waiting:
+            self.data_received(data)
+
+    def data_received(self, data):
+        if not self.other:
+            self.waiting.append(data)
+            return
+        if self.mute or self.relay.silent in (self.direction, "both"):
+            self.mute = True  # a lost byte cannot be made up for by later ones
+            return
+        loop = asyncio.get_running_loop()
+        self.due = max(self.due, loop.time() + self.relay.delay_s)
+        if self.due > loop.time():
+            loop.call_at(self.due, self.pass_on, data)
+        else:
+            self.pass_on(data)
+
+    def pass_on(self, data):
+        if not self.other.transport.is_closing():
+            self.other.transport.write(data)
+
+    def connection_lost(self, _):
+        self.relay.pipes.discard(self)
+        if self.other and self.other.transport and not self.mute:
+            # The close follows the delayed bytes.
+            asyncio.get_running_loop().call_later(self.relay.delay_s, self.other.transport.close)
+
+
+class Relay:
+    """Passes connections on to `target`, with delay, silence in one or both directions, or resets."""
+
+    def __init__(self, target=""):
+        self.target = target
+        self.delay_s = 0.0
+        self.silent = ""  # "forth", "back" or "both"
+        self.pipes = set()
+        self.server = None
+        self.address = ""
+
+    async def listen(self, ip, port=0):
+        self.server = await asyncio.get_running_loop().create_server(lambda: Pipe(self), ip, port)
+        self.address = f"{ip}:{self.server.sockets[0].getsockname()[1]}"
+        return self.address
+
+    def reset(self):
+        for pipe in list(self.pipes):
+            pipe.transport.abort()
+
+    def mute_open(self):
+        """Open connections go silent for good; new ones work."""
+        for pipe in list(self.pipes):
+            pipe.mute = True
+
+
+class SoakStore(Store):
+    """The store, with one front per node, so that it can treat nodes differently."""
+
+    def __init__(self):
+        super().__init__()
+        self.first = {}  # (topic, part): first offset that is kept
+        self.down = False
+        self.delay_s = 0.0
+        self.lost_share = 0.0  # share of the calls whose answers are lost
+        self.treatment = {}  # node number: "503", "429", "reset" or "silent"
+        self.random = None
+        self.fronts = []
+
+    async def add_front(self, number, rewrite_out, rewrite_in):
+        async def serve(method, path, query, headers, body):
+            return await self.serve(number, method, path, query, headers, rewrite_in(body))
+
+        async def handler(*call):
+            answer = await serve(*call)
+            return answer and (answer[0], rewrite_out(answer[1]))
+
+        front = HttpServer(handler)
+        self.fronts.append(front)
+        return await front.listen("127.0.0.1")
+
+    async def serve(self, number, method, path, query, headers, body):
+        treatment = "silent" if self.down else self.treatment.get(number)
+        if treatment == "silent":
+            while self.down or self.treatment.get(number) == "silent":
+                await asyncio.sleep(0.1)
+            return None
+        if treatment == "reset":
+            return None
+        if treatment:
+            return int(treatment), b"{}"
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s * self.random.uniform(0.5, 1.5))
+        lost = self.random.random() < self.lost_share
+        answer = await self.handle(method, path, {"group": "", **query}, headers, body)
+        return None if lost else answer
+
+    async def read(self, topic, part, query):
+        first = self.first.get((topic, part), 0)
+        if int(query["from"]) < first:
+            return 410, dump({"first": first})
+        status, content = await super().read(topic, part, query)
+        return status, content[:8] + first.to_bytes(8, "big") + content[16:]
+
+    def drop_history(self):
+        for place, partition in self.topics.items():
+            self.first[place] = partition.end
+
+    def deal_anew(self):
+        for group in self.groups.values():
+            members = sorted(group.members)
+            group.generation += 1
+            shift = self.random.randrange(len(members) or 1)
+            group.target = {part: members[(part + shift) % len(members)] for part in range(group.parts)} \
+                if members else {}
+
+    def odd_entry(self, topic, key, value):
+        self.put(topic, 0, [(key, value)])
+
+
+class SoakWorker(Worker):
+    """A worker behind a relay that can crash and return under its id. `notice(event, **fields)` records what it
+    sees; `tasks` knows how each task behaves."""
+
+    def __init__(self, quiet, worker_id, service, store, tasks, notice, rack):
+        super().__init__(quiet, worker_id, service, store, self.run_time, rack=rack, stop_s=0.05, hold_max_ms=10_000)
+        self.tasks = tasks
+        self.notice = notice
+        self.relay = Relay()
+        self.slowness = 1.0
+        self.fails_all = False
+        self.alive = False
+        self.needs = tasks.needs
+        self.on_start = self.started
+        self.on_end = lambda worker, task, run, how: notice("end", task=task, run=run, worker=self.life, how=how)
+        self.on_acknowledged = lambda worker, task, run, how: notice("ack", task=task, run=run, worker=self.life)
+
+    @property
+    def life(self):
+        return f"{self.id}/{self.born}"
+
+    async def start(self, ip="127.0.0.1"):
+        self.relay.target = await self.http.listen(ip)
+        self.address = self.relay.address or await self.relay.listen(ip)
+        self.alive = True
+        self.beat = asyncio.create_task(self.heartbeat())
+
+    def register(self):
+        if not self.store.down:
+            super().register()
+
+    def run_time(self, task):
+        seconds = self.tasks.run_time(task)
+        return seconds if seconds is None else seconds * self.slowness
+
+    def started(self, _, task, run):
+        self.notice("start", task=task, run=run, worker=self.life)
+        if self.tasks.crashes(task):
+            asyncio.get_running_loop().call_later(0.05, lambda: asyncio.ensure_future(self.crash(2.0)))
+
+    def end(self, task, how, report=True):
+        if how == "done" and (self.fails_all or self.tasks.fails(task)):
+            how = "failed"
+        super().end(task, how, report)
+
+    def check_lease(self):
+        if self.clock() >= self.lease_until:
+            self.notice("lapse", worker=self.life)
+        super().check_lease()
+
+    async def crash(self, away_s, leaves=False):
+        """Ends at once; returns under the same id with a new life after `away_s`."""
+        if not self.alive:
+            return
+        self.alive = False
+        self.beat.cancel()
+        for task in list(self.running):
+            handle = self.running.pop(task)[1]
+            if handle:
+                handle.cancel()
+        self.notice("crash", worker=self.life)
+        if self.lease_timer:
+            self.lease_timer.cancel()
+        await self.http.close()
+        if leaves:
+            self.store.put("keyed.servers", 0, [(self.id.encode(), None)])
+        elif away_s > LAPSE_S:
+            asyncio.get_running_loop().call_later(
+                LAPSE_S, lambda: self.alive or self.store.put("keyed.servers", 0, [(self.id.encode(), None)]))
+        await asyncio.sleep(away_s)
+        self.token = self.lease_until = self.number = self.acknowledged = self.sequence = 0
+        self.highest_ended, self.ends, self.running = {}, [], {}
+        self.born, self.clock_start, self.state = wall_ms(), now_ms(), "ready"
+        await self.start()
+
+    async def drain(self):
+        """Reports that it is draining, works on for a while, leaves, and returns later."""
+        self.state = "draining"
+        self.register()
+        await asyncio.sleep(3.0)
+        await self.crash(4.0, leaves=True)
+
+
+def host_rows(workers):
+    return {f"m-{worker.id}": {"machine": f"m-{worker.id}", "pool": worker.service,
+                               "state": "up" if worker.alive else "down", "zone": "obihiro",
+                               "labels": worker.labels, "capacity": worker.capacity,
+                               "id": worker.id if worker.alive else ""} for worker in workers}
+
+
+def odd_values(random):
+    """Values that other writers have left: fields missing or of another type, unreadable bytes."""
+    entry = {"service": "lineplan", "address": "127.0.0.1:9", "zone": "obihiro", "version": "v1", "slots": 8,
+             "state": "ready", "coldLeftMs": 0, "capacity": {"cpu": 16000, "memMb": 65536, "gpu": 0},
+             "labels": ["a", "r"], "clockMs": 1, "sequence": 1, "born": wall_ms()}
+    other = [None, True, -1, 1e300, "x", [], {}, [[None]], {"a": {}}, 2 ** 63, "\u0000", "nowhere.example:80", ":"]
+    field = random.choice(sorted(entry))
+    return random.choice([
+        b"\x00", b"\xff\xfe{", b"{", b"[]", b"null", b"\"x\"", b"1e999", b"{}",
+        dump({**entry, field: random.choice(other)}), dump({**entry, field: random.choice(other)}),
+        dump({key: value for key, value in entry.items() if key != field}),
+        b'{"a":' * 300 + b"1" + b"}" * 300, json.dumps({**entry, "zone": "\ud800"}).encode()])
--- /dev/null
+++ b/tests/soak/nodes.py
@@ -0,0 +1,176 @@
+"""Entry nodes as processes with the settings of the deployment tkc-sapporo, and the samples that are taken of them."""
+import asyncio
+import json
+import os
+import resource
+import signal
+import subprocess
+import time
+
+from faulty_platform import ROOT, Relay
+from users_platform import call, free_port
+
+PROGRAM = os.path.join(os.environ.get("BUILD_DIR", os.path.join(ROOT, "build")), "waxwingnotch")
+ZONES = ["obihiro", "otaru", "chitose", "asahikawa"]
+GRACE_S = 6
+MEMORY_MB, DESCRIPTORS = 260, 4_100
+DATA_LIMIT = 1 << 30  # a process that grows without bound ends before it harms the machine
+SEEN_THROUGH_RELAYS = 9  # at most this many nodes see one another through relays, which need n x n ports
+BOUNDS = {"seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000,
+          "graceS": GRACE_S, "lossSlackMs": 200, "configApplyMs": 2000, "rollbackSlackMs": 250,
+          "maxStretchMs": 5000, "recoveryS": 12, "holdMaxMs": 10000, "stopMs": 200, "gangMs": 3000,
+          "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14, "status_s": 120,
+          "remoteSlowdown": 2, "checkpointS": 2, "restoreMs": 250, "noticeMs": 4500, "moveS": 1.5,
+          "maintenanceS": 2, "fencingEnabled": True, "leaseMs": 3000, "thawMs": 300, "paceMs": 100,
+          "violationMs": 4000}
+
+
+def limit_resources():
+    resource.setrlimit(resource.RLIMIT_DATA, (DATA_LIMIT, DATA_LIMIT))
+    resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+    resource.setrlimit(resource.RLIMIT_CORE, (0, 0))
+
+
+class Node:
+    """One entry node. Its address as others see it is that of a relay: 127.1NN.0.1MM stands for node MM as seen by
+    node NN (NN from 1), of the same length as 127.100.0.1MM, the address on which node MM listens."""
+
+    def __init__(self, world, number):
+        self.world = world
+        self.number = number
+        self.name = f"front-{ZONES[number % 4]}-{number}"
+        self.ip = f"127.100.0.{100 + number}"
+        self.listen = {name: f"{self.ip}:{free_port(self.ip)}" for name in ("front", "ready", "control")}
+        self.store_link = Relay()  # between this node and the store
+        self.peer_links = {}  # number of another node: relay to it
+        self.extra = {}  # settings that a fault changes or adds
+        self.process = None
+        self.expected_end = False
+        self.paused = False
+        self.held = False  # a disturbance of its process is under way
+        self.touched = 0.0  # until when a disturbance concerns this node
+        self.file = os.path.join(world.folder, f"{self.name}.json")
+        self.log = os.path.join(world.folder, f"{self.name}.log")
+
+    async def connect(self):
+        self.store_link.target = await self.world.store.add_front(self.number, self.rewrite_out, self.rewrite_in)
+        await self.store_link.listen("127.0.0.1")
+        if len(self.world.nodes) <= SEEN_THROUGH_RELAYS:
+            for other in self.world.nodes:
+                if other is not self:
+                    relay = self.peer_links[other.number] = Relay(other.listen["control"])
+                    await relay.listen(f"127.{101 + self.number}.0.{100 + other.number}",
+                                       int(other.listen["control"].rsplit(":", 1)[1]))
+
+    def rewrite_out(self, content):
+        """What the store tells this node, with the addresses of the relays to the others."""
+        for number in self.peer_links:
+            content = content.replace(b"127.100.0.%d:" % (100 + number),
+                                      b"127.%d.0.%d:" % (101 + self.number, 100 + number))
+        return content
+
+    def rewrite_in(self, content):
+        return content.replace(b"127.%d.0." % (101 + self.number), b"127.100.0.") if self.peer_links else content
+
+    def settings(self):
+        seeds = [node.listen["control"] for node in self.world.nodes[:3]]
+        return {
+            "nodeName": self.name, "role": "entry", "machineClass": "front", "serves": ["front", "control"],
+            "ip": self.ip, "zone": ZONES[self.number % 4], "region": "hokkaido",
+            "zones": dict.fromkeys(ZONES, "hokkaido"), "listenAddrs": self.listen, "internalPorts": [7060, 7075],
+            "seeds": json.loads(self.rewrite_out(json.dumps(seeds).encode())), "bootstrap": True,
+            "countsAsLoss": False,
+            "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": MEMORY_MB, "maxFds": DESCRIPTORS,
+                       "linkMbps": 1000.0, "diskMb": 0},
+            "dataDir": None, "discovery": "platform", "entry": "vip", "heartbeatMs": 1500,
+            "contracts": ["base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep",
+                          "sharing"],
+            "faultTolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": BOUNDS, "orders": "call",
+            "advice": self.world.advice_address,
+            "platform": {"address": self.store_link.address, "form": "log", "writesPerS": 600, "readsPerS": 2000,
+                         "parts": 8, "appendMs": 4.0, "partMbPerS": 20.0, "readMbPerS": 80.0,
+                         "recordBytes": 262144, "callBytes": 2097152, "keep_s": 300, "partMb": 200,
+                         "ttlMinMs": 1000},
+            "cloudApi": {"address": self.world.host_address, "ratePerS": 64.0, "duties": [], "dutyPerS": 64.0},
+            **self.extra}
+
+    def write_settings(self):
+        with open(self.file, "w", encoding="utf-8") as out:
+            json.dump(self.settings(), out)
+
+    def start(self):
+        self.write_settings()
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen(
+                [PROGRAM, "node"], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                preexec_fn=limit_resources,
+                env={"PATH": os.environ["PATH"], "HOME": self.world.folder, "LANG": "C.UTF-8",
+                     "WAXWINGNOTCH_CONFIG": self.file})
+        self.expected_end = self.paused = False
+        self.world.notice("node_start", node=self.name, pid=self.process.pid)
+
+    def signal(self, number):
+        """Sends a signal, to the process that this object started and nobody else."""
+        if self.process.poll() is None:
+            self.expected_end = self.expected_end or number in (signal.SIGTERM, signal.SIGKILL)
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self.paused = number == signal.SIGSTOP
+            self.world.notice("signal", node=self.name, signal=signal.Signals(number).name)
+            self.process.send_signal(number)
+
+    async def stop(self):
+        """Planned stop, as the platform does it. The status and the time are checked."""
+        begin = time.monotonic()
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        while self.process.poll() is None and time.monotonic() - begin < GRACE_S:
+            await asyncio.sleep(0.02)
+        self.world.notice("node_stop", node=self.name, status=self.process.poll(),
+                          seconds=time.monotonic() - begin)
+        self.kill()
+
+    def kill(self):
+        if self.process and self.process.poll() is None:
+            self.signal(signal.SIGKILL)
+        if self.process:
+            self.process.wait()
+
+    def last_lines(self, count=4):
+        with open(self.log, "rb") as log:
+            log.seek(max(0, os.path.getsize(self.log) - 8_000))
+            return log.read().decode("utf-8", "replace").splitlines()[-count:]
+
+    async def is_ready(self):
+        status, _ = await call(self.listen["ready"], "GET", "/waxwingnotch/readyz", timeout_s=1)
+        return status == 200
+
+    def sample(self):
+        """Resident memory in MB, descriptors, and processor seconds since the start."""
+        folder = f"/proc/{self.process.pid}"
+        with open(f"{folder}/statm", encoding="ascii") as file:
+            memory = int(file.read().split()[1]) * resource.getpagesize() / 1e6
+        with open(f"{folder}/stat", encoding="ascii") as file:
+            fields = file.read().rsplit(")", 1)[1].split()
+        processor = (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+        return memory, len(os.listdir(f"{folder}/fd")), processor
+
+    async def watch(self):
+        """Reports ends, readiness and samples, once a second, and restarts a process that ended by itself."""
+        while True:
+            await asyncio.sleep(1.0)
+            if self.process is None:
+                continue
+            status = self.process.poll()
+            if status is not None:
+                if not self.expected_end:
+                    self.world.notice("node_end", node=self.name, status=status, lines=self.last_lines())
+                    self.start()
+                continue
+            try:
+                memory, descriptors, processor = self.sample()
+            except OSError:
+                continue
+            ready = not self.paused and await self.is_ready()
+            self.world.notice("sample", node=self.name, pid=self.process.pid, memory=memory,
+                              descriptors=descriptors, processor=processor, ready=ready,
+                              disturbed=self.paused or self.expected_end or self.world.disturbed(self))
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,314 @@
+"""One run: platform, nodes and clients, and what all of them see. See tests/soak/run."""
+import asyncio
+import json
+import random
+import time
+
+from checker import FINISH_S, Checker
+from faulty_platform import SoakStore, SoakWorker, dump, host_rows
+from nodes import Node, ZONES
+from users_platform import HostService, PolicyService, call
+
+SERVICES = {"lineplan": 8, "syrupworks": 9, "labelhouse": 11, "dockside": 12, "backoffice": 8}
+STANDBY = "backoffice"
+HOST = "jobs.example"
+SHOWN = 5  # breaches of each promise that are printed; the record has all
+FINAL = ("completed", "failed", "cancelled")
+
+
+class Quiet:
+    """The stand-ins write their own lines here; the soak records what they see by itself."""
+
+    def write(self, text):
+        pass
+
+
+class Tasks:
+    """How each task behaves: told by the kind of its job."""
+
+    def __init__(self):
+        self.jobs = {}
+
+    def step(self, task):
+        name, _, step, _ = task.split(".")
+        return self.jobs.get(name, {"steps": []})["steps"][int(step):][:1] or [{}]
+
+    def kind(self, task):
+        return self.jobs.get(task.split(".")[0], {}).get("kind")
+
+    def needs(self, task):
+        row = self.step(task)[0]
+        return row.get("cpu", 1), row.get("memMb", 1)
+
+    def run_time(self, task):
+        row = self.step(task)[0]
+        return None if row.get("longRunning") else row.get("estimateMs", 100) / 1000
+
+    def fails(self, task):
+        return self.kind(task) == "failing"
+
+    def crashes(self, task):
+        return self.kind(task) == "deadly"
+
+
+class World:
+    def __init__(self, folder, seed, node_count):
+        self.folder = folder
+        self.random = random.Random(seed)
+        self.start_time = time.monotonic()
+        self.record = open(f"{folder}/record.jsonl", "w", encoding="utf-8")
+        self.checker = Checker()
+        self.store = SoakStore()
+        self.store.random = random.Random(seed + 1)
+        self.tasks = Tasks()
+        self.hosts = HostService(Quiet())
+        self.policy = PolicyService(Quiet(), lambda worker: True, {"validityMs": 60_000})
+        self.workers = []
+        self.nodes = [None] * node_count
+        self.nodes = [Node(self, number) for number in range(node_count)]
+        self.version = 0
+        self.extra_routes = 0
+        self.disturbed_until = 0.0  # of what concerns all nodes
+        self.traffic = True
+        self.background = set()
+        self.most_lag_s = 0.0
+        self.counts = dict.fromkeys(("jobs", "accepted", "calls"), 0)
+
+    def now(self):
+        return time.monotonic() - self.start_time
+
+    def notice(self, event, **fields):
+        record = {"at": round(self.now(), 4), "event": event, **fields}
+        self.record.write(json.dumps(record) + "\n")
+        if event == "start":
+            # A lease that has run out ends its runs before anything else is seen, even if this loop is late.
+            for worker in self.workers:
+                if f"{worker.life}" != fields["worker"] and worker.alive and worker.running:
+                    worker.check_lease()
+        known = len(self.checker.broken)
+        self.checker.see(record)
+        self.show(known)
+
+    def show(self, known):
+        """Prints what has been found since, the first few of each promise."""
+        for number in range(known, len(self.checker.broken)):
+            at, promise, what = self.checker.broken[number]
+            if sum(row[1] == promise for row in self.checker.broken[:number]) < SHOWN:
+                print(f"  {at:8.3f} {promise}: {what}", flush=True)
+
+    def spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+        task.add_done_callback(self.report_problem)
+        return task
+
+    def report_problem(self, task):
+        if not task.cancelled() and task.exception():
+            self.problem = task.exception()
+            print(f"  {self.now():8.3f} the soak itself: {task.exception()!r}", flush=True)
+
+    def disturbed(self, node):
+        return self.now() < max(self.disturbed_until, node.touched)
+
+    # platform
+
+    def publish(self, extra_routes=None, timeout_ms=3000):
+        self.version += self.random.randint(1, 5)
+        self.extra_routes = self.extra_routes if extra_routes is None else extra_routes
+        names = [(f"q-{name}", f"/{name}/", name) for name in SERVICES if name != STANDBY]
+        names += [(f"extra-{number}", f"/extra{number}/", "dockside") for number in range(self.extra_routes)]
+        routes = [{"name": name, "host": HOST, "pathPrefix": prefix, "kind": "non_idempotent",
+                   "timeoutMs": timeout_ms, "completionTargetMs": 600, "priority": 0, "service": service,
+                   "maxAttempts": 4, "stretch": 1.6} for name, prefix, service in names]
+        services = [{"name": name, "healthPath": "/healthz", "maxConns": 64, "protocol": "h1", "tls": False,
+                     "enforcesCapacity": True, "standby": name == STANDBY} for name in SERVICES]
+        self.store.put("keyed.op", 0, [(b"config", dump({
+            "version": self.version, "routes": routes, "services": services,
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
+                       "idleTimeoutMs": 15000}}))])
+
+    def on_order(self, order_call, order, headers):
+        worker = next((one for one in self.workers if f"m-{one.id}" == order["machine"]), None)
+        if worker is None:
+            worker = next((one for one in self.workers if self.machine(one) == order["machine"]), None)
+        if worker is None:
+            return 400, {}
+        if not worker.alive or worker.state == "draining":
+            return 409, {"reason": "busy"}
+        self.spawn(self.replace(worker, order.get("pool", worker.service)))
+        return 200, {}
+
+    @staticmethod
+    def machine(worker):
+        return "m-" + worker.id.split("+")[0]
+
+    async def replace(self, worker, pool):
+        """A new worker of another id joins the pool after a move or maintenance."""
+        old = worker.id
+        self.store.put("keyed.servers", 0, [(old.encode(), None)])
+        crash = asyncio.ensure_future(worker.crash(1.7, leaves=True))
+        await asyncio.sleep(0.2)
+        base, _, number = old.partition("+")
+        worker.id, worker.service = f"{base}+{int(number or 0) + 1}", pool
+        await crash
+
+    async def start_platform(self):
+        self.host_address = await self.hosts.http.listen("127.0.0.1")
+        self.advice_address = await self.policy.http.listen("127.0.0.1")
+        self.hosts.on_order = self.on_order
+
+        def list_hosts():
+            rows = host_rows(self.workers)
+            for worker in self.workers:
+                rows[f"m-{worker.id}"]["machine"] = self.machine(worker)
+            self.hosts.machines = rows
+
+        self.hosts.on_list = list_hosts
+        number = 0
+        for service, count in SERVICES.items():
+            for _ in range(count):
+                worker = SoakWorker(Quiet(), f"i-{number:03d}", service, self.store, self.tasks, self.notice,
+                                    f"r{number // 4}")
+                await worker.start()
+                self.workers.append(worker)
+                number += 1
+        for node in self.nodes:
+            await node.connect()
+        self.spawn(self.watch_lag())
+
+    async def watch_lag(self):
+        while True:
+            begin = time.monotonic()
+            await asyncio.sleep(0.05)
+            self.most_lag_s = max(self.most_lag_s, time.monotonic() - begin - 0.05)
+
+    # clients
+
+    def new_job(self, kind="plain", steps=None):
+        name = f"{self.random.getrandbits(64):016x}"
+        if steps is None:
+            steps = []
+            for number in range(self.random.choice([1, 1, 2, 3])):
+                step = {"count": self.random.randint(1, 8), "cpu": self.random.choice([500, 900, 1900]),
+                        "memMb": 256, "estimateMs": self.random.randint(50, 900)}
+                if number:
+                    step["dependsOn"] = sorted(self.random.sample(range(number), self.random.randint(1, number)))
+                steps.append(step)
+        self.tasks.jobs[name] = {"kind": kind, "steps": steps, "service": self.random.choice(
+            [service for service in SERVICES if service != STANDBY]), "final": False}
+        return name
+
+    async def ask(self, method, name, body=None, deadline_ms=3000, event=None):
+        """One call at any node; what it answers goes to the checker."""
+        node = self.random.choice(self.nodes)
+        path = f"/{self.tasks.jobs[name]['service']}/{name}"
+        sent = self.now()
+        self.counts["calls"] += 1
+        status, answer = await call(node.listen["front"], method, path,
+                                    {"Host": HOST, "Deadline-Ms": deadline_ms}, body, timeout_s=deadline_ms / 1000 + 0.5)
+        state = answer.get("state") if isinstance(answer, dict) else None
+        self.notice("answer", call=event, job=name, sent=round(sent, 4), status=status, state=state, node=node.name)
+        if event == "get" and state in FINAL:
+            self.tasks.jobs[name]["final"] = True
+        return status, state
+
+    async def submit(self, name, tries=5):
+        job = self.tasks.jobs[name]
+        body = {"spec": "lot " + name, "steps": job["steps"]}
+        steps = [{"count": row["count"], "after": row.get("dependsOn", []), "lasting": row.get("longRunning", False)}
+                 for row in job["steps"]]
+        self.counts["jobs"] += 1
+        for _ in range(tries):
+            self.notice("submit", job=name, steps=steps, doomed=job["kind"] in ("doomed", "deadly"))
+            status, _ = await self.ask("POST", name, body, event="submit")
+            if 200 <= status < 300:
+                self.counts["accepted"] += 1
+                if self.random.random() < 0.05:
+                    await asyncio.sleep(self.random.uniform(0, 3))
+                    self.notice("submit", job=name, steps=steps, doomed=job["kind"] in ("doomed", "deadly"))
+                    await self.ask("POST", name, body, event="submit")
+                return True
+            if status in (400, 404, 413):
+                return False
+            await asyncio.sleep(self.random.uniform(0.2, 1.0))
+        return False
+
+    async def client(self, name, cancel_after_s=None):
+        """Hands a job in and asks for its state until it has ended."""
+        if not await self.submit(name):
+            return
+        if cancel_after_s is not None:
+            await asyncio.sleep(cancel_after_s)
+            for _ in range(5):
+                status, _ = await self.ask("DELETE", name, event="cancel")
+                if status in (200, 410):
+                    break
+        while not self.tasks.jobs[name]["final"] and self.traffic:
+            await asyncio.sleep(self.random.uniform(0.5, 2.0))
+            await self.ask("GET", name, event="get")
+
+    async def keep_using(self, node, pipelined):
+        """Sends requests over one connection for as long as it is open, then opens another one."""
+        job = f"/lineplan/{self.random.getrandbits(64):016x}"
+        request = f"GET {job} HTTP/1.1\r\nHost: {HOST}\r\nDeadline-Ms: 3000\r\n\r\n".encode()
+        while self.traffic:
+            writer, sent = None, None
+            try:
+                reader, writer = await asyncio.open_connection(*node.listen["front"].rsplit(":", 1))
+                while self.traffic:
+                    sent = self.now()
+                    writer.write(request * (3 if pipelined else 1))
+                    for _ in range(3 if pipelined else 1):
+                        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
+                        size = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+                        await reader.readexactly(size)
+                    sent = None
+                    await asyncio.sleep(0.15)
+            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, IndexError):
+                if sent is not None and not pipelined:
+                    self.notice("cut", node=node.name, sent=round(sent, 4))
+            if writer:
+                writer.close()
+            await asyncio.sleep(0.3)
+
+    async def steady_traffic(self, per_s):
+        while self.traffic:
+            name = self.new_job(self.random.choices(["plain", "failing"], [30, 1])[0])
+            cancel = self.random.uniform(0, 2) if self.random.random() < 0.08 else None
+            self.spawn(self.client(name, cancel))
+            await asyncio.sleep(self.random.expovariate(per_s))
+
+    # end
+
+    async def finish(self):
+        """Waits until everything is served, then asks for each job once more."""
+        self.notice("calm")
+        begin = self.now()
+        while self.now() - begin < FINISH_S and self.checker.finish(self.now()):
+            await asyncio.sleep(0.25)
+        known = len(self.checker.broken)
+        self.checker.close(self.now())
+        self.show(known)
+        gate = asyncio.Semaphore(20)
+
+        async def last_look(name):
+            async with gate:
+                for _ in range(3):
+                    if (await self.ask("GET", name, event="get"))[0] in (200, 410):
+                        return
+                self.notice("unanswered", job=name)
+
+        await asyncio.gather(*[last_look(name) for name, job in self.checker.jobs.items() if job.accepted])
+        self.traffic = False
+
+    async def close(self):
+        for node in self.nodes:
+            node.kill()
+        for task in [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]:
+            task.cancel()
+        await asyncio.sleep(0)
+        self.record.close()
+
+
+__all__ = ["World", "ZONES"]
