--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -10,7 +10,7 @@
     start, end (how), ack    task, run, worker     `worker` names one life of a worker
     lapse, crash             worker
     node_start, node_stop (status, seconds), node_end (status, lines)      node
-    sample    node, pid, memory, descriptors, processor, ready, disturbed
+    sample    node, pid, memory, descriptors, processor, log, ready, disturbed
 """
 import collections
 
@@ -25,6 +25,7 @@
 STATUS_S = 110.0  # status_s, less the time that a state may be asked late
 MEMORY_MB = 260
 DESCRIPTORS = 4_100 - 200  # of maxFds, 200 are reserved for files
+LOG_BYTES_PER_S = 1_000_000  # 1,000 lines of 1,000 bytes
 FULL_CORE_S, FULL_CORE = 5.0, 0.95  # no load of the soak needs a whole core for so long
 
 
@@ -59,7 +60,7 @@
         self.calm = None
         self.stops = []  # (node, at) of planned stops in undisturbed times
         self.ready = {}  # node: last time it was ready, was disturbed or was started
-        self.busy = collections.defaultdict(list)  # (node, pid): samples (at, processor)
+        self.busy = collections.defaultdict(list)  # (node, pid): samples (at, processor, log)
         self.peaks = collections.defaultdict(float)
         self.reported = set()
 
@@ -229,7 +230,7 @@
         elif at - self.ready.setdefault(node, at) > READY_S:
             self.breach(at, "READY", f"{node} is not ready, undisturbed since {self.ready[node]:.3f}", node)
         samples = self.busy[node, record["pid"]]
-        samples.append((at, record["processor"]))
+        samples.append((at, record["processor"], record["log"]))
         while len(samples) > 2 and samples[1][0] <= at - FULL_CORE_S:
             samples.pop(0)
         span = at - samples[0][0]
@@ -237,6 +238,8 @@
             self.peaks["cores"] = max(self.peaks["cores"], (record["processor"] - samples[0][1]) / max(span, 1))
         if span >= FULL_CORE_S and record["processor"] - samples[0][1] > FULL_CORE * span:
             self.breach(at, "PROCESSOR", f"{node} has used a full core for {span:.1f} s", node)
+        if record["log"] - samples[0][2] > LOG_BYTES_PER_S * max(span, 1):
+            self.breach(at, "LOG", f"{node} has logged {record['log'] - samples[0][2]} bytes in {span:.1f} s", node)
 
     # end of the run
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,7 +7,7 @@
 import signal
 
 from faulty_platform import LAPSE_S, odd_values
-from nodes import DESCRIPTORS
+from nodes import DESCRIPTORS, limit_files
 from users_platform import call, dump
 
 SETTLE_S = 1.0  # after a disturbance, until what it has held up is through
@@ -57,17 +57,18 @@
 
 
 async def store_slow(world, random, seconds):
-    touch(world, None, seconds)
-    world.store.delay_s = random.choice([0.05, 0.2, 0.6])
-    await asyncio.sleep(seconds)
-    world.store.delay_s = 0.0
+    await with_store(world, seconds, "delay_s", random.choice([0.05, 0.2, 0.6]))
 
 
 async def store_loses_answers(world, random, seconds):
+    await with_store(world, seconds, "lost_share", random.choice([0.1, 0.4]))
+
+
+async def with_store(world, seconds, name, value):
     touch(world, None, seconds)
-    world.store.lost_share = random.choice([0.1, 0.4])
+    setattr(world.store, name, value)
     await asyncio.sleep(seconds)
-    world.store.lost_share = 0.0
+    setattr(world.store, name, 0.0)
 
 
 async def store_turns_some_away(world, random, seconds):
@@ -172,22 +173,20 @@
 
 
 async def workers_slow(world, random, seconds):
-    workers = some(random, world.workers, 5)
-    for worker in workers:
-        worker.slowness = 6.0
-    await asyncio.sleep(seconds)
-    for worker in workers:
-        worker.slowness = 1.0
+    await with_workers(some(random, world.workers, 5), seconds, "slowness", 6.0, 1.0)
 
 
 async def workers_fail(world, random, seconds):
     """Workers fail all that they start."""
-    workers = some(random, world.workers, 2)
+    await with_workers(some(random, world.workers, 2), seconds, "fails_all", True, False)
+
+
+async def with_workers(workers, seconds, name, value, usual):
     for worker in workers:
-        worker.fails_all = True
+        setattr(worker, name, value)
     await asyncio.sleep(seconds)
     for worker in workers:
-        worker.fails_all = False
+        setattr(worker, name, usual)
 
 
 async def wave(world, random, seconds):
@@ -362,24 +361,48 @@
 
 
 async def many_connections(world, random, seconds):
-    """Clients open connections and keep them without a request."""
+    """Clients open connections and keep them without a request: some, or more than the node has descriptors."""
     node = random.choice(world.nodes)
+    touch(world, [node], seconds)
+    address = node.listen["front"].rsplit(":", 1)
     writers = []
-    for _ in range(800):
-        try:
-            writers.append((await asyncio.open_connection(*node.listen["front"].rsplit(":", 1)))[1])
-        except OSError:
-            break
+    with contextlib.suppress(OSError, asyncio.TimeoutError):
+        for _ in range(random.choice([800, DESCRIPTORS + 100])):
+            writers.append((await asyncio.wait_for(asyncio.open_connection(*address), 1.0))[1])
     await asyncio.sleep(seconds)
     for writer in writers:
         writer.transport.abort()
 
 
+async def large_bodies(world, random, seconds):
+    """Requests with bodies far beyond maxBodyBytes."""
+    head = b"POST /lineplan/00000000000000dd HTTP/1.1\r\nHost: jobs.example\r\nContent-Length: %d\r\n\r\n"
+    body = b"x" * 45_000_000
+    address = random.choice(world.nodes).listen["front"].rsplit(":", 1)
+
+    async def send():
+        with contextlib.suppress(OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(head % len(body) + body)
+            await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
+            writer.close()
+
+    await asyncio.gather(*[send() for _ in range(6)])
+
+
+async def odd_hosts(world, random, seconds):
+    """The host service lists rows that cannot be read."""
+    rows = [7, "x", None, [], {}, {"machine": 1}, {"machine": "m-x", "capacity": 5, "labels": 5, "state": 7, "id": None}]
+    world.hosts.odd = random.sample(rows, 2)
+    await asyncio.sleep(seconds)
+    world.hosts.odd = []
+
+
 FAULTS = [store_down, store_slow, store_loses_answers, store_turns_some_away, store_forgets, store_deals_anew,
           odd_entries, odd_nesting, store_links, peer_links, worker_links, workers_crash, workers_leave, workers_slow,
           workers_fail, wave, node_stop, stops_in_turn, node_kill, all_killed, node_pause, node_reload,
           reload_at_start, configurations, many_routes, large_jobs, hopeless_jobs, deadly_job, lasting_jobs, cancels,
-          hasty_clients, many_connections]
+          hasty_clients, many_connections, large_bodies, odd_hosts]
 
 
 # starts
@@ -415,6 +438,7 @@
         node.extra = random.choice([
             {"cloudApi": None}, {"advice": None}, {"bounds": None}, {"limits": None}, {"seeds": None}, {"seeds": []},
             {"unknown": {"a": [None]}}, {"zones": None, "contracts": None}, {"cloudApi": {"address": None}},
+            {"cloudApi": {"address": world.host_address, "dutyPerS": 0.5}},
             {"faultTolerance": None, "heartbeatMs": None, "region": None, "dataDir": "/none"}])
     await apart(world, random)
     for node in world.nodes:
@@ -436,5 +460,12 @@
     await apart(world, random)
 
 
-STARTS = [apart, without_store, without_configuration, with_odd_settings, restarted_at_once, with_odd_records]
-__all__ = ["FAULTS", "STARTS", "DESCRIPTORS"]
+async def with_small_files(world, random):
+    """The size of files is limited, and the logs reach it."""
+    for node in world.nodes:
+        node.limits = limit_files
+    await apart(world, random)
+
+
+STARTS = [apart, without_store, without_configuration, with_odd_settings, restarted_at_once, with_odd_records,
+          with_small_files]
--- a/tests/soak/faulty_platform.py
+++ b/tests/soak/faulty_platform.py
@@ -97,6 +97,13 @@
             pipe.mute = True
 
 
+def is_text(key):
+    try:
+        return bool(key.decode())
+    except UnicodeDecodeError:
+        return False
+
+
 class SoakStore(Store):
     """The store, with one front per node, so that it can treat nodes differently."""
 
@@ -145,6 +152,15 @@
         status, content = await super().read(topic, part, query)
         return status, content[:8] + first.to_bytes(8, "big") + content[16:]
 
+    def read_newest(self, topic, part, query):
+        """Keys are text in this call; bytes that are none are left out of the page."""
+        target = self.partition(topic, part)
+        odd = {key: target.newest.pop(key) for key in list(target.newest) if not is_text(key)}
+        try:
+            return super().read_newest(topic, part, query)
+        finally:
+            target.newest.update(odd)
+
     def drop_history(self):
         for place, partition in self.topics.items():
             self.first[place] = partition.end
@@ -157,9 +173,6 @@
             group.target = {part: members[(part + shift) % len(members)] for part in range(group.parts)} \
                 if members else {}
 
-    def odd_entry(self, topic, key, value):
-        self.put(topic, 0, [(key, value)])
-
 
 class SoakWorker(Worker):
     """A worker behind a relay that can crash and return under its id. `notice(event, **fields)` records what it
@@ -244,11 +257,11 @@
         await self.crash(4.0, leaves=True)
 
 
-def host_rows(workers):
-    return {f"m-{worker.id}": {"machine": f"m-{worker.id}", "pool": worker.service,
-                               "state": "up" if worker.alive else "down", "zone": "obihiro",
-                               "labels": worker.labels, "capacity": worker.capacity,
-                               "id": worker.id if worker.alive else ""} for worker in workers}
+def host_rows(workers, machine):
+    return {worker.id: {"machine": machine(worker), "pool": worker.service,
+                        "state": "up" if worker.alive else "down", "zone": "obihiro",
+                        "labels": worker.labels, "capacity": worker.capacity,
+                        "id": worker.id if worker.alive else ""} for worker in workers}
 
 
 def odd_values(random):
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -1,5 +1,6 @@
 """Entry nodes as processes with the settings of the deployment tkc-sapporo, and the samples that are taken of them."""
 import asyncio
+import ctypes
 import json
 import os
 import resource
@@ -11,10 +12,14 @@
 from users_platform import call, free_port
 
 PROGRAM = os.path.join(os.environ.get("BUILD_DIR", os.path.join(ROOT, "build")), "waxwingnotch")
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1  # of prctl(2)
 ZONES = ["obihiro", "otaru", "chitose", "asahikawa"]
 GRACE_S = 6
 MEMORY_MB, DESCRIPTORS = 260, 4_100
+SALT = os.getpid() % 250 + 1  # keeps the addresses of soaks that run at the same time apart
 DATA_LIMIT = 1 << 30  # a process that grows without bound ends before it harms the machine
+SMALL_FILE = 20_000  # bytes
 SEEN_THROUGH_RELAYS = 9  # at most this many nodes see one another through relays, which need n x n ports
 BOUNDS = {"seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000,
           "graceS": GRACE_S, "lossSlackMs": 200, "configApplyMs": 2000, "rollbackSlackMs": 250,
@@ -25,24 +30,33 @@
           "violationMs": 4000}
 
 
-def limit_resources():
+def limit_process():
+    """Runs in the new process: limits its resources, and lets it end with the soak."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
     resource.setrlimit(resource.RLIMIT_DATA, (DATA_LIMIT, DATA_LIMIT))
     resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
     resource.setrlimit(resource.RLIMIT_CORE, (0, 0))
 
 
+def limit_files():
+    """As limit_process, on a platform that limits the size of files; the log reaches the limit."""
+    limit_process()
+    resource.setrlimit(resource.RLIMIT_FSIZE, (SMALL_FILE, SMALL_FILE))
+
+
 class Node:
-    """One entry node. Its address as others see it is that of a relay: 127.1NN.0.1MM stands for node MM as seen by
-    node NN (NN from 1), of the same length as 127.100.0.1MM, the address on which node MM listens."""
+    """One entry node. Its address as others see it is that of a relay: 127.1NN.S.1MM stands for node MM as seen by
+    node NN (NN from 1), of the same length as 127.100.S.1MM, the address on which node MM listens."""
 
     def __init__(self, world, number):
         self.world = world
         self.number = number
         self.name = f"front-{ZONES[number % 4]}-{number}"
-        self.ip = f"127.100.0.{100 + number}"
+        self.ip = f"127.100.{SALT}.{100 + number}"
         self.listen = {name: f"{self.ip}:{free_port(self.ip)}" for name in ("front", "ready", "control")}
         self.store_link = Relay()  # between this node and the store
         self.peer_links = {}  # number of another node: relay to it
+        self.limits = limit_process
         self.extra = {}  # settings that a fault changes or adds
         self.process = None
         self.expected_end = False
@@ -59,18 +73,18 @@
             for other in self.world.nodes:
                 if other is not self:
                     relay = self.peer_links[other.number] = Relay(other.listen["control"])
-                    await relay.listen(f"127.{101 + self.number}.0.{100 + other.number}",
+                    await relay.listen(f"127.{101 + self.number}.{SALT}.{100 + other.number}",
                                        int(other.listen["control"].rsplit(":", 1)[1]))
 
     def rewrite_out(self, content):
         """What the store tells this node, with the addresses of the relays to the others."""
         for number in self.peer_links:
-            content = content.replace(b"127.100.0.%d:" % (100 + number),
-                                      b"127.%d.0.%d:" % (101 + self.number, 100 + number))
+            content = content.replace(b"127.100.%d.%d:" % (SALT, 100 + number),
+                                      b"127.%d.%d.%d:" % (101 + self.number, SALT, 100 + number))
         return content
 
     def rewrite_in(self, content):
-        return content.replace(b"127.%d.0." % (101 + self.number), b"127.100.0.") if self.peer_links else content
+        return content.replace(b"127.%d.%d." % (101 + self.number, SALT), b"127.100.%d." % SALT)
 
     def settings(self):
         seeds = [node.listen["control"] for node in self.world.nodes[:3]]
@@ -103,7 +117,7 @@
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(
                 [PROGRAM, "node"], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                preexec_fn=limit_resources,
+                preexec_fn=self.limits,
                 env={"PATH": os.environ["PATH"], "HOME": self.world.folder, "LANG": "C.UTF-8",
                      "WAXWINGNOTCH_CONFIG": self.file})
         self.expected_end = self.paused = False
@@ -172,5 +186,5 @@
                 continue
             ready = not self.paused and await self.is_ready()
             self.world.notice("sample", node=self.name, pid=self.process.pid, memory=memory,
-                              descriptors=descriptors, processor=processor, ready=ready,
+                              descriptors=descriptors, processor=processor, ready=ready, log=os.path.getsize(self.log),
                               disturbed=self.paused or self.expected_end or self.world.disturbed(self))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,7 +6,7 @@
 
 from checker import FINISH_S, Checker
 from faulty_platform import SoakStore, SoakWorker, dump, host_rows
-from nodes import Node, ZONES
+from nodes import Node
 from users_platform import HostService, PolicyService, call
 
 SERVICES = {"lineplan": 8, "syrupworks": 9, "labelhouse": 11, "dockside": 12, "backoffice": 8}
@@ -62,6 +62,7 @@
         self.store.random = random.Random(seed + 1)
         self.tasks = Tasks()
         self.hosts = HostService(Quiet())
+        self.hosts.odd = []
         self.policy = PolicyService(Quiet(), lambda worker: True, {"validityMs": 60_000})
         self.workers = []
         self.nodes = [None] * node_count
@@ -129,9 +130,7 @@
                        "idleTimeoutMs": 15000}}))])
 
     def on_order(self, order_call, order, headers):
-        worker = next((one for one in self.workers if f"m-{one.id}" == order["machine"]), None)
-        if worker is None:
-            worker = next((one for one in self.workers if self.machine(one) == order["machine"]), None)
+        worker = next((one for one in self.workers if self.machine(one) == order["machine"]), None)
         if worker is None:
             return 400, {}
         if not worker.alive or worker.state == "draining":
@@ -159,10 +158,8 @@
         self.hosts.on_order = self.on_order
 
         def list_hosts():
-            rows = host_rows(self.workers)
-            for worker in self.workers:
-                rows[f"m-{worker.id}"]["machine"] = self.machine(worker)
-            self.hosts.machines = rows
+            rows = host_rows(self.workers, self.machine)
+            self.hosts.machines = {**rows, **dict(enumerate(self.hosts.odd))}
 
         self.hosts.on_list = list_hosts
         number = 0
@@ -297,6 +294,7 @@
                 for _ in range(3):
                     if (await self.ask("GET", name, event="get"))[0] in (200, 410):
                         return
+                    await asyncio.sleep(1.0)
                 self.notice("unanswered", job=name)
 
         await asyncio.gather(*[last_look(name) for name, job in self.checker.jobs.items() if job.accepted])
@@ -310,5 +308,3 @@
         await asyncio.sleep(0)
         self.record.close()
 
-
-__all__ = ["World", "ZONES"]
