--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -119,7 +119,7 @@
         state = record.get("state")
         if state == "completed":
             if job.undone:
-                self.breach(at, "COMPLETED", f"{name} is shown as completed, {min(job.undone)} has not ended done", name)
+                self.breach(at, "COMPLETED", f"{name} is shown as completed, {min(job.undone)} is not done", name)
         if state == "failed" and not job.crashed:
             if not any(self.tasks[task].failed >= MAX_ATTEMPTS for task in job.tasks):
                 self.breach(at, "FAILED", f"{name} is shown as failed, no task has failed {MAX_ATTEMPTS} times", name)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -208,8 +208,8 @@
         path = f"/{self.tasks.jobs[name]['service']}/{name}"
         sent = self.now()
         self.counts["calls"] += 1
-        status, answer = await call(node.listen["front"], method, path,
-                                    {"Host": HOST, "Deadline-Ms": deadline_ms}, body, timeout_s=deadline_ms / 1000 + 0.5)
+        headers = {"Host": HOST, "Deadline-Ms": deadline_ms}
+        status, answer = await call(node.listen["front"], method, path, headers, body, deadline_ms / 1000 + 0.5)
         state = answer.get("state") if isinstance(answer, dict) else None
         self.notice("answer", call=event, job=name, sent=round(sent, 4), status=status, state=state, node=node.name)
         if event == "get" and state in FINAL:
