Give a suspect up after one crash alone, and only for proved crashes

(2) A task that crashes its workers took three of them down, with all that ran there.

Cause: refused connections counted as a crash and were never taken back once the lease had lapsed, so two cuts gave a task up. As such a crash proves little, two crashes alone were asked for, also of a task that had been isolated for its share in an earlier one.

Change: a crash is proved when another process answers in the worker's place or the worker says that it has started anew. A suspect that was alone on a worker when it crashed is given up then; without proof it takes four crashes, two of them alone. If the same process answers again, what its silence added to the histories is taken back, also for tasks that were requeued meanwhile.

--- a/include/waxwingnotch/decision/crash_suspicion.hpp
+++ b/include/waxwingnotch/decision/crash_suspicion.hpp
@@ -4,7 +4,7 @@
 ///
 /// After a crash every run that was on the worker is a suspect. A likely suspect, or one of two crashes, is
 /// isolated: it starts on a worker without other suspects, so that the next crash has only one explanation.
-/// After two such crashes the task is given up.
+/// After such a crash the task is given up, once it is proved that the process of the worker has ended.
 #pragma once
 
 #include "waxwingnotch/job/progress.hpp"
@@ -43,8 +43,10 @@
 void remove_crash(crash_history& history, crash_suspicion suspicion);
 /// @return whether the task may only start on a worker without other suspects
 bool must_isolate(const crash_history& history);
-/// @return whether the task has crashed enough workers by itself to be given up
-bool must_give_up(const crash_history& history);
+/// @param proved another process has been seen in the place of the crashed one. Refused connections alone may
+///        also mean that a network turns the calls away, so without proof it takes more of them.
+/// @return whether the task has crashed enough workers to be given up
+bool must_give_up(const crash_history& history, bool proved);
 
 /// A worker that could be kept free for a task to be isolated.
 struct isolation_candidate {
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -183,6 +183,7 @@
     struct run_entry;
     struct worker_state;
     struct advice_entry;
+    struct suspected_task;
     struct placement_view;
     struct placement_round;
 
@@ -236,6 +237,13 @@
     void suspect_task(run_entry& run, crash_suspicion suspicion, std::size_t runs_on_worker,
                       std::int64_t now_ms);
     void clear_suspicion(run_entry& run);
+    void prove_crash(worker_state& worker, std::int64_t now_ms);
+    void refute_crash(worker_state& worker, std::int64_t started_ms);
+    static void log_suspect(const run_entry& run, std::size_t runs_on_worker, bool given_up,
+                            std::int64_t now_ms);
+    void give_up(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index, std::int64_t now_ms);
+    void remove_suspicion(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
+                          crash_suspicion suspicion);
     void describe_runs(placement_view& view, std::int64_t now_ms) const;
     void reserve_isolation(std::string_view service, placement_round& round, std::int64_t now_ms);
     struct isolation_quota;
--- a/src/decision/crash_suspicion.cpp
+++ b/src/decision/crash_suspicion.cpp
@@ -11,10 +11,12 @@
 // Starts this close to the latest one are as suspicious: orders overtake each other.
 constexpr std::int64_t likely_span_ms = 100;
 constexpr std::uint32_t crashes_to_isolate = 2;
-// A worker can crash for another reason while a task is alone on it, but hardly twice.
+// A worker can crash for another reason while a task is alone on it, but hardly twice, and hardly for a task
+// that was isolated for its share in earlier crashes.
 constexpr std::uint32_t crashes_alone_to_give_up = 2;
-constexpr std::int64_t settled_task_cost_ms = 5'000;  // start-up of a long-running task elsewhere
-constexpr std::size_t workers_per_isolation = 4;      // most of a pool stays open to other tasks
+constexpr std::uint32_t unproved_crashes_to_give_up = 4;  // the platform allows five starts
+constexpr std::int64_t settled_task_cost_ms = 5'000;      // start-up of a long-running task elsewhere
+constexpr std::size_t workers_per_isolation = 4;          // most of a pool stays open to other tasks
 
 }  // namespace
 
@@ -78,9 +80,14 @@
     return history.likely || history.alone > 0 || history.shared >= crashes_to_isolate;
 }
 
-bool must_give_up(const crash_history& history)
+bool must_give_up(const crash_history& history, bool proved)
 {
-    return history.alone >= crashes_alone_to_give_up;
+    if (!proved) {
+        return history.alone >= crashes_alone_to_give_up &&
+               history.alone + history.shared >= unproved_crashes_to_give_up;
+    }
+    const bool was_suspect = history.likely || history.shared >= crashes_to_isolate;
+    return history.alone >= crashes_alone_to_give_up || (history.alone > 0 && was_suspect);
 }
 
 int choose_isolation_worker(std::span<const isolation_candidate> candidates)
--- a/src/shard/core_crashes.cpp
+++ b/src/shard/core_crashes.cpp
@@ -79,6 +79,9 @@
     if (process_ended(outcome, worker.refusals)) {
         record_crash(worker, worker.silent_since_ms, now_ms);
     }
+    if (outcome == order_result::other_instance) {
+        prove_crash(worker, now_ms);
+    }
 }
 
 /// @return the inputs of suspect_runs() for @p runs
@@ -141,27 +144,105 @@
         active.crash_counted = active.crash_counted || active.number == run.number;
     }
     mark_changed(occurrence);
-    const bool given_up = must_give_up(task.crashes);
+    if (must_isolate(task.crashes)) {
+        suspects_[occurrence.key()] = &occurrence;
+    }
+    const bool given_up = must_give_up(task.crashes, false) && task.phase == task_phase::active;
+    log_suspect(run, runs_on_worker, given_up, now_ms);
+    if (given_up) {
+        give_up(occurrence, run.step, run.index, now_ms);
+    }
+}
+
+void shard_core::log_suspect(const run_entry& run, std::size_t runs_on_worker, bool given_up,
+                             std::int64_t now_ms)
+{
+    const task_progress& task = run.occurrence->progress.steps[run.step][run.index];
     log_event(log_level::warning, "crash_suspect",
               {{"task", run.task},
                {"run", run.number},
                {"worker", run.worker->entry.id},
                {"runs_on_worker", runs_on_worker},
                {"ran_ms", now_ms - run.ordered_ms},
-               {"suspicion", to_string(suspicion)},
+               {"suspicion", to_string(run.suspicion)},
                {"shared", task.crashes.shared},
                {"alone", task.crashes.alone},
                {"outcome", given_up                     ? "given up"
                            : must_isolate(task.crashes) ? "runs isolated"
                                                         : "runs again"}});
-    if (must_isolate(task.crashes)) {
-        suspects_[occurrence.key()] = &occurrence;
+}
+
+void shard_core::give_up(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
+                         std::int64_t now_ms)
+{
+    ++counts_.given_up;
+    occurrence.task(step, index).phase = task_phase::failed;
+    mark_changed(occurrence);
+    stop_task(occurrence, step, index, now_ms);
+    finish_occurrence(occurrence, now_ms);
+}
+
+/// Another process answers in the place of @p worker, so it has surely crashed: gives up the tasks for which
+/// that is enough.
+void shard_core::prove_crash(worker_state& worker, std::int64_t now_ms)
+{
+    worker.suspected.clear();
+    const std::vector<run_entry*> runs(worker.runs.begin(), worker.runs.end());
+    for (run_entry* run : runs) {
+        if (!run->in_crash || run->suspicion == crash_suspicion::none) {
+            continue;
+        }
+        const task_progress& task = run->occurrence->task(run->step, run->index);
+        if (must_give_up(task.crashes, true) && task.phase == task_phase::active &&
+            open_.contains(run->occurrence)) {
+            log_suspect(*run, runs.size(), true, now_ms);
+            give_up(*run->occurrence, run->step, run->index, now_ms);
+        }
+        run->suspicion = crash_suspicion::none;
     }
-    if (given_up && task.phase == task_phase::active) {
-        ++counts_.given_up;
-        task.phase = task_phase::failed;
-        stop_task(occurrence, run.step, run.index, now_ms);
-        finish_occurrence(occurrence, now_ms);
+}
+
+/// The same process answers again, so @p worker has not crashed: its connections had been refused on the way.
+/// @param started_ms of the process that answers; 0: it does not say, so it may be another one
+void shard_core::refute_crash(worker_state& worker, std::int64_t started_ms)
+{
+    if (started_ms == 0) {
+        return;
+    }
+    for (run_entry* run : worker.runs) {
+        if (!run->in_crash) {
+            continue;
+        }
+        remove_suspicion(*run->occurrence, run->step, run->index,
+                         std::exchange(run->suspicion, crash_suspicion::none));
+        run->in_crash = false;
+        for (active_run& active : run->occurrence->task(run->step, run->index).runs) {
+            active.crash_counted = active.crash_counted && active.number != run->number;
+        }
+    }
+    for (const suspected_task& suspected : std::exchange(worker.suspected, {})) {
+        const auto job = jobs_.find(suspected.name.job);
+        if (job == jobs_.end()) {
+            continue;
+        }
+        const auto occurrence = job->second->occurrences.find(suspected.name.occurrence);
+        if (occurrence != job->second->occurrences.end()) {
+            remove_suspicion(*occurrence->second, suspected.name.step, suspected.name.index,
+                             suspected.suspicion);
+        }
+    }
+}
+
+void shard_core::remove_suspicion(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
+                                  crash_suspicion suspicion)
+{
+    if (suspicion == crash_suspicion::none || !open_.contains(&occurrence)) {
+        return;
+    }
+    remove_crash(occurrence.task(step, index).crashes, suspicion);
+    mark_changed(occurrence);
+    if (!has_suspects(occurrence)) {
+        suspects_.erase(occurrence.key());
     }
 }
 
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -79,6 +79,12 @@
     std::string key() const { return task + "#" + std::to_string(number); }
 };
 
+/// A task that is suspected of a crash and waits again, while the crash is not proved.
+struct shard_core::suspected_task {
+    task_name name;
+    crash_suspicion suspicion = crash_suspicion::none;
+};
+
 /// A worker and its runs.
 struct shard_core::worker_state {
     worker_entry entry;
@@ -102,8 +108,9 @@
     std::uint64_t end_batch = 0;              // store batch that contains `applied_end`; 0: stored
     std::int64_t removed_ms = 0;              // when it was unregistered; 0: registered
     std::int64_t last_pace_ms = 0;
-    double failure_rate = 0;    // moving average over its recent runs, 0 to 1
-    std::int64_t restarts = 0;  // seen by this owner
+    std::vector<suspected_task> suspected;  // of its last crash, unless it is proved or refuted
+    double failure_rate = 0;                // moving average over its recent runs, 0 to 1
+    std::int64_t restarts = 0;              // seen by this owner
 
     worker_target target() const { return {entry.id, entry.address}; }
     worker_incarnation incarnation() const { return {entry.id, entry.started_ms}; }
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -203,6 +203,10 @@
                {"worker", run.worker->entry.id},
                {"reason", reason},
                {"ms", now_ms - run.ordered_ms}});
+    if (run.in_crash && run.suspicion != crash_suspicion::none) {
+        run.worker->suspected.push_back(
+            {{occurrence.job->spec.id, occurrence.number, step, index}, run.suspicion});
+    }
     remove_run(run);
     mark_changed(occurrence);
     task_progress& task = occurrence.task(step, index);
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -131,6 +131,7 @@
                {"started_ms", started_ms},
                {"runs", worker.runs.size()}});
     record_crash(worker, worker.silent_since_ms != 0 ? worker.silent_since_ms : now_ms, now_ms);
+    prove_crash(worker, now_ms);
     worker.entry.started_ms = started_ms;
     ++worker.restarts;
     worker.clock_ms = -1;
@@ -177,6 +178,7 @@
         log_event(
             log_level::info, "worker",
             {{"worker", worker_id}, {"state", "answers"}, {"silent_ms", now_ms - worker.silent_since_ms}});
+        refute_crash(worker, answer.started_ms);
         worker.silent_since_ms = 0;
         worker.silence = order_result::ok;
         worker.refusals = 0;
