Ask for two crashes alone again before a task is given up

Cause: gave a task up after one crash alone if it had shared one before. Two restarts of workers that have nothing to do with a task can look so.

--- a/include/waxwingnotch/decision/crash_suspicion.hpp
+++ b/include/waxwingnotch/decision/crash_suspicion.hpp
@@ -4,7 +4,7 @@
 ///
 /// After a crash every run that was on the worker is a suspect. A likely suspect, or one of two crashes, is
 /// isolated: it starts on a worker without other suspects, so that the next crash has only one explanation.
-/// After such a crash the task is given up, once it is proved that the process of the worker has ended.
+/// After two such crashes the task is given up, once it is proved that the process of the worker has ended.
 #pragma once
 
 #include "waxwingnotch/job/progress.hpp"
--- a/src/decision/crash_suspicion.cpp
+++ b/src/decision/crash_suspicion.cpp
@@ -11,8 +11,7 @@
 // Starts this close to the latest one are as suspicious: orders overtake each other.
 constexpr std::int64_t likely_span_ms = 100;
 constexpr std::uint32_t crashes_to_isolate = 2;
-// A worker can crash for another reason while a task is alone on it, but hardly twice, and hardly for a task
-// that was isolated for its share in earlier crashes.
+// A worker can crash for another reason while a task is alone on it, but hardly twice.
 constexpr std::uint32_t crashes_alone_to_give_up = 2;
 constexpr std::uint32_t unproved_crashes_to_give_up = 4;  // the platform allows five starts
 constexpr std::int64_t settled_task_cost_ms = 5'000;      // start-up of a long-running task elsewhere
@@ -86,8 +85,7 @@
         return history.alone >= crashes_alone_to_give_up &&
                history.alone + history.shared >= unproved_crashes_to_give_up;
     }
-    const bool was_suspect = history.likely || history.shared >= crashes_to_isolate;
-    return history.alone >= crashes_alone_to_give_up || (history.alone > 0 && was_suspect);
+    return history.alone >= crashes_alone_to_give_up;
 }
 
 int choose_isolation_worker(std::span<const isolation_candidate> candidates)
