Read odd keys, lists and pages of other parties without ending or repeating for ever

Found by a review of the bounds on others' input, each by reading or by a trial program: a text that is not UTF-8 in a stored record ended its owner when it was written into an order (the library throws); one such key made a whole page of the store unreadable, so nothing of the topic was followed; a run that a worker listed unreadably counted as ended, and its task would start a second time; a list of hosts whose pages never end, and a read of the store that never advances, were repeated without a pause. Change: write_json() replaces such bytes; a page is read again with them replaced; a list of runs that cannot be read whole counts as no answer; pages are bounded, and reads without progress wait. Times of stored jobs are bounded as those of submissions. The metrics page counts refused inputs by writer.

--- a/include/waxwingnotch/base/json_reader.hpp
+++ b/include/waxwingnotch/base/json_reader.hpp
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace waxwingnotch {
@@ -24,6 +25,10 @@
 /// @return the value, or `malformed` with the reason
 result<nlohmann::json> read_json(std::string_view text);
 
+/// Writes @p value as text. Bytes of a string that are not UTF-8 are replaced; the library throws on them by
+/// default, and texts of other parties, such as keys of the store, may hold any bytes.
+std::string write_json(const nlohmann::json& value);
+
 /// @return the number without its fraction; nothing if @p value is not a number or its magnitude exceeds
 ///         max_exact_integer
 std::optional<std::int64_t> to_integer(const nlohmann::json& value);
--- a/include/waxwingnotch/job/spec.hpp
+++ b/include/waxwingnotch/job/spec.hpp
@@ -105,6 +105,10 @@
     int partition_of(std::string_view service, int partitions) const;
 };
 
+// Times beyond these are refused, so that sums and products of them stay within 64 bits.
+constexpr std::int64_t max_duration_ms = 400LL * 24 * 3'600 * 1'000;  // 400 days
+constexpr std::int64_t max_wall_ms = 253'402'300'799'000;             // the end of the year 9999
+
 // Bounds of one job. What a submission can ask for with few bytes must not exceed a node's memory.
 constexpr std::size_t max_steps = 1'000;
 constexpr std::uint64_t max_tasks = 10'000;          // of all steps
--- a/include/waxwingnotch/store/keyed_follower.hpp
+++ b/include/waxwingnotch/store/keyed_follower.hpp
@@ -44,7 +44,7 @@
     void finish_load();
     void read_next();
     void schedule_read(std::int64_t delay_ms);
-    void on_newest_page(const newest_page& page);
+    void on_newest_page(const std::string& after, const newest_page& page);
     void on_read_result(const read_result& read);
 
     event_loop& loop_;
--- a/src/base/json_reader.cpp
+++ b/src/base/json_reader.cpp
@@ -56,6 +56,11 @@
     return value;
 }
 
+std::string write_json(const json& value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 std::optional<std::int64_t> to_integer(const json& value)
 {
     if (value.is_number_unsigned()) {
--- a/src/job/codec.cpp
+++ b/src/job/codec.cpp
@@ -101,7 +101,8 @@
         const auto number = run.at(0).get<std::uint32_t>();
         if (std::any_of(task.runs.begin(), task.runs.end(),
                         [number](const active_run& other) { return other.number == number; })) {
-            throw json::other_error::create(500, "run " + std::to_string(number) + " stands there twice", &row);
+            throw json::other_error::create(500, "run " + std::to_string(number) + " stands there twice",
+                                            &row);
         }
         task.runs.push_back({number,
                              {run.at(1).get<std::string>(), run.at(2).get<std::int64_t>()},
@@ -145,6 +146,9 @@
         job.interval_ms = row.at(7).get<std::int64_t>();
         job.accepted_ms = row.at(8).get<std::int64_t>();
         job.max_attempts = row.at(9).get<std::uint32_t>();
+        if (!is_job_id(job.id)) {
+            return fail(error_code::malformed, "job record: the id is not a job id");
+        }
         if (const std::string problem = validate(job, max_stored_tasks); !problem.empty()) {
             return fail(error_code::malformed, "job record: " + problem);
         }
--- a/src/job/spec.cpp
+++ b/src/job/spec.cpp
@@ -97,6 +97,10 @@
     if (job.repeat_count > max_repeats) {
         return "a job may run at most " + std::to_string(max_repeats) + " times";
     }
+    if (job.first_ms < 0 || job.first_ms > max_wall_ms || job.interval_ms < 0 ||
+        job.interval_ms > max_duration_ms) {
+        return "the first time or the interval is out of range";
+    }
     if (job.steps.size() > max_steps) {
         return "a job may have at most " + std::to_string(max_steps) + " steps";
     }
--- a/src/node/callers.cpp
+++ b/src/node/callers.cpp
@@ -3,11 +3,10 @@
 #include "node/node_state.hpp"
 
 #include "waxwingnotch/base/clock.hpp"
+#include "waxwingnotch/base/json_reader.hpp"
 #include "waxwingnotch/base/log.hpp"
 #include "waxwingnotch/base/rejected_input.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <charconv>
 
@@ -193,8 +192,7 @@
     }
     auto job = adapter::decode_job_body(exchange->body());
     if (!job) {
-        const std::string body =
-            nlohmann::json{{"error", "the job cannot be read: " + job.error().message}}.dump();
+        const std::string body = write_json({{"error", "the job cannot be read: " + job.error().message}});
         note_rejected_input(input_source::caller, id, job.error().message);
         finish(*request, 400, body, job.error().message.c_str());
         return;
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -93,7 +93,7 @@
                                   {"running_memory_mb", demand.running_memory_mb},
                                   {"min_workers", demand.min_workers},
                                   {"busy", demand.busy}};
-        return {true, 200, body.dump()};
+        return {true, 200, write_json(body)};
     }
     if (path == "/shard/close") {
         const std::string worker = query("worker");
@@ -105,7 +105,7 @@
                                   {"runs", state.runs},
                                   {"serving", state.serving},
                                   {"unstored", state.unstored}};
-        return {true, 200, body.dump()};
+        return {true, 200, write_json(body)};
     }
     return {true, 404, {}};
 }
@@ -180,7 +180,7 @@
     for (const ended_row& row : ends) {
         rows.push_back({row.task, row.run, static_cast<int>(row.kind), row.checkpoint});
     }
-    return rows.dump();
+    return write_json(rows);
 }
 
 /// Reads what encode_ends() has written.
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -2,6 +2,7 @@
 #include "node/node_state.hpp"
 
 #include "waxwingnotch/base/process.hpp"
+#include "waxwingnotch/base/rejected_input.hpp"
 
 #include <array>
 #include <utility>
@@ -56,6 +57,12 @@
     set("loop_late_max_ms", "Longest delay of a periodic timer by a busy event loop, since the start",
         node.watch.late_max_ms());
     set("loop_late_recent_ms", "The same within the last 10 to 20 s", node.watch.late_recent_ms());
+    for (std::size_t index = 0; index < input_source_count; ++index) {
+        const auto source = static_cast<input_source>(index);
+        set(("inputs_rejected_" + std::string(to_string(source))).c_str(),
+            "Inputs of this writer that were refused, since the start",
+            static_cast<std::int64_t>(rejected_inputs(source)));
+    }
     set("configuration_version", "Version in force", node.config ? node.config->version : -1);
     set("store_straight", "1 if the store answers this node", node.transport.direct_path_usable() ? 1 : 0);
 }
--- a/src/store/keyed_follower.cpp
+++ b/src/store/keyed_follower.cpp
@@ -40,11 +40,11 @@
                                delay_timer_ = loop_.after(retry_ms, [this, after] { load_page(after); });
                                return;
                            }
-                           on_newest_page(page);
+                           on_newest_page(after, page);
                        });
 }
 
-void keyed_follower::on_newest_page(const newest_page& page)
+void keyed_follower::on_newest_page(const std::string& after, const newest_page& page)
 {
     if (first_page_) {
         // The pages do not form a snapshot. Reading continues at the end offset of the first page, which
@@ -62,7 +62,13 @@
         }
     }
     if (page.more && !page.records.empty()) {
-        load_page(page.records.back().key);
+        const std::string& last = page.records.back().key;
+        if (last <= after) {
+            // A store whose pages do not advance is asked again after a while, not in a loop.
+            delay_timer_ = loop_.after(retry_ms, [this, after] { load_page(after); });
+            return;
+        }
+        load_page(last);
         return;
     }
     finish_load();
@@ -143,7 +149,9 @@
         handlers_.after_read();
     }
     if (*alive) {
-        schedule_read(next_offset_ < read.end_offset ? 0 : options_.read_interval_ms);
+        // An answer without records although there are some would be repeated at the speed of the network.
+        const std::int64_t pause_ms = read.records.empty() ? retry_ms : 0;
+        schedule_read(next_offset_ < read.end_offset ? pause_ms : options_.read_interval_ms);
     }
 }
 
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -392,17 +392,80 @@
               order_result::no_answer);
 }
 
-TEST_F(worker_calls, numbers_of_a_row_that_are_out_of_range_make_it_unreadable)
+TEST_F(worker_calls, progress_and_metric_out_of_range_are_cut_to_it)
 {
-    const poll_answer got =
-        poll(200, R"({"clockMs":5,"running":[["a.0.0.1",1e300,"",1,1],["a.0.0.2",-1,"",1,1],
-        ["a.0.0.3",4294967296,"",1,1],["a.0.0.4",1,"",1e300,1e300]],
+    const poll_answer got = poll(200, R"({"clockMs":5,"running":[["a.0.0.4",1,"",1e300,1e300]],
         "finished":[[1e300,"a.0.0.1",1,"done",""],[0,"a.0.0.1",1,"done",""],[1,"a.0.0.1",-1,"done",""]]})");
+    EXPECT_EQ(got.outcome, order_result::ok);
     ASSERT_EQ(got.running.size(), 1U);
-    EXPECT_EQ(got.running[0].task, "a.0.0.4");
+    EXPECT_EQ(got.running[0].percent, 0);
     EXPECT_TRUE(got.ended.empty());
 }
 
+// A run whose row could not be read was taken as not listed, so its task would start a second time.
+TEST_F(worker_calls, a_list_of_runs_that_cannot_be_read_whole_counts_as_no_answer)
+{
+    for (const char* rows : {R"([["a.0.0.1",1e300,"",1,1]])", R"([["a.0.0.2",-1,"",1,1]])",
+                             R"([["a.0.0.3",4294967296,"",1,1]])", "[7]", "5", "null"}) {
+        const poll_answer got =
+            poll(200, std::string(R"({"clockMs":5,"finished":[],"running":)") + rows + "}");
+        EXPECT_EQ(got.outcome, order_result::no_answer) << rows;
+        EXPECT_TRUE(got.running.empty());
+    }
+    EXPECT_EQ(poll(200, R"({"clockMs":5,"finished":[]})").outcome, order_result::no_answer);
+}
+
+// A payload that is not UTF-8 in a stored record ended its owner by an exception at the first start.
+TEST_F(worker_calls, a_payload_that_is_not_utf8_ends_no_process)
+{
+    http_client client(loop);
+    worker_client workers(client);
+    order_result outcome = order_result::ok;
+    workers.start({"i-1", "127.0.0.1:1"}, {.task = "t", .payload = "\xff\xfe"},
+                  [&](const order_answer& answer) {
+                      outcome = answer.outcome;
+                      loop.stop();
+                  });
+    loop.run();
+    EXPECT_EQ(outcome, order_result::not_listening);
+}
+
+// One key of the store that is not UTF-8 made its whole page unreadable, so nothing of the topic was
+// followed.
+TEST(store_answers, a_key_that_is_not_utf8_does_not_hide_the_others)
+{
+    event_loop loop;
+    http_server server(loop);
+    std::string body;
+    server.handle([&](const http_exchange_ptr& exchange) { exchange->reply(200, {}, body); });
+    http_client client(loop);
+    store_transport transport(client);
+    transport.set_address("127.0.0.1:" + std::to_string(server.listen("127.0.0.1", 0).value()));
+    store_client store(transport);
+    const auto read = [&] {
+        newest_page got;
+        store.read_newest("keyed.op", 0, {}, [&](const newest_page& page) {
+            got = page;
+            loop.stop();
+        });
+        loop.run();
+        return got;
+    };
+    for (const char* key : {"\xff\xfe", "\\ud800", "\\uDFFF"}) {
+        body =
+            std::string(R"({"items":[{"key":")") + key +
+            R"(","value":"eA==","offset":1},{"key":"config","value":"eA==","offset":2}],"more":false,"end":3})";
+        const newest_page got = read();
+        EXPECT_EQ(got.status, store_status::ok) << key;
+        ASSERT_EQ(got.records.size(), 2U);
+        EXPECT_EQ(got.records[1].key, "config");
+    }
+    body = R"({"items":[],"more":false})";
+    EXPECT_EQ(read().status, store_status::unknown);
+    body = "[[[[";
+    EXPECT_EQ(read().status, store_status::unknown);
+}
+
 /// Lists the hosts of a service that answers with a given body.
 class host_calls : public testing::Test {
 protected:
@@ -434,6 +497,8 @@
     EXPECT_EQ(got.hosts[0].name, "c");
     EXPECT_EQ(got.hosts[0].capacity.cpu_milli, 8);
     EXPECT_FALSE(list(R"({"machines":"abc"})").ok);
+    // A list that names the same next page for ever was read for ever.
+    EXPECT_FALSE(list(R"({"machines":[{"machine":"a"}],"nextToken":"a b"})").ok);
     EXPECT_FALSE(
         list(R"({"machines":[],"x":)" + std::string(100'000, '[') + std::string(100'000, ']') + "}").ok);
 }
