Start with the defaults of optional settings that are unusable

A node did not start when an optional setting was odd: an `advice` or `cloudApi.address` that is no IP:PORT, a number of another type in `bounds` or `limits`, one item of `seeds` that is no string, or `limits.maxFds` above 1,000,000 (1048576 is usual). All settings shared one rule, which refuses the document.

Now one `settings` warning names the fields and the defaults hold. An `ip` that is no address only disables the metrics page; evhttp would have looked it up as a name.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -44,7 +44,8 @@
 // longer.
 constexpr std::int64_t listen_margin_ms = 2'000;
 
-result<node_settings> read_settings(const std::string& file)
+/// @param unusable receives the problems of optional fields
+result<node_settings> read_settings(const std::string& file, std::vector<std::string>& unusable)
 {
     std::ifstream input(file);
     if (!input) {
@@ -52,7 +53,19 @@
     }
     std::stringstream content;
     content << input.rdbuf();
-    return adapter::decode_settings(content.str());
+    return adapter::decode_settings(content.str(), &unusable);
+}
+
+/// Logs one line for all optional fields that are unusable.
+void log_unusable_settings(const std::vector<std::string>& unusable)
+{
+    std::string problems;
+    for (const std::string& problem : unusable) {
+        problems += (problems.empty() ? "" : "; ") + problem;
+    }
+    if (!problems.empty()) {
+        log_event(log_level::warning, "settings", {{"outcome", "defaults used"}, {"reason", problems}});
+    }
 }
 
 /// Why a node ended.
@@ -435,12 +448,14 @@
 
 void node::reload()
 {
-    auto settings = read_settings(options_.settings_file);
+    std::vector<std::string> unusable;
+    auto settings = read_settings(options_.settings_file, unusable);
     if (!settings) {
         log_event(log_level::error, "reload",
                   {{"outcome", "kept the old settings"}, {"reason", settings.error().message}});
         return;
     }
+    log_unusable_settings(unusable);
     state_.settings.seeds = settings.value().seeds;
     state_.settings.store_address = settings.value().store_address;
     state_.transport.set_address(settings.value().store_address);
@@ -482,7 +497,8 @@
     if (!listening.value()) {
         return {.reason = "stopped", .detail = "by a signal while the ports were in use"};
     }
-    if (options_.metrics_port != 0) {
+    // Without a usable `ip` there is no metrics page: evhttp would look a name up, which blocks the loop.
+    if (options_.metrics_port != 0 && !state_.settings.ip.empty()) {
         metrics_listener_.start(state_.settings.ip, options_.metrics_port, "metrics");
     }
     update_peers();
@@ -504,12 +520,14 @@
 /// Runs a node in a scope of its own, so that its end is reported after its parts are gone.
 node_end run_with_settings(const node_options& options)
 {
-    auto settings = read_settings(options.settings_file);
+    std::vector<std::string> unusable;
+    auto settings = read_settings(options.settings_file, unusable);
     if (!settings) {
         return {"settings", options.settings_file + ": " + settings.error().message, 1};
     }
     set_crash_report_node(settings.value().name);
     init_log({.level = log_level::info, .file = {}, .node = settings.value().name, .standard_output = true});
+    log_unusable_settings(unusable);
     node process(std::move(settings.value()), options);
     return process.run();
 }
