--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -244,6 +244,25 @@
     EXPECT_FALSE(decode_wave(R"({"wave":1,"machines":[5]})"));
 }
 
+// A limit of the callers' connections out of range made the nodes refuse the whole configuration, its routes
+// included.
+TEST(configuration, limits_of_callers_are_clamped)
+{
+    const auto limits = [](const char* text) {
+        const auto read = decode_configuration(std::string(R"({"version":1,"limits":)") + text + "}");
+        EXPECT_TRUE(read) << text;
+        return read ? read.value() : cluster_config();
+    };
+    EXPECT_EQ(limits(R"({"idleTimeoutMs":1})").idle_timeout_ms, 1'000);
+    EXPECT_EQ(limits(R"({"idleTimeoutMs":-5})").idle_timeout_ms, 1'000);
+    EXPECT_EQ(limits(R"({"idleTimeoutMs":1500})").idle_timeout_ms, 1'500);
+    EXPECT_EQ(limits(R"({"maxBodyBytes":0})").max_body_bytes, 1'024U);
+    EXPECT_EQ(limits(R"({"maxBodyBytes":1e300})").max_body_bytes, 64U << 20U);
+    EXPECT_EQ(limits(R"({"maxBodyBytes":100000000})").max_body_bytes, 64U << 20U);
+    EXPECT_EQ(limits(R"({"maxBodyBytes":5000})").max_body_bytes, 5'000U);
+    EXPECT_FALSE(decode_configuration(R"({"version":1,"limits":{"maxBodyBytes":"many"}})"));
+}
+
 TEST(job_body, numbers_out_of_range_are_refused_with_their_field)
 {
     const auto message = [](const std::string& text) {
