Keep a paused server paused after a failed accept

A server that its owner had paused accepted again 100 ms after a failed accept, because both used one switch. There are now two reasons not to accept, and the server accepts with neither.

With the owner's pause cleared by the timer, as before, a_paused_server_stays_paused_after_a_failed_accept fails.

--- a/include/waxwingnotch/net/http_server.hpp
+++ b/include/waxwingnotch/net/http_server.hpp
@@ -93,7 +93,8 @@
     result<std::uint16_t> listen(const std::string& ip, std::uint16_t port);
     /// Closes the listening socket; open connections stay open.
     void stop_accepting();
-    /// Pauses or resumes accepting; clients meanwhile wait in the queue of the socket.
+    /// Pauses or resumes accepting; clients meanwhile wait in the queue of the socket. A server that is
+    /// paused stays so, also when it has paused itself after a failed accept.
     void set_accepting(bool accepting);
     /// Answers longer bodies with 413 without reading them. Applies to connections that are accepted later.
     void limit_body(std::size_t max_bytes);
@@ -106,6 +107,7 @@
     friend class http_exchange;
     static void dispatch(evhttp_request* request, void* self);
     void pause_after_failed_accept();
+    void update_listener();
 
     evhttp* http_;
     evhttp_bound_socket* socket_ = nullptr;
@@ -113,6 +115,9 @@
     event_loop& loop_;
     std::set<http_exchange*> open_exchanges_;
     timer accept_pause_;
+    // The reasons not to accept; accepts with neither.
+    bool accept_failed_ = false;    // less than a short pause ago
+    bool paused_by_owner_ = false;  // by set_accepting()
 };
 
 }  // namespace waxwingnotch
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -212,6 +212,7 @@
     evconnlistener_set_error_cb(evhttp_bound_socket_get_listener(socket_), [](evconnlistener*, void* handle) {
         servers_by_handle().at(handle)->pause_after_failed_accept();
     });
+    update_listener();
     sockaddr_storage bound{};
     socklen_t size = sizeof bound;
     auto* address = reinterpret_cast<sockaddr*>(&bound);
@@ -227,17 +228,27 @@
 void http_server::pause_after_failed_accept()
 {
     log_event(log_level::warning, "accept_failed", {{"reason", std::strerror(errno)}});
-    set_accepting(false);
-    accept_pause_ = loop_.after(accept_pause_ms, [this] { set_accepting(true); });
+    accept_failed_ = true;
+    update_listener();
+    accept_pause_ = loop_.after(accept_pause_ms, [this] {
+        accept_failed_ = false;
+        update_listener();
+    });
 }
 
 void http_server::set_accepting(bool accepting)
+{
+    paused_by_owner_ = !accepting;
+    update_listener();
+}
+
+void http_server::update_listener()
 {
     if (socket_ == nullptr) {
         return;
     }
     evconnlistener* listener = evhttp_bound_socket_get_listener(socket_);
-    accepting ? evconnlistener_enable(listener) : evconnlistener_disable(listener);
+    accept_failed_ || paused_by_owner_ ? evconnlistener_disable(listener) : evconnlistener_enable(listener);
 }
 
 void http_server::limit_body(std::size_t max_bytes)
@@ -256,6 +267,7 @@
 void http_server::stop_accepting()
 {
     accept_pause_.cancel();
+    accept_failed_ = false;
     if (socket_ != nullptr) {
         evhttp_del_accept_socket(http_, socket_);
         socket_ = nullptr;
