Accept callers again below 60 % of the descriptors

The node paused and resumed its callers at the same 75 %, and by the lowest free descriptor: one early descriptor that closes made it resume, the next connection pause it again. It now resumes when fewer than 60 % are open, by their count, which is only listed while the node is paused. The pause still goes by the lowest free number, so with gaps below 75 % it can come later.

--- a/include/waxwingnotch/base/process.hpp
+++ b/include/waxwingnotch/base/process.hpp
@@ -24,8 +24,10 @@
 /// @return how many descriptors the system allows this process
 std::int64_t process_descriptor_limit();
 
-/// @return whether all descriptors below @p limit are open; always false on an error
-bool descriptors_used_up_to(int limit);
+/// Whether descriptors are short: from the time when those below 75 % of @p limit are all open, until fewer
+/// than 60 % of it are open. Without this distance, the answer would alternate with each connection.
+/// @param was_short the answer before
+bool descriptors_short(std::int64_t limit, bool was_short);
 
 /// What this process uses; -1 where the system does not tell.
 struct process_usage {
--- a/src/base/process.cpp
+++ b/src/base/process.cpp
@@ -19,6 +19,9 @@
 constexpr std::int64_t us_per_ms = 1'000;
 constexpr std::int64_t ns_per_ms = 1'000'000;
 constexpr std::int64_t max_descriptors = 1 << 20;  // taken as the limit where the system sets none
+constexpr std::int64_t percent = 100;
+constexpr std::int64_t short_above_percent = 75;   // of the descriptors that are allowed
+constexpr std::int64_t enough_below_percent = 60;  // well below, so that one closed connection is not enough
 
 sigset_t stop_signals()
 {
@@ -107,15 +110,21 @@
     return limited ? static_cast<std::int64_t>(descriptors.rlim_cur) : max_descriptors;
 }
 
-bool descriptors_used_up_to(int limit)
+bool descriptors_short(std::int64_t limit, bool was_short)
 {
+    if (was_short) {
+        // The lowest free number does not tell how many are open: one early descriptor that is closed would
+        // be taken for enough of them. Listing fails without a free descriptor.
+        const std::int64_t open_count = count_open_descriptors();
+        return open_count < 0 || open_count * percent >= limit * enough_below_percent;
+    }
     // Yields the lowest descriptor that is free, which costs less than listing those that are open.
     const int lowest_free = fcntl(STDIN_FILENO, F_DUPFD_CLOEXEC, 0);
     if (lowest_free < 0) {
         return errno == EMFILE;
     }
     close(lowest_free);
-    return lowest_free >= limit;
+    return lowest_free * percent >= limit * short_above_percent;
 }
 
 process_usage read_process_usage()
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -39,7 +39,6 @@
 constexpr std::size_t max_caller_body_bytes = 1U << 20U;  // read until a configuration allows more
 constexpr std::size_t max_peer_body_bytes = 4U << 20U;    // twice the store's limit for one call
 constexpr std::int64_t descriptors_check_ms = 100;
-constexpr int caller_descriptor_percent = 75;  // of the descriptors; the rest is for the node's own calls
 // A node that is started again waits for the ports as long as the process before it may drain, and this
 // longer.
 constexpr std::int64_t listen_margin_ms = 2'000;
@@ -176,14 +175,14 @@
     return state_.config != nullptr && !state_.stopping && !descriptors_short_;
 }
 
-/// Accepts no callers while most descriptors are in use, so that enough are left for calls to the store, the
+/// Accepts no callers while descriptors are short, so that enough are left for calls to the store, the
 /// workers and the other nodes. The balancer sends new connections elsewhere meanwhile.
 void node::guard_descriptors()
 {
     const std::int64_t told = state_.settings.max_descriptors;
     const std::int64_t allowed = process_descriptor_limit();
     const std::int64_t limit = told > 0 ? std::min(told, allowed) : allowed;
-    const bool used_up = descriptors_used_up_to(static_cast<int>(limit * caller_descriptor_percent / 100));
+    const bool used_up = descriptors_short(limit, descriptors_short_);
     if (used_up == descriptors_short_) {
         return;
     }
