Read answers of up to 4 MB in a node

Answers of up to 64 MB were read; the review measured 294 MB for parsing 20 MB of `[0,0,...`. The client now has the limit, 4 MB by default. `serve` and its commands keep 64 MB, for the log and the answers that they pass on.

The test of an answer beyond the limit stays; the_limit_of_an_answer_is_that_of_the_client is new and fails with 64 MB for every client.

--- a/include/waxwingnotch/net/http_client.hpp
+++ b/include/waxwingnotch/net/http_client.hpp
@@ -60,7 +60,15 @@
 /// Sends calls and keeps idle connections per address.
 class http_client {
 public:
-    explicit http_client(event_loop& loop);
+    /// Limit of a body unless the client has another. The longest answers that a node needs are pages of the
+    /// store: 1 MB of records, 1.4 MB in base64. Parsed JSON takes up to 15 times its length in memory.
+    static constexpr std::size_t default_answer_bytes = 4U << 20U;
+    /// For `serve` and its commands: bodies of workers' answers, which are passed on as they are, and the
+    /// log.
+    static constexpr std::size_t long_answer_bytes = 64U << 20U;
+
+    /// @param max_answer_bytes a call fails if the body of its answer is longer
+    explicit http_client(event_loop& loop, std::size_t max_answer_bytes = default_answer_bytes);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
@@ -88,6 +96,7 @@
     void close_later(std::shared_ptr<connection> link);
 
     event_loop& loop_;
+    std::size_t max_answer_bytes_;
     call_id next_id_ = 1;
     std::map<call_id, std::shared_ptr<pending_call>> pending_;
     std::multimap<std::string, std::shared_ptr<connection>, std::less<>> idle_;
--- a/src/cli/remote.cpp
+++ b/src/cli/remote.cpp
@@ -57,7 +57,7 @@
 {
     log_to_standard_error();
     event_loop loop;
-    http_client client(loop);
+    http_client client(loop, http_client::long_answer_bytes);
     snapshot_loader loader(client, address);
     result<fleet_state> outcome = fleet_state{};
     loader.load([&](result<fleet_state> state) {
@@ -95,7 +95,7 @@
 http_answer fetch(const http_call& call)
 {
     event_loop loop;
-    http_client client(loop);
+    http_client client(loop, http_client::long_answer_bytes);
     http_answer result;
     client.send(call, [&](const http_answer& answer) {
         result = answer;
@@ -119,7 +119,7 @@
 audit_report read_audit(const std::string& address, const fleet_state& state)
 {
     event_loop loop;
-    http_client client(loop);
+    http_client client(loop, http_client::long_answer_bytes);
     std::vector<result<audit_segment>> copies;
     while (copies.size() < state.segments.size()) {
         read_segment(client, address, state, copies.size(), [&](const result<audit_segment>& copy) {
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -46,7 +46,7 @@
 }
 
 entry_node::parts::parts(settings initial)
-    : options(std::move(initial)), incarnation(wall_ms()), client(loop),
+    : options(std::move(initial)), incarnation(wall_ms()), client(loop, http_client::long_answer_bytes),
       appender(loop, client,
                {options.log_address, options.node_id, incarnation,
                 [this] {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -16,8 +16,7 @@
 
 namespace {
 
-// Same as the limits of http_server; a larger answer fails the call.
-constexpr ev_ssize_t max_body_bytes = 64L << 20U;
+// Same as the limit of http_server; longer headers fail the call.
 constexpr ev_ssize_t max_header_bytes = 64L << 10U;
 
 evhttp_cmd_type to_command(std::string_view method)
@@ -84,7 +83,10 @@
     timer timeout;
 };
 
-http_client::http_client(event_loop& loop) : loop_(loop), alive_(std::make_shared<bool>(true)) {}
+http_client::http_client(event_loop& loop, std::size_t max_answer_bytes)
+    : loop_(loop), max_answer_bytes_(max_answer_bytes), alive_(std::make_shared<bool>(true))
+{
+}
 
 http_client::~http_client()
 {
@@ -120,7 +122,7 @@
     link->handle = evhttp_connection_base_new(loop_.native(), nullptr, target.ip.c_str(), target.port);
     // evhttp must not reconnect by itself.
     evhttp_connection_set_retries(link->handle, 0);
-    evhttp_connection_set_max_body_size(link->handle, max_body_bytes);
+    evhttp_connection_set_max_body_size(link->handle, static_cast<ev_ssize_t>(max_answer_bytes_));
     evhttp_connection_set_max_headers_size(link->handle, max_header_bytes);
     // evhttp fills the output buffer only after it has connected, so bytes that leave the buffer were
     // written to the socket. When it resets a failed connection, it drains the unsent bytes after closing
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -132,6 +132,29 @@
     EXPECT_EQ(call(server.address(), true).outcome, call_outcome::failed);
 }
 
+// Guards against an answer of 20 MB, which takes 294 MB once it is parsed, and against a page of the store or
+// an answer to `serve` that is not read because it is long.
+TEST_F(http_client_test, the_limit_of_an_answer_is_that_of_the_client)
+{
+    http_server server(loop_);
+    std::size_t length = 0;
+    server.handle(
+        [&](const http_exchange_ptr& exchange) { exchange->reply(200, {}, std::string(length, '0')); });
+    const std::string address = "127.0.0.1:" + std::to_string(server.listen("127.0.0.1", 0).value());
+    length = http_client::default_answer_bytes;
+    EXPECT_EQ(call(address, false).body.size(), length);
+    ++length;
+    EXPECT_EQ(call(address, false).outcome, call_outcome::failed);
+    http_client client(loop_, length);
+    http_answer answer;
+    client.send({.address = address}, [&](const http_answer& received) {
+        answer = received;
+        loop_.stop();
+    });
+    loop_.run();
+    EXPECT_EQ(answer.body.size(), length);
+}
+
 // Guards against reporting a request as not run although the server read it before closing, and against
 // evhttp retrying it by itself.
 TEST_F(http_client_test, a_request_is_not_retried_when_the_server_closes)
