Read bodies of callers up to the configured limit

The callers' server read bodies of 1 MB whatever maxBodyBytes says, and the metrics server 64 MB. The first now has the configuration's value, 262,144 until one is read, and the second 1 KB. A new limit applies to connections that are accepted after it.

The case long_bodies_are_not_read of tests/ends fails with the limits of before: no 413 to a body of 262,145 bytes.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -36,8 +36,8 @@
 constexpr std::int64_t ends_retry_ms = 400;    // between attempts to deliver ends to the next owner
 constexpr std::int64_t ends_keep_ms = 60'000;  // longer than any lease that tasks of the shard may wait for
 constexpr std::int64_t peer_timeout_ms = 500;  // one call to another node
-constexpr std::size_t max_caller_body_bytes = 1U << 20U;  // read until a configuration allows more
-constexpr std::size_t max_peer_body_bytes = 4U << 20U;    // twice the store's limit for one call
+constexpr std::size_t max_metrics_body_bytes = 1'024;   // requests for the metrics page have no body
+constexpr std::size_t max_peer_body_bytes = 4U << 20U;  // twice the store's limit for one call
 constexpr std::int64_t descriptors_check_ms = 100;
 // A node that is started again waits for the ports as long as the process before it may drain, and this
 // longer.
@@ -148,9 +148,10 @@
             state_.group->release(shard);
         }
     };
-    caller_server_.limit_body(max_caller_body_bytes);
+    caller_server_.limit_body(cluster_config().max_body_bytes);  // until a configuration is read
     internal_server_.limit_body(max_peer_body_bytes);
     ready_server_.limit_body(0);
+    metrics_server_.limit_body(max_metrics_body_bytes);
     caller_server_.handle([this](const http_exchange_ptr& exchange) { callers_.handle(exchange); });
     internal_server_.handle([this](const http_exchange_ptr& exchange) { internal_.handle(exchange); });
     ready_server_.handle([this](const http_exchange_ptr& exchange) {
@@ -245,7 +246,7 @@
                   {{"version", state_.config->version},
                    {"queues", state_.config->queues.size()},
                    {"outcome", "in force"}});
-        caller_server_.limit_body(std::max(state_.config->max_body_bytes, max_caller_body_bytes));
+        caller_server_.limit_body(state_.config->max_body_bytes);
         caller_server_.set_idle_timeout(state_.config->idle_timeout_ms);
         for (auto& [shard, owner] : state_.shards) {
             configure_shard(shard, *owner);
