--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -36,15 +36,15 @@
 constexpr std::int64_t ends_retry_ms = 400;    // between attempts to deliver ends to the next owner
 constexpr std::int64_t ends_keep_ms = 60'000;  // longer than any lease that tasks of the shard may wait for
 constexpr std::int64_t peer_timeout_ms = 500;  // one call to another node
-constexpr std::size_t max_caller_body_bytes = 1U << 20U;  // read until a configuration allows more
-constexpr std::size_t max_peer_body_bytes = 4U << 20U;    // twice the store's limit for one call
+constexpr std::size_t max_metrics_body_bytes = 1'024;   // requests for the metrics page have no body
+constexpr std::size_t max_peer_body_bytes = 4U << 20U;  // twice the store's limit for one call
 constexpr std::int64_t descriptors_check_ms = 100;
-constexpr int caller_descriptor_percent = 75;  // of the descriptors; the rest is for the node's own calls
 // A node that is started again waits for the ports as long as the process before it may drain, and this
 // longer.
 constexpr std::int64_t listen_margin_ms = 2'000;
 
-result<node_settings> read_settings(const std::string& file)
+/// @param unusable receives the problems of optional fields
+result<node_settings> read_settings(const std::string& file, std::vector<std::string>& unusable)
 {
     std::ifstream input(file);
     if (!input) {
@@ -52,7 +52,19 @@
     }
     std::stringstream content;
     content << input.rdbuf();
-    return adapter::decode_settings(content.str());
+    return adapter::decode_settings(content.str(), &unusable);
+}
+
+/// Logs one line for all optional fields that are unusable.
+void log_unusable_settings(const std::vector<std::string>& unusable)
+{
+    std::string problems;
+    for (const std::string& problem : unusable) {
+        problems += (problems.empty() ? "" : "; ") + problem;
+    }
+    if (!problems.empty()) {
+        log_event(log_level::warning, "settings", {{"outcome", "defaults used"}, {"reason", problems}});
+    }
 }
 
 /// Why a node ended.
@@ -136,9 +148,10 @@
             state_.group->release(shard);
         }
     };
-    caller_server_.limit_body(max_caller_body_bytes);
+    caller_server_.limit_body(cluster_config().max_body_bytes);  // until a configuration is read
     internal_server_.limit_body(max_peer_body_bytes);
     ready_server_.limit_body(0);
+    metrics_server_.limit_body(max_metrics_body_bytes);
     caller_server_.handle([this](const http_exchange_ptr& exchange) { callers_.handle(exchange); });
     internal_server_.handle([this](const http_exchange_ptr& exchange) { internal_.handle(exchange); });
     ready_server_.handle([this](const http_exchange_ptr& exchange) {
@@ -163,14 +176,14 @@
     return state_.config != nullptr && !state_.stopping && !descriptors_short_;
 }
 
-/// Accepts no callers while most descriptors are in use, so that enough are left for calls to the store, the
+/// Accepts no callers while descriptors are short, so that enough are left for calls to the store, the
 /// workers and the other nodes. The balancer sends new connections elsewhere meanwhile.
 void node::guard_descriptors()
 {
     const std::int64_t told = state_.settings.max_descriptors;
     const std::int64_t allowed = process_descriptor_limit();
     const std::int64_t limit = told > 0 ? std::min(told, allowed) : allowed;
-    const bool used_up = descriptors_used_up_to(static_cast<int>(limit * caller_descriptor_percent / 100));
+    const bool used_up = descriptors_short(limit, descriptors_short_);
     if (used_up == descriptors_short_) {
         return;
     }
@@ -233,7 +246,7 @@
                   {{"version", state_.config->version},
                    {"queues", state_.config->queues.size()},
                    {"outcome", "in force"}});
-        caller_server_.limit_body(std::max(state_.config->max_body_bytes, max_caller_body_bytes));
+        caller_server_.limit_body(state_.config->max_body_bytes);
         caller_server_.set_idle_timeout(state_.config->idle_timeout_ms);
         for (auto& [shard, owner] : state_.shards) {
             configure_shard(shard, *owner);
@@ -435,12 +448,14 @@
 
 void node::reload()
 {
-    auto settings = read_settings(options_.settings_file);
+    std::vector<std::string> unusable;
+    auto settings = read_settings(options_.settings_file, unusable);
     if (!settings) {
         log_event(log_level::error, "reload",
                   {{"outcome", "kept the old settings"}, {"reason", settings.error().message}});
         return;
     }
+    log_unusable_settings(unusable);
     state_.settings.seeds = settings.value().seeds;
     state_.settings.store_address = settings.value().store_address;
     state_.transport.set_address(settings.value().store_address);
@@ -482,7 +497,8 @@
     if (!listening.value()) {
         return {.reason = "stopped", .detail = "by a signal while the ports were in use"};
     }
-    if (options_.metrics_port != 0) {
+    // Without a usable `ip` there is no metrics page: evhttp would look a name up, which blocks the loop.
+    if (options_.metrics_port != 0 && !state_.settings.ip.empty()) {
         metrics_listener_.start(state_.settings.ip, options_.metrics_port, "metrics");
     }
     update_peers();
@@ -504,12 +520,14 @@
 /// Runs a node in a scope of its own, so that its end is reported after its parts are gone.
 node_end run_with_settings(const node_options& options)
 {
-    auto settings = read_settings(options.settings_file);
+    std::vector<std::string> unusable;
+    auto settings = read_settings(options.settings_file, unusable);
     if (!settings) {
         return {"settings", options.settings_file + ": " + settings.error().message, 1};
     }
     set_crash_report_node(settings.value().name);
     init_log({.level = log_level::info, .file = {}, .node = settings.value().name, .standard_output = true});
+    log_unusable_settings(unusable);
     node process(std::move(settings.value()), options);
     return process.run();
 }
