Delete the record of an ended job before its progress

What stayed was a job without progress, a new one to the next owner.

The progress of all occurrences is deleted when the deletion has been read back from the log. Until then the job stays known, so that a reload of the topic does not bring it back either. If the owner changes in between, the next one deletes the progress without a job 30 s after its takeover, or at once if a job is accepted under the same id.

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -75,7 +75,7 @@
 struct shard_effects {
     std::vector<std::pair<std::string, std::optional<std::string>>> writes;  // progress records by key
     std::uint64_t batch = 0;          // pass it to on_stored() once the writes are stored; 0: not needed
-    std::vector<std::string> forget;  // jobs whose records can be deleted
+    std::vector<std::string> forget;  // jobs whose records of the job and of its cancel can be deleted
     std::vector<start_effect> starts;
     std::vector<stop_effect> stops;
     std::vector<pace_effect> paces;
@@ -136,6 +136,9 @@
     // of the takeover.
     void add_job(const job_spec& job, std::int64_t age_ms, std::int64_t now_ms);
     void cancel_job(const std::string& id, std::int64_t now_ms);
+    /// The record of a job has been deleted from the store. Its progress is deleted only now: a record
+    /// without progress would be a new job to the next owner, and its tasks would run again.
+    void remove_job(const std::string& id);
     void set_config(std::shared_ptr<const cluster_config> config);
 
     // Registrations and answers of workers.
@@ -200,6 +203,8 @@
     void stop_job(job_entry& job, std::int64_t now_ms);
     void mark_changed(occurrence_entry& occurrence);
     void forget_ended_jobs(std::int64_t now_ms);
+    void drop_job(job_entry& job);
+    void delete_orphans(const std::string& prefix);
     std::uint32_t attempt_limit(const job_entry& job) const;
 
     // Runs
@@ -302,6 +307,8 @@
     std::vector<std::pair<std::uint64_t, ended_row>> unstored_ends_;  // with the batch that contains them
     std::map<std::uint64_t, std::vector<std::string>> writing_;  // runs to start once the batch is stored
     std::vector<std::string> forgotten_jobs_;
+    std::set<std::string> orphaned_progress_;  // keys of records that were loaded without a job
+    std::set<std::string> deleted_progress_;   // keys of records to delete with the next batch
     std::vector<start_effect> starts_;
     std::vector<stop_effect> stops_;
     std::vector<pace_effect> paces_;
--- a/include/waxwingnotch/shard/shard_owner.hpp
+++ b/include/waxwingnotch/shard/shard_owner.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 namespace waxwingnotch {
 
@@ -64,6 +65,7 @@
     void load_runs();
     void request_release();
     void on_job_record(const keyed_record& record);
+    void on_job_deleted(const keyed_record& record);
     void finish_load();
     void pump();       // executes the pending effects of the core
     void pump_soon();  // calls pump() from the loop, at most once per 4 ms
@@ -78,6 +80,8 @@
     std::function<void()> on_lost_;
     shard_core core_;
     journal journal_;
+    std::unique_ptr<journal> deletions_;                         // of jobs and cancels; made on first use
+    std::unordered_map<std::string, std::int64_t> job_offsets_;  // of the newest record of each job
     std::unique_ptr<keyed_follower> jobs_follower_;
     std::unique_ptr<keyed_follower> runs_follower_;
     bool jobs_loaded_ = false;
--- a/src/shard/core_jobs.cpp
+++ b/src/shard/core_jobs.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::int64_t forget_interval_ms = 5'000;  // between checks for ended jobs to forget
+// Progress whose job does not exist is deleted this long after the takeover, when the work of the takeover
+// itself is over.
+constexpr std::int64_t orphan_retention_ms = 30'000;
 
 /// Whether both have the same steps with as many tasks.
 bool same_shape(const occurrence_progress& a, const occurrence_progress& b)
@@ -39,6 +42,11 @@
     for (auto& [id, job] : jobs_) {
         open_occurrences(*job, now_ms);
     }
+    for (const auto& [key, bytes] : loaded_progress_) {
+        if (!jobs_.contains(key.substr(0, key.find('.')))) {
+            orphaned_progress_.insert(key);
+        }
+    }
     loaded_progress_.clear();
     schedule_needed_ = true;
     log_event(
@@ -65,6 +73,7 @@
     if (jobs_.contains(spec.id)) {
         return;
     }
+    delete_orphans(spec.id + ".");
     auto& slot = jobs_[spec.id];
     slot = std::make_unique<job_entry>();
     job_entry& job = *slot;
@@ -240,18 +249,63 @@
     last_forget_ms_ = now_ms;
     for (auto it = jobs_.begin(); it != jobs_.end();) {
         job_entry& job = *it->second;
-        const bool expired = job.ended() && now_ms - job.ended_ms > options_.ended_job_retention_ms;
-        if (!expired || job.runs > 0) {
-            ++it;
+        if (job.deleted && job.runs == 0) {
+            drop_job(job);
+            it = jobs_.erase(it);
             continue;
         }
-        for (auto& [number, occurrence] : job.occurrences) {
-            open_.erase(occurrence.get());
-            suspects_.erase(occurrence->key());
-            dirty_.erase(occurrence.get());
+        const bool expired = job.ended() && now_ms - job.ended_ms > options_.ended_job_retention_ms;
+        // The next owner must learn of the end from the store.
+        if (expired && job.runs == 0 && job.end_batch <= stored_batch_ && !job.deleting) {
+            job.deleting = true;
+            forgotten_jobs_.push_back(job.spec.id);
         }
-        forgotten_jobs_.push_back(job.spec.id);
-        it = jobs_.erase(it);
+        ++it;
+    }
+    if (now_ms - loaded_ms_ > orphan_retention_ms) {
+        delete_orphans({});
+    }
+}
+
+void shard_core::remove_job(const std::string& id)
+{
+    cancels_without_job_.erase(id);
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) {
+        return;
+    }
+    job_entry& job = *found->second;
+    if (loaded_ && !job.ended()) {
+        log_event(log_level::error, "job_deleted", {{"job", id}, {"reason", "its record was deleted early"}});
+        return;
+    }
+    job.deleted = true;
+    if (job.runs == 0) {
+        drop_job(job);
+        jobs_.erase(found);
+    }
+}
+
+/// Forgets the occurrences of a job whose record is deleted, and deletes their progress.
+void shard_core::drop_job(job_entry& job)
+{
+    for (auto& [number, occurrence] : job.occurrences) {
+        open_.erase(occurrence.get());
+        suspects_.erase(occurrence->key());
+        dirty_.erase(occurrence.get());
+        deleted_progress_.insert(occurrence->key());
+        batch_needed_ = true;
+    }
+}
+
+/// Deletes the progress without a job whose key starts with @p prefix.
+void shard_core::delete_orphans(const std::string& prefix)
+{
+    auto it = orphaned_progress_.lower_bound(prefix);
+    while (it != orphaned_progress_.end() && it->starts_with(prefix)) {
+        deleted_progress_.insert(*it);
+        batch_needed_ = true;
+        it = orphaned_progress_.erase(it);
     }
 }
 
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -26,7 +26,9 @@
     std::uint64_t end_batch = 0;     // store batch that contains its last end; 0: stored before
     std::map<std::uint32_t, std::unique_ptr<occurrence_entry>> occurrences;
 
-    std::size_t runs = 0;  // active, including assignments that are not stored yet
+    std::size_t runs = 0;   // active, including assignments that are not stored yet
+    bool deleting = false;  // the deletion of its record has been requested
+    bool deleted = false;   // its record has been deleted
     bool ended() const { return cancelled || failed || completed_occurrences >= spec.occurrences(); }
 };
 
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -492,6 +492,10 @@
     if (batch_needed_) {
         batch_needed_ = false;
         out.batch = ++batch_;
+        // Before the writes: a job that was accepted anew may write the same key.
+        for (const std::string& key : std::exchange(deleted_progress_, {})) {
+            out.writes.emplace_back(key, std::nullopt);
+        }
         for (occurrence_entry* occurrence : dirty_) {
             out.writes.emplace_back(occurrence->key(), encode_progress(occurrence->progress));
         }
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -143,7 +143,8 @@
 void shard_owner::on_job_record(const keyed_record& record)
 {
     if (!record.value) {
-        return;  // deleted by an owner after its retention time; this core forgets jobs by itself
+        on_job_deleted(record);
+        return;
     }
     const std::int64_t now = monotonic_ms();
     if (!record.key.empty() && record.key.back() == cancel_key_suffix) {
@@ -151,6 +152,7 @@
         pump_soon();
         return;
     }
+    job_offsets_[record.key] = record.offset;
     auto job = decode_job(*record.value);
     if (!job) {
         log_event(log_level::error, "job_unreadable", {{"key", record.key}, {"reason", job.error().message}});
@@ -160,6 +162,22 @@
     pump_soon();
 }
 
+/// Handles a deletion by this owner or an earlier one, in the order of the log: a job that was accepted anew
+/// under the same id after it stays.
+void shard_owner::on_job_deleted(const keyed_record& record)
+{
+    constexpr std::int64_t no_offset = -1;  // the store has dropped the history; the key is absent
+    const auto found = job_offsets_.find(record.key);
+    if (found != job_offsets_.end()) {
+        if (record.offset != no_offset && record.offset < found->second) {
+            return;
+        }
+        job_offsets_.erase(found);
+    }
+    core_.remove_job(record.key);
+    pump_soon();
+}
+
 bool shard_owner::up_to_date() const
 {
     return core_.loaded() && monotonic_ms() - complete_until_ms() < max_jobs_age_ms;
@@ -312,23 +330,23 @@
     }
 }
 
-/// Deletes the records of a job after its retention time.
+/// Deletes the record of a job and of its cancel after its retention time. The core deletes the progress once
+/// the deletion has been read back.
+///
+/// The appends of the journal carry sequence numbers, so that one that the store carries out late, after a
+/// retry, deletes nothing a second time: the job may have been accepted anew by then.
 void shard_owner::delete_job_records(const std::string& id)
 {
-    journal_.put(id + ".0", std::nullopt);
-    append_request drop{.topic = jobs_topic,
-                        .partition = partition_,
-                        .writer = {},
-                        .epoch = 0,
-                        .sequence = 0,
-                        .records = {{.key = id, .value = std::nullopt, .offset = -1},
-                                    {.key = id + cancel_key_suffix, .value = std::nullopt, .offset = -1}}};
-    parts_.store->append(drop, [id](const append_result& answer) {
-        if (answer.status != store_status::ok) {
-            log_event(log_level::warning, "forget_failed",
-                      {{"job", id}, {"reason", to_string(answer.status)}});
-        }
-    });
+    if (!deletions_) {
+        deletions_ = std::make_unique<journal>(
+            *parts_.loop, *parts_.store,
+            journal::options{
+                .topic = jobs_topic, .partition = partition_, .writer = "owner", .epoch = options_.epoch},
+            [this] { end_ownership("another owner deletes the jobs of the shard"); });
+        deletions_->open([] {});
+    }
+    deletions_->put(id, std::nullopt);
+    deletions_->put(id + cancel_key_suffix, std::nullopt);
 }
 
 }  // namespace waxwingnotch
--- a/tests/shard/shard_core_test.cpp
+++ b/tests/shard/shard_core_test.cpp
@@ -446,5 +446,100 @@
     }
 }
 
+// Guards against progress of the second and later occurrences of a job that stays in the store for good.
+TEST(shard_core, deletes_the_progress_of_all_occurrences_after_the_job)
+{
+    shard_world world(1);
+    world.options.ended_job_retention_ms = 1'000;
+    world.add_worker("a");
+    const auto owner = world.take_over();
+    job_spec job = shard_world::job(id_of(1), 2);
+    job.repeat_count = 3;
+    job.first_ms = world.now;
+    job.interval_ms = 100;
+    world.submit(job);
+    world.deletions_until_down = 0;
+    world.run(20'000);
+    EXPECT_EQ(owner->core->state_of(id_of(1)), job_state::completed);
+    EXPECT_EQ(world.jobs.size(), 1U);
+    EXPECT_EQ(world.progress.size(), 3U);
+
+    world.deletions_until_down = 1'000;
+    world.store_down = false;
+    world.run(1'000);
+    EXPECT_EQ(owner->core->state_of(id_of(1)), std::nullopt);
+    EXPECT_TRUE(world.jobs.empty());
+    EXPECT_TRUE(world.progress.empty());
+}
+
+// Guards against a job accepted anew under the id of a deleted one that takes the old progress for its own,
+// or loses its own progress to the deletion of the old one.
+TEST(shard_core, runs_a_job_that_is_accepted_anew_after_its_deletion)
+{
+    shard_world world(1);
+    world.options.ended_job_retention_ms = 1'000;
+    world.add_worker("a");
+    const auto first = world.take_over();
+    world.submit(shard_world::job(id_of(1), 2));
+    world.deletions_until_down = 1;  // the record of the job, but not its progress
+    world.run(20'000);
+    ASSERT_TRUE(world.jobs.empty());
+    ASSERT_EQ(world.progress.size(), 1U);
+
+    first->terminated = true;
+    world.store_down = false;
+    world.deletions_until_down = 1'000;
+    world.options.ended_job_retention_ms = 240'000;
+    const auto second = world.take_over();
+    world.run(1'000);
+    world.submit(shard_world::job(id_of(1), 3));
+    EXPECT_EQ(second->core->state_of(id_of(1)), job_state::queued);
+    world.run(60'000);
+    EXPECT_EQ(second->core->state_of(id_of(1)), job_state::completed);
+    EXPECT_EQ(world.progress.size(), 1U);
+    EXPECT_EQ(world.take_over()->core->state_of(id_of(1)), job_state::completed);
+}
+
+// Guards against tasks that run again after a takeover because a part of the records of their job was
+// deleted.
+RC_GTEST_PROP(shard_core, starts_no_task_again_whatever_part_of_a_deletion_is_stored, ())
+{
+    shard_world world(*rc::gen::inRange<std::uint32_t>(0, 1U << 30U));
+    world.options.ended_job_retention_ms = 2'000;
+    world.add_worker("a", 8'000);
+    world.add_worker("b", 8'000);
+    auto owner = world.take_over();
+    const int jobs = *rc::gen::inRange(1, 4);
+    for (int number = 1; number <= jobs; ++number) {
+        job_spec job = shard_world::job(id_of(number), *rc::gen::inRange<std::uint32_t>(1, 4));
+        job.repeat_count = *rc::gen::inRange<std::uint32_t>(0, 4);
+        job.first_ms = world.now;
+        job.interval_ms = 50;
+        world.submit(job);
+    }
+    const bool cancelled = *rc::gen::arbitrary<bool>();
+    if (cancelled) {
+        world.run(*rc::gen::inRange<std::int64_t>(0, 500));
+        world.cancel(id_of(1));
+    }
+    world.deletions_until_down = *rc::gen::inRange<std::size_t>(0, 14);
+    world.run(*rc::gen::inRange<std::int64_t>(4'000, 20'000));
+    const auto started = world.started;
+    for (int takeovers = *rc::gen::inRange(1, 4); takeovers > 0; --takeovers) {
+        owner->terminated = *rc::gen::arbitrary<bool>();
+        owner = world.take_over();
+        world.store_down = false;
+        world.deletions_until_down = *rc::gen::inRange<std::size_t>(0, 14);
+        world.run(*rc::gen::inRange<std::int64_t>(0, 10'000));
+    }
+    world.store_down = false;
+    world.deletions_until_down = 1'000;
+    world.run(60'000);
+    RC_ASSERT(world.violations.empty());
+    RC_ASSERT(world.started == started);
+    RC_ASSERT(world.jobs.empty());
+    RC_ASSERT(world.progress.empty());
+}
+
 }  // namespace
 }  // namespace waxwingnotch
--- a/tests/shard/shard_world.hpp
+++ b/tests/shard/shard_world.hpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -48,6 +49,8 @@
     std::int64_t epoch = 0;             // of the newest owner
     std::set<std::string> unreachable;  // workers that get no orders
     bool store_down = false;
+    // Deletions that the store carries out before it goes down.
+    std::size_t deletions_until_down = std::numeric_limits<std::size_t>::max();
     std::vector<std::string> violations;  // descriptions of events that must not happen
     std::map<std::string, int> started;   // number of starts by task
     shard_options options;                // of the next owner
@@ -256,6 +259,9 @@
             owner->last_store = std::max(now + draw(4, 12), owner->last_store + 1);
             after(owner->last_store - now, [this, owner, effects] { store(owner, effects); });
         }
+        for (const std::string& id : effects.forget) {
+            after(draw(4, 12), [this, owner, id] { delete_job(owner, id); });
+        }
         for (const start_effect& effect : effects.starts) {
             send<order_answer>(
                 owner, effect.worker.id,
@@ -329,7 +335,16 @@
             return;
         }
         for (const auto& [key, value] : effects.writes) {
-            progress[key] = *value;
+            if (value) {
+                progress[key] = *value;
+            }
+            else if (progress.contains(key) && !take_deletion()) {
+                store(owner, effects);  // the records before this one are stored; repeated once it is back
+                return;
+            }
+            else {
+                progress.erase(key);
+            }
         }
         if (owner->terminated) {
             return;
@@ -338,6 +353,39 @@
         pump(owner);
     }
 
+    /// @return false if the store goes down instead of carrying out the deletion of a record
+    bool take_deletion()
+    {
+        if (deletions_until_down == 0) {
+            store_down = true;
+            return false;
+        }
+        --deletions_until_down;
+        return true;
+    }
+
+    /// Deletes the record of a job together with that of its cancel; all owners read the deletion.
+    void delete_job(const owner_ptr& owner, const std::string& id)
+    {
+        if (owner->terminated) {
+            return;
+        }
+        if (store_down || !take_deletion()) {
+            after(60, [this, owner, id] { delete_job(owner, id); });
+            return;
+        }
+        std::erase_if(jobs, [&](const job_spec& job) { return job.id == id; });
+        cancels.erase(id);
+        for (const owner_ptr& reader : owners) {
+            after(draw(1, 8), [this, reader, id] {
+                if (!reader->terminated) {
+                    reader->core->remove_job(id);
+                    pump(reader);
+                }
+            });
+        }
+    }
+
     template <class Answer>
     void send(const owner_ptr& owner, const std::string& id, std::function<Answer(fake_worker&)> act,
               std::function<void(const Answer&)> done)
