--- a/src/fleet/records.cpp
+++ b/src/fleet/records.cpp
@@ -1,8 +1,8 @@
 #include "waxwingnotch/fleet/records.hpp"
 
-#include "waxwingnotch/base/cbor_reader.hpp"
 #include "fleet/record_json.hpp"
 
+#include "waxwingnotch/base/cbor_reader.hpp"
 #include "waxwingnotch/base/hash.hpp"
 
 #include <nlohmann/json.hpp>
--- a/src/fleet/snapshot.cpp
+++ b/src/fleet/snapshot.cpp
@@ -1,9 +1,9 @@
 #include "waxwingnotch/fleet/snapshot.hpp"
 
 #include "fleet/audit_json.hpp"
-#include "waxwingnotch/base/cbor_reader.hpp"
 #include "fleet/record_json.hpp"
 
+#include "waxwingnotch/base/cbor_reader.hpp"
 #include "waxwingnotch/base/hash.hpp"
 #include "waxwingnotch/config/json.hpp"
 
--- a/src/platform/log_follower.cpp
+++ b/src/platform/log_follower.cpp
@@ -1,7 +1,6 @@
 #include "waxwingnotch/platform/log_follower.hpp"
 
 #include "waxwingnotch/base/cbor_reader.hpp"
-
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/log.hpp"
 
--- a/tests/fleet/cbor_reader_test.cpp
+++ b/tests/fleet/cbor_reader_test.cpp
@@ -1,5 +1,4 @@
 #include "waxwingnotch/base/cbor_reader.hpp"
-
 #include "waxwingnotch/fleet/snapshot.hpp"
 
 #include <gtest/gtest.h>
