--- a/include/waxwingnotch/job/spec.hpp
+++ b/include/waxwingnotch/job/spec.hpp
@@ -111,7 +111,9 @@
 
 // Bounds of one job. What a submission can ask for with few bytes must not exceed a node's memory.
 constexpr std::size_t max_steps = 1'000;
-constexpr std::uint64_t max_tasks = 10'000;          // of all steps
+// Of all steps. The progress of a job is one record of at most 256 KB; a task at work takes about 60 bytes in
+// it, and the refusal of a longer record would stop all jobs of the shard.
+constexpr std::uint64_t max_tasks = 4'000;
 constexpr std::uint64_t max_stored_tasks = 100'000;  // of a job that an earlier version has accepted
 constexpr std::uint32_t max_repeats = 1'000'000;
 
--- a/src/job/spec.cpp
+++ b/src/job/spec.cpp
@@ -108,9 +108,9 @@
     for (std::size_t index = 0; index < job.steps.size(); ++index) {
         const step_spec& step = job.steps[index];
         const std::string name = "step " + std::to_string(index);
-        if (step.task_count == 0 || step.task_count > max_tasks) {
+        if (step.task_count == 0 || step.task_count > task_limit) {
             return name + " has " + std::to_string(step.task_count) + " tasks, expected 1 to " +
-                   std::to_string(max_tasks);
+                   std::to_string(task_limit);
         }
         tasks += step.task_count;
         if (tasks > task_limit) {
