--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -256,12 +256,8 @@
                           crash_suspicion suspicion);
     void describe_runs(placement_view& view, std::int64_t now_ms) const;
     void reserve_isolation(std::string_view service, placement_round& round, std::int64_t now_ms);
-    struct isolation_quota;
-    void reserve_idle_workers(std::string_view service, placement_round& round, std::int64_t now_ms);
-    void reserve_for_suspects(std::string_view service, placement_round& round, isolation_quota quota,
-                              std::int64_t now_ms);
     void reserve_for_step(const occurrence_entry& occurrence, std::uint32_t step, placement_round& round,
-                          isolation_quota& quota, std::int64_t now_ms);
+                          std::size_t& may_empty, std::int64_t now_ms);
     bool isolation_allows(const occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
                           const placement_view& view) const;
 
--- a/src/shard/core_crashes.cpp
+++ b/src/shard/core_crashes.cpp
@@ -314,52 +314,29 @@
     }
 }
 
-/// How many more workers may be reserved for isolated tasks.
-struct shard_core::isolation_quota {
-    std::size_t workers = 0;
-    std::size_t busy = 0;  // of these; they get no other work until they are empty
-};
-
-/// Closes the workers with isolated tasks to others, and keeps a limited share of the workers for isolated
-/// tasks that wait. These use little of a worker's capacity: without the limit, many suspects would take the
-/// whole pool and leave it nearly unused.
+/// Closes the workers with isolated tasks to others, and keeps workers free for isolated tasks that wait.
 void shard_core::reserve_isolation(std::string_view service, placement_round& round, std::int64_t now_ms)
 {
-    std::size_t isolating = 0;
     for (placement_view& view : round.views) {
         describe_runs(view, now_ms);
-        isolating += view.isolation ? 1 : 0;
     }
-    const std::size_t limit = max_isolation_workers(round.views.size());
-    const std::size_t left = limit > isolating ? limit - isolating : 0;
-    reserve_for_suspects(service, round, {.workers = left, .busy = left}, now_ms);
-}
-
-/// Keeps the workers that are still idle for isolated tasks, at the end of a scheduling round.
-void shard_core::reserve_idle_workers(std::string_view service, placement_round& round, std::int64_t now_ms)
-{
-    reserve_for_suspects(service, round, {.workers = round.views.size(), .busy = 0}, now_ms);
-    round.update_largest();
-}
-
-void shard_core::reserve_for_suspects(std::string_view service, placement_round& round, isolation_quota quota,
-                                      std::int64_t now_ms)
-{
+    std::size_t may_empty = max_isolation_workers(round.views.size());
     for (const auto& [key, occurrence] : suspects_) {
         if (occurrence->job->spec.service != service) {
             continue;
         }
         for (std::uint32_t step = 0; step < occurrence->progress.steps.size(); ++step) {
             if (occurrence->progress.ready(occurrence->step(step))) {
-                reserve_for_step(*occurrence, step, round, quota, now_ms);
+                reserve_for_step(*occurrence, step, round, may_empty, now_ms);
             }
         }
     }
 }
 
 /// Reserves workers for the isolated tasks of the step that wait.
+/// @param may_empty how many busy workers may still be reserved, which get no other work until they are empty
 void shard_core::reserve_for_step(const occurrence_entry& occurrence, std::uint32_t step,
-                                  placement_round& round, isolation_quota& quota, std::int64_t now_ms)
+                                  placement_round& round, std::size_t& may_empty, std::int64_t now_ms)
 {
     const step_spec& spec = occurrence.step(step);
     std::size_t room = 0;  // for gang members on workers that are reserved already
@@ -374,8 +351,7 @@
         }
         std::vector<isolation_candidate> candidates;
         for (const placement_view& view : round.views) {
-            const bool eligible = !view.isolation && !view.assigned && quota.workers > 0 &&
-                                  (view.busy_ms == 0 || quota.busy > 0) &&
+            const bool eligible = !view.isolation && (view.busy_ms == 0 || may_empty > 0) &&
                                   fits(spec, view.isolation_room()) &&
                                   may_run(occurrence, step, index, *view.worker, now_ms);
             candidates.push_back({eligible, view.busy_ms, view.settled_tasks});
@@ -386,8 +362,7 @@
         }
         placement_view& view = round.views[static_cast<std::size_t>(chosen)];
         view.isolation = true;
-        --quota.workers;
-        quota.busy -= view.busy_ms > 0 ? 1 : 0;
+        may_empty -= view.busy_ms > 0 ? 1 : 0;
         room = spec.gang ? room_for(spec, view.isolation_room()) - 1 : 0;
     }
 }
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -147,7 +147,6 @@
 
     // Isolation of tasks that may have crashed a worker; see reserve_isolation().
     bool isolation = false;                      // takes only isolated tasks
-    bool assigned = false;                       // got another task in this round
     const occurrence_entry* isolates = nullptr;  // runs there; null: none yet
     std::int64_t busy_ms = 0;                    // until its runs that are not settled should end; 0: none
     std::uint32_t settled_tasks = 0;
@@ -158,7 +157,6 @@
     {
         free -= step.reserved();
         isolates = isolation ? &occurrence : nullptr;
-        assigned = assigned || !isolation;
     }
 };
 
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -171,15 +171,6 @@
         for (const queued& next : items) {
             schedule_occurrence(*next.occurrence, round, now_ms);
         }
-        if (suspects_.empty()) {
-            continue;
-        }
-        reserve_idle_workers(service, round, now_ms);
-        for (const queued& next : items) {
-            if (suspects_.contains(next.occurrence->key())) {
-                schedule_occurrence(*next.occurrence, round, now_ms);
-            }
-        }
     }
 }
 
