--- a/include/waxwingnotch/base/json_fields.hpp
+++ b/include/waxwingnotch/base/json_fields.hpp
@@ -13,6 +13,12 @@
 
 namespace waxwingnotch {
 
+/// @return the object in @p text, or `malformed` with the reason
+result<nlohmann::json> read_json_object(std::string_view text);
+
+/// @return the object under @p name; an empty one if it is missing or of another type
+const nlohmann::json& object_field(const nlohmann::json& object, const char* name);
+
 /// @return null if @p object is not an object or lacks the field
 const nlohmann::json* find_field(const nlohmann::json& object, const char* name);
 
--- a/src/base/json_fields.cpp
+++ b/src/base/json_fields.cpp
@@ -18,6 +18,22 @@
 
 }  // namespace
 
+result<json> read_json_object(std::string_view text)
+{
+    auto document = read_json(text);
+    if (document && !document.value().is_object()) {
+        return fail(error_code::malformed, "not a JSON object");
+    }
+    return document;
+}
+
+const json& object_field(const json& object, const char* name)
+{
+    static const json none = json::object();
+    const json* found = find_field(object, name);
+    return found != nullptr && found->is_object() ? *found : none;
+}
+
 const json* find_field(const json& object, const char* name)
 {
     if (!object.is_object()) {
