--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -33,6 +33,28 @@
     return EVHTTP_REQ_GET;
 }
 
+/// Copies a response, if there is one, to @p answer.
+/// @param request null if the call failed
+/// @return whether the connection can be used again
+bool read_response(evhttp_request* request, http_answer& answer)
+{
+    const int status = request == nullptr ? 0 : evhttp_request_get_response_code(request);
+    if (status == 0) {
+        return false;
+    }
+    answer.outcome = call_outcome::answered;
+    answer.status = status;
+    const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+    for (const evkeyval* it = headers->tqh_first; it != nullptr; it = it->next.tqe_next) {
+        answer.headers.emplace_back(it->key, it->value);
+    }
+    evbuffer* input = evhttp_request_get_input_buffer(request);
+    answer.body.resize(evbuffer_get_length(input));
+    evbuffer_copyout(input, answer.body.data(), answer.body.size());
+    const auto connection_header = answer.header("Connection");
+    return !connection_header || strcasecmp(connection_header->c_str(), "close") != 0;
+}
+
 }  // namespace
 
 std::optional<std::string> find_header(const http_headers& headers, std::string_view name)
@@ -186,21 +208,7 @@
             http_answer answer;
             answer.bytes_sent = self->link->bytes_sent;
             answer.reused = self->reused;
-            const int status = request == nullptr ? 0 : evhttp_request_get_response_code(request);
-            bool keep_alive = false;
-            if (status != 0) {
-                answer.outcome = call_outcome::answered;
-                answer.status = status;
-                const evkeyvalq* headers = evhttp_request_get_input_headers(request);
-                for (const evkeyval* it = headers->tqh_first; it != nullptr; it = it->next.tqe_next) {
-                    answer.headers.emplace_back(it->key, it->value);
-                }
-                evbuffer* input = evhttp_request_get_input_buffer(request);
-                answer.body.resize(evbuffer_get_length(input));
-                evbuffer_copyout(input, answer.body.data(), answer.body.size());
-                const auto connection_header = answer.header("Connection");
-                keep_alive = !connection_header || strcasecmp(connection_header->c_str(), "close") != 0;
-            }
+            const bool keep_alive = read_response(request, answer);
             self->client->finish(self->id, std::move(answer), keep_alive);
         },
         item.get());
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -44,7 +44,7 @@
         });
         port_ = server_.listen("127.0.0.1", 0).value();
     }
-    ~http_server_test() override { close(caller_); }
+    void TearDown() override { close(caller_); }
 
     /// Sends a request while no descriptor is free for its connection. Runs the loop until accept() has
     /// failed.
