--- a/include/waxwingnotch/job/spec.hpp
+++ b/include/waxwingnotch/job/spec.hpp
@@ -59,6 +59,8 @@
     std::int64_t accepted_ms = 0;    // wall clock of the accepting node
     // Limit of the queue when it accepted the job; applies once the queue is removed.
     std::uint32_t max_attempts = 1;
+    // Shard that runs the job, where another one stores the jobs of its path; -1: the shard that stores it.
+    int shard = -1;
 
     /// Number of times that the steps run.
     std::uint32_t occurrences() const { return repeat_count == 0 ? 1 : repeat_count; }
@@ -126,6 +128,7 @@
 bool is_job_id(std::string_view id);
 
 // The record of an accepted job in the store (CBOR).
+constexpr const char* cancel_record = "1";  // of a cancel, whose key says all
 std::string encode_job(const job_spec& job);
 result<job_spec> decode_job(std::string_view bytes);
 
--- /dev/null
+++ b/include/waxwingnotch/shard/job_homes.hpp
@@ -0,0 +1,84 @@
+/// @file
+/// Which shard stores the jobs of a path: its home.
+///
+/// The shard that runs a job follows from the service that the route of its path leads to, and routes change.
+/// The home of a path does not: the first submission to it stores the shard of its service as the home, and
+/// every later submission, question and cancel goes there. A home never changes, so that nodes keep what they
+/// have read, and a request costs no call to the store once its path is known.
+///
+///     if (const job_home* home = homes.find(key)) ...
+///     else homes.claim(key, {queue.service, shard}, [](store_status) { ... find() again ... });
+#pragma once
+
+#include "waxwingnotch/store/store.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwingnotch {
+
+constexpr const char* homes_topic = "keyed.homes";  // homes by key of their path; one partition
+
+/// The shard that stores the jobs of a path, and the service that the first of them ran under.
+struct job_home {
+    std::string service;
+    int shard = 0;
+
+    bool operator==(const job_home&) const = default;
+};
+
+class job_homes {
+public:
+    /// Receives `ok` if find() now tells what is stored, else why not.
+    using handler = std::function<void(store_status)>;
+
+    explicit job_homes(log_store& store);
+    ~job_homes();
+    job_homes(const job_homes&) = delete;
+    job_homes& operator=(const job_homes&) = delete;
+    job_homes(job_homes&&) = delete;
+    job_homes& operator=(job_homes&&) = delete;
+
+    /// @return the key of the paths that consist of @p prefix and a job id, of the same length for all
+    static std::string key_of(std::string_view host, std::string_view prefix);
+    /// @return the home, or null if this node knows none; valid until the next call
+    const job_home* find(const std::string& key) const;
+    /// Reads the home of @p key. A path without one has no jobs, or only jobs that were accepted in the last
+    /// half second.
+    void look_up(const std::string& key, handler done);
+    /// Reads the home of @p key, and stores @p home as such if it has none. Of several claims for one path
+    /// the first in the store wins.
+    void claim(const std::string& key, job_home home, handler done);
+
+private:
+    struct request {
+        std::string key;
+        std::optional<job_home> claimed;
+        handler done;
+    };
+
+    void start();
+    void read_page(const std::string& after);
+    void read_changes();
+    void on_read();
+    void append_claims();
+    void finish(store_status status);
+    void keep(const keyed_record& record);
+
+    log_store& store_;
+    std::map<std::string, job_home> homes_;
+    std::vector<request> waiting_;         // for the next read
+    std::vector<request> active_;          // for the read or append in flight
+    std::int64_t next_offset_ = -1;        // end of what was read; -1: nothing was read
+    std::optional<std::int64_t> read_ms_;  // monotonic time when the latest complete read was sent
+    std::int64_t sent_ms_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace waxwingnotch
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -15,6 +15,7 @@
 #include "waxwingnotch/decision/job_order.hpp"
 #include "waxwingnotch/decision/task_placement.hpp"
 #include "waxwingnotch/job/progress.hpp"
+#include "waxwingnotch/job/route.hpp"
 #include "waxwingnotch/shard/worker_api.hpp"
 
 #include <array>
@@ -33,6 +34,7 @@
 namespace waxwingnotch {
 
 struct shard_options {
+    int shard = 0;           // its number
     std::int64_t epoch = 0;  // the store and the workers reject owners with a lower epoch
     // Workers keep their runs for this long without a renewal; longer than a takeover takes.
     std::int64_t lease_ms = 4'000;
@@ -71,6 +73,19 @@
     std::vector<std::string> workers;
 };
 
+/// Stores the record of a job, or of its cancel, in the shard that runs the job.
+struct forward_effect {
+    std::string id;
+    int shard = 0;
+    bool cancel = false;
+    std::string record;  // encoded job, or that of a cancel
+};
+/// Asks the shard that runs a forwarded job whether it still knows the job.
+struct forward_check {
+    std::string id;
+    int shard = 0;
+};
+
 /// Effects for the caller to execute, in the order of the members.
 struct shard_effects {
     std::vector<std::pair<std::string, std::optional<std::string>>> writes;  // progress records by key
@@ -81,6 +96,8 @@
     std::vector<pace_effect> paces;
     std::vector<poll_effect> polls;
     std::vector<advice_effect> advice;
+    std::vector<forward_effect> forwards;
+    std::vector<forward_check> forward_checks;
 };
 
 /// Demand of a service on its pool, for decisions on moves of hosts.
@@ -134,6 +151,7 @@
 
     // Requests of callers and operators. Repeated calls have no effect. Calls before finish_load() are part
     // of the takeover.
+    /// @param job runs here unless it names another shard; then it is forwarded, unless it is known already
     void add_job(const job_spec& job, std::int64_t age_ms, std::int64_t now_ms);
     void cancel_job(const std::string& id, std::int64_t now_ms);
     /// The record of a job has been deleted from the store. Its progress is deleted only now: a record
@@ -154,6 +172,9 @@
     void on_stop(const std::string& worker, const stop_order& order, const order_answer& answer,
                  std::int64_t now_ms);
     void on_advice(const std::string& step, const advice_answer& answer, std::int64_t now_ms);
+    void on_forwarded(const std::string& id, bool cancel, bool stored, std::int64_t now_ms);
+    /// @param known whether the shard that runs the job knows it; none: it did not answer
+    void on_forward_checked(const std::string& id, std::optional<bool> known, std::int64_t now_ms);
     /// The writes of @p batch and of all batches before it are in the store.
     void on_stored(std::uint64_t batch, std::int64_t now_ms);
     /// Applies ends that a previous owner has read and could not store. Ignores runs that are not active.
@@ -168,11 +189,15 @@
 
     // Queries
     std::optional<job_state> state_of(const std::string& id) const;
+    /// @return the shard that runs the job and is to be asked about it, if that is another one
+    std::optional<int> forwarded_to(const std::string& id) const;
     std::uint64_t pending(std::string_view queue) const;
     service_demand demand_of(std::string_view service) const;
     const shard_counts& counts() const { return counts_; }
     std::size_t jobs() const { return jobs_.size(); }
     std::size_t runs() const { return runs_.size(); }
+    /// Jobs that are stored here and run in other shards.
+    std::size_t forwards() const { return forwards_.size(); }
     /// Occurrences of jobs that have not ended.
     std::size_t open_occurrences() const { return open_.size(); }
     std::size_t suspected_occurrences() const { return suspects_.size(); }
@@ -187,6 +212,7 @@
 
 private:
     struct job_entry;
+    struct forward_entry;
     struct occurrence_entry;
     struct run_entry;
     struct worker_state;
@@ -204,6 +230,19 @@
     void mark_changed(occurrence_entry& occurrence);
     void forget_ended_jobs(std::int64_t now_ms);
     void drop_job(job_entry& job);
+    job_entry* insert_job(const job_spec& spec, std::int64_t age_ms, std::int64_t now_ms);
+
+    // Jobs of paths whose route leads to another service than before
+    void load_rerouted_jobs(std::int64_t now_ms);
+    void load_rerouted_job(const job_spec& spec, std::int64_t age_ms, std::int64_t now_ms);
+    void decide_route(const job_spec& spec, std::int64_t age_ms, std::int64_t now_ms);
+    void add_forward(const job_spec& spec, const job_route& route, bool cancelled, std::int64_t now_ms,
+                     const std::string& id);
+    void drop_repeat(const std::string& id);
+    void remove_forward(const std::string& id);
+    void write_routes(shard_effects& out);
+    void plan_forwards(std::int64_t now_ms, shard_effects& out);
+    void check_forwards(std::int64_t now_ms);
     void delete_orphans(const std::string& prefix);
     std::uint32_t attempt_limit(const job_entry& job) const;
 
@@ -293,10 +332,20 @@
     std::shared_ptr<const cluster_config> config_;
     std::unordered_map<std::string, std::unique_ptr<job_entry>> jobs_;
     std::map<std::string, std::string> loaded_progress_;  // by key, until finish_load()
-    std::set<std::string> cancels_without_job_;           // cancelled before the job's record was read
-    std::set<occurrence_entry*> open_;                    // neither completed, failed nor cancelled
-    std::set<occurrence_entry*> dirty_;                   // changed since their last write
-    std::map<std::string, occurrence_entry*> suspects_;   // open ones with a task to isolate, by key
+    struct rerouted_job {
+        job_spec spec;
+        std::int64_t age_ms = 0;
+    };
+    std::vector<rerouted_job> rerouted_jobs_;                         // until finish_load()
+    std::map<std::string, job_route> loaded_routes_;                  // by job, until finish_load()
+    std::map<std::string, std::unique_ptr<forward_entry>> forwards_;  // by job
+    std::set<std::string> open_forwards_;   // whose job or cancel is not in the other shard yet
+    std::set<std::string> changed_routes_;  // jobs whose decisions are to be written
+    std::vector<forward_check> forward_checks_;
+    std::set<std::string> cancels_without_job_;          // cancelled before the job's record was read
+    std::set<occurrence_entry*> open_;                   // neither completed, failed nor cancelled
+    std::set<occurrence_entry*> dirty_;                  // changed since their last write
+    std::map<std::string, occurrence_entry*> suspects_;  // open ones with a task to isolate, by key
     std::unordered_map<std::string, std::unique_ptr<run_entry>> runs_;  // by task and number
     std::map<std::string, std::unique_ptr<worker_state>> workers_;
     std::map<std::string, advice_entry> advice_;                      // by step
--- a/include/waxwingnotch/shard/shard_owner.hpp
+++ b/include/waxwingnotch/shard/shard_owner.hpp
@@ -16,10 +16,12 @@
 namespace waxwingnotch {
 
 // Topics that only this system uses. The partition is the shard.
-constexpr const char* jobs_topic = "keyed.jobs";  // accepted jobs by id; cancellations by id and suffix
-constexpr const char* runs_topic = "keyed.runs";  // progress by job and occurrence; fenced by the epoch
-constexpr const char* owner_key = "~owner";       // in runs_topic: address of the owner
-constexpr char cancel_key_suffix = '!';           // last character of a cancellation's key
+// Accepted jobs by id; cancellations and rerouted jobs by id and suffix.
+constexpr const char* jobs_topic = "keyed.jobs";
+// Progress by job and occurrence, decisions about rerouted jobs by id and suffix; fenced by the epoch.
+constexpr const char* runs_topic = "keyed.runs";
+constexpr const char* owner_key = "~owner";  // in runs_topic: address of the owner
+constexpr char cancel_key_suffix = '!';      // last character of a cancellation's key
 
 class shard_owner {
 public:
@@ -33,6 +35,12 @@
         std::function<void(const std::string& address, int shard, std::int64_t epoch,
                            std::function<void(bool)> done)>
             release;
+        /// Stores a record of a job in the shard that runs it.
+        std::function<void(int shard, keyed_record record, std::function<void(store_status)> done)> forward;
+        /// Asks the owner of @p shard for a job; @p done receives whether it knows the job, or nothing
+        /// without a certain answer.
+        std::function<void(int shard, const std::string& id, std::function<void(std::optional<bool>)> done)>
+            ask;
     };
 
     /// @param lost called once, when another owner has replaced this one
@@ -71,7 +79,9 @@
     void pump_soon();  // calls pump() from the loop, at most once per 4 ms
     void execute(shard_effects& effects);
     void send_starts(shard_effects& effects);
+    void send_forwards(shard_effects& effects);
     void delete_job_records(const std::string& id);
+    void delete_job_and_cancel(const std::string& id);
     void end_ownership(const char* reason);
 
     parts parts_;
--- a/include/waxwingnotch/store/store.hpp
+++ b/include/waxwingnotch/store/store.hpp
@@ -21,6 +21,7 @@
     unknown,         // no answer: it may have been carried out, or may still be
     fenced,          // a writer with a higher epoch has written to the partition
     wrong_sequence,  // the sequence number is not the expected one
+    wrong_offset,    // the partition does not end at the offset that the append requires
     not_holder,      // the caller does not hold the partition in the group
     offset_expired,  // the requested offset is no longer kept
     rejected,        // the call is invalid; a retry does not help
@@ -42,6 +43,7 @@
     std::string writer;                 // producer name; empty: epoch and sequence are not used
     std::int64_t epoch = 0;             // ownership epoch of the writer
     std::int64_t sequence = 0;          // rises by one with each append within an epoch
+    std::int64_t at_offset = -1;        // appends only if the partition ends there; -1: anywhere
     std::vector<keyed_record> records;  // none: only registers the epoch
 };
 
--- a/src/job/codec.cpp
+++ b/src/job/codec.cpp
@@ -2,6 +2,7 @@
 /// end, and readers must use its default where it is missing.
 #include "waxwingnotch/base/cbor_reader.hpp"
 #include "waxwingnotch/job/progress.hpp"
+#include "waxwingnotch/job/route.hpp"
 #include "waxwingnotch/job/spec.hpp"
 
 #include <algorithm>
@@ -125,8 +126,12 @@
     for (const step_spec& step : job.steps) {
         steps.push_back(step_to_json(step));
     }
-    return to_bytes(json::array({job.id, job.queue, job.service, job.payload, steps, job.repeat_count,
-                                 job.first_ms, job.interval_ms, job.accepted_ms, job.max_attempts}));
+    json row = json::array({job.id, job.queue, job.service, job.payload, steps, job.repeat_count,
+                            job.first_ms, job.interval_ms, job.accepted_ms, job.max_attempts});
+    if (job.shard >= 0) {
+        row.push_back(job.shard);
+    }
+    return to_bytes(row);
 }
 
 result<job_spec> decode_job(std::string_view bytes)
@@ -146,6 +151,7 @@
         job.interval_ms = row.at(7).get<std::int64_t>();
         job.accepted_ms = row.at(8).get<std::int64_t>();
         job.max_attempts = row.at(9).get<std::uint32_t>();
+        job.shard = row.size() > 10 ? row.at(10).get<int>() : -1;
         if (!is_job_id(job.id)) {
             return fail(error_code::malformed, "job record: the id is not a job id");
         }
@@ -190,6 +196,28 @@
     }
 }
 
+std::string encode_route(const job_route& route)
+{
+    return to_bytes(json::array({route.shard, route.service, route.queue, route.max_attempts, route.forwarded,
+                                 route.cancel_forwarded}));
+}
+
+result<job_route> decode_route(std::string_view bytes)
+{
+    try {
+        const json row = parse_bounded_cbor(bytes);
+        return job_route{.shard = row.at(0).get<int>(),
+                         .service = row.at(1).get<std::string>(),
+                         .queue = row.at(2).get<std::string>(),
+                         .max_attempts = row.at(3).get<std::uint32_t>(),
+                         .forwarded = row.at(4).get<bool>(),
+                         .cancel_forwarded = row.at(5).get<bool>()};
+    }
+    catch (const json::exception& problem) {
+        return fail(error_code::malformed, std::string("route record: ") + problem.what());
+    }
+}
+
 std::string to_string(const task_name& name)
 {
     return name.job + "." + std::to_string(name.occurrence) + "." + std::to_string(name.step) + "." +
--- a/src/node/callers.cpp
+++ b/src/node/callers.cpp
@@ -44,10 +44,17 @@
 struct caller_api::pending_request {
     http_exchange_ptr exchange;
     std::string queue;
+    std::string service;    // that the route leads to
+    int service_shard = 0;  // of that service
+    std::string home_key;   // of the path
+    bool home_known = false;
     std::string id;
+    job_spec job;        // of a submission
+    std::string key;     // of the record to append
     std::string record;  // encoded job to append
-    int shard = 0;
+    int shard = 0;       // that stores the job, or runs it if that is known to be another one
     std::int64_t received_ms = 0;
+    std::int64_t asked_ms = 0;     // monotonic time since when the job must be known to the owner of `shard`
     std::int64_t deadline_ms = 0;  // monotonic time by which the answer must be sent
     bool may_be_stored = false;    // the outcome of an append is unknown
     bool answered = false;         // later results of the store are only logged
@@ -55,12 +62,11 @@
     timer retry_timer;
     timer deadline_timer;
 
-    /// Evaluates the 404 of an owner that does not know the job.
-    /// @param reply its body is the age in ms of the owner's knowledge of the stored jobs
-    /// @return true if the owner had read everything stored before this request arrived
-    bool confirmed_unknown(const owner_reply& reply, std::int64_t now_ms) const
+    /// Whether the owner of the job's shard does not know it, and had read everything stored before this
+    /// request arrived.
+    bool confirmed_unknown(const job_answer& answer) const
     {
-        return now_ms - parse_integer(reply.body, now_ms) > received_ms;
+        return answer.answered && !answer.known && home_known && answer.complete_until_ms > asked_ms;
     }
 };
 
@@ -110,8 +116,12 @@
     request->exchange = exchange;
     request->queue = queue.name;
     request->id = id;
-    request->shard = node_.shard_of(queue.service);
+    request->service = queue.service;
+    request->service_shard = node_.shard_of(queue.service);
+    request->shard = request->service_shard;
+    request->home_key = job_homes::key_of(queue.host, queue.path_prefix);
     request->received_ms = monotonic_ms();
+    request->asked_ms = request->received_ms;
     const std::int64_t caller_timeout_ms = std::clamp<std::int64_t>(
         parse_integer(exchange->header("Deadline-Ms"), default_deadline_ms), 0, max_deadline_ms);
     request->deadline_ms = request->received_ms +
@@ -197,23 +207,64 @@
         finish(*request, 400, body, job.error().message.c_str());
         return;
     }
-    job.value().id = id;
-    job.value().queue = queue.name;
-    job.value().service = queue.service;
-    job.value().accepted_ms = wall_ms();
-    job.value().max_attempts = queue.max_attempts;
-    request->record = encode_job(job.value());
+    request->job = std::move(job.value());
+    request->job.id = id;
+    request->job.queue = queue.name;
+    request->job.service = queue.service;
+    request->job.accepted_ms = wall_ms();
+    request->job.max_attempts = queue.max_attempts;
     // An append may hang for longer than the caller waits. The request waits until the deadline, because the
     // store may only be slow, and a caller that receives 504 may not retry.
     request->deadline_timer = node_.loop.after(request->deadline_ms - request->received_ms,
                                                [this, request] { finish_unknown(request); });
-    append_job(request);
+    find_home(request);
+}
+
+/// Finds the shard that stores the jobs of the path, and appends the job there.
+void caller_api::find_home(const std::shared_ptr<pending_request>& request)
+{
+    const job_home proposed{request->service, request->service_shard};
+    node_.homes->claim(request->home_key, proposed, [this, request](store_status outcome) {
+        if (request->answered) {
+            return;
+        }
+        if (outcome == store_status::ok) {
+            encode_record(*request);
+            append_job(request);
+            return;
+        }
+        refuse_or_retry_home(request);
+    });
+}
+
+/// Nothing of the submission is stored yet.
+void caller_api::refuse_or_retry_home(const std::shared_ptr<pending_request>& request)
+{
+    if (monotonic_ms() - request->received_ms >= max_refusal_ms) {
+        refuse_unless_known(request);
+        return;
+    }
+    retry_later(request, &caller_api::find_home);
+}
+
+/// Encodes the job for its home. A job of another service than the home's has a key of its own, so that it
+/// does not replace the record of an earlier submission with the same id.
+void caller_api::encode_record(pending_request& request)
+{
+    const job_home& home = *node_.homes->find(request.home_key);
+    const bool rerouted = home != job_home{request.service, request.service_shard};
+    request.home_known = true;
+    request.shard = home.shard;
+    request.job.shard = rerouted ? request.service_shard : -1;
+    request.key = rerouted ? rerouted_key(request.id) : request.id;
+    request.record = encode_job(request.job);
+    request.job = {};
 }
 
 void caller_api::append_job(const std::shared_ptr<pending_request>& request)
 {
     ++request->attempts;
-    keyed_record record{.key = request->id, .value = request->record, .offset = -1};
+    keyed_record record{.key = request->key, .value = request->record, .offset = -1};
     node_.store_job_record(request->shard, std::move(record), [this, request](store_status outcome) {
         if (request->answered) {
             log_event(log_level::info, "append_late",
@@ -246,6 +297,10 @@
         return;
     }
     request->retry_timer.cancel();
+    if (request->attempts == 0) {
+        finish(*request, 503, R"({"error":"the job was not stored"})", "the home of the path is not known");
+        return;
+    }
     finish(*request, 504, R"({"error":"the job may have been stored; ask again with the same id"})",
            "the store has not answered");
 }
@@ -254,17 +309,72 @@
 /// be reported as not stored.
 void caller_api::refuse_unless_known(const std::shared_ptr<pending_request>& request)
 {
-    query_owner(node_, "GET", request->shard, "/shard/job?id=" + request->id, owner_timeout_ms,
-                [this, request](const owner_reply& answer) {
-                    if (request->answered) {
-                        return;
-                    }
-                    if (answer.answered && answer.status == 200) {
-                        finish(*request, 200, answer.body, "stored before");
-                        return;
-                    }
-                    finish(*request, 503, R"({"error":"the job was not stored"})", "the store refuses");
-                });
+    ask_owner(request, [this, request](const job_answer& answer) {
+        if (request->answered) {
+            return;
+        }
+        if (answer.known) {
+            finish(*request, 200, answer.state, "stored before");
+            return;
+        }
+        finish(*request, 503, R"({"error":"the job was not stored"})", "the store refuses");
+    });
+}
+
+/// Asks the owner of the request's shard, and the owner of the shard that runs the job if that is another
+/// one.
+void caller_api::ask_owner(const std::shared_ptr<pending_request>& request,
+                           std::function<void(const job_answer&)> done)
+{
+    query_job(node_, request->shard, request->id, owner_timeout_ms,
+              [this, request, done = std::move(done)](const job_answer& answer) {
+                  if (!answer.moved_to || *answer.moved_to == request->shard) {
+                      done(answer);
+                      return;
+                  }
+                  // The other shard has had the record at least since this answer.
+                  request->shard = *answer.moved_to;
+                  request->home_known = true;
+                  request->asked_ms = monotonic_ms();
+                  query_job(node_, request->shard, request->id, owner_timeout_ms, done);
+              });
+}
+
+/// Asks for a job at the home of its path. If this node does not know the home yet, it asks the shard of the
+/// path's service first: a job that is known there is the one, but one that is unknown there may have another
+/// home.
+void caller_api::find_job(const std::shared_ptr<pending_request>& request,
+                          std::function<void(const job_answer&)> done)
+{
+    ++request->attempts;
+    if (!request->home_known) {
+        use_home(*request);
+    }
+    ask_owner(request, [this, request, done = std::move(done)](const job_answer& answer) {
+        if (answer.known || request->home_known) {
+            done(answer);
+            return;
+        }
+        node_.homes->look_up(request->home_key, [this, request, done, answer](store_status outcome) {
+            const int asked = request->shard;
+            use_home(*request);
+            request->home_known = outcome == store_status::ok;
+            if (request->shard == asked) {
+                done(answer);
+                return;
+            }
+            ask_owner(request, done);
+        });
+    });
+}
+
+/// Sends a request to the home of its path, if this node knows it.
+void caller_api::use_home(pending_request& request) const
+{
+    if (const job_home* home = node_.homes->find(request.home_key)) {
+        request.shard = home->shard;
+        request.home_known = true;
+    }
 }
 
 void caller_api::get_job(const http_exchange_ptr& exchange, const queue_config& queue, const std::string& id)
@@ -274,26 +384,20 @@
 
 void caller_api::query_state(const std::shared_ptr<pending_request>& request)
 {
-    ++request->attempts;
-    query_owner(node_, "GET", request->shard, "/shard/job?id=" + request->id, owner_timeout_ms,
-                [this, request](const owner_reply& answer) {
-                    const std::int64_t now = monotonic_ms();
-                    if (answer.answered && answer.status == 200) {
-                        finish(*request, 200, answer.body, "the owner knows it");
-                        return;
-                    }
-                    if (answer.answered && answer.status == 404) {
-                        if (request->confirmed_unknown(answer, now)) {
-                            finish(*request, 410, R"({"error":"no such job"})", "the owner does not know it");
-                            return;
-                        }
-                    }
-                    if (retry_before_deadline(request, &caller_api::query_state)) {
-                        return;
-                    }
-                    finish(*request, 503, R"({"error":"the owner of the job cannot be asked now"})",
-                           "no owner answers");
-                });
+    find_job(request, [this, request](const job_answer& answer) {
+        if (answer.known) {
+            finish(*request, 200, answer.state, "the owner knows it");
+            return;
+        }
+        if (request->confirmed_unknown(answer)) {
+            finish(*request, 410, R"({"error":"no such job"})", "the owner does not know it");
+            return;
+        }
+        if (retry_before_deadline(request, &caller_api::query_state)) {
+            return;
+        }
+        finish(*request, 503, R"({"error":"the owner of the job cannot be asked now"})", "no owner answers");
+    });
 }
 
 void caller_api::cancel(const http_exchange_ptr& exchange, const queue_config& queue, const std::string& id)
@@ -303,33 +407,31 @@
 
 void caller_api::check_before_cancel(const std::shared_ptr<pending_request>& request)
 {
-    ++request->attempts;
-    query_owner(node_, "GET", request->shard, "/shard/job?id=" + request->id, owner_timeout_ms,
-                [this, request](const owner_reply& answer) {
-                    const std::int64_t now = monotonic_ms();
-                    if (answer.answered && answer.status == 200) {
-                        append_cancel(request);
-                        return;
-                    }
-                    if (answer.answered && answer.status == 404) {
-                        if (request->confirmed_unknown(answer, now)) {
-                            finish(*request, 410, R"({"error":"no such job"})", "the owner does not know it");
-                            return;
-                        }
-                        retry_later(request, &caller_api::check_before_cancel);
-                        return;
-                    }
-                    if (now - request->received_ms > cancel_check_ms) {
-                        append_cancel(request);
-                        return;
-                    }
-                    retry_later(request, &caller_api::check_before_cancel);
-                });
+    find_job(request, [this, request](const job_answer& answer) {
+        if (answer.known) {
+            append_cancel(request);
+            return;
+        }
+        if (request->confirmed_unknown(answer)) {
+            finish(*request, 410, R"({"error":"no such job"})", "the owner does not know it");
+            return;
+        }
+        // The home of the path passes a cancel on to the shard that runs the job; other shards do not.
+        const bool may_append = !answer.answered && request->home_known;
+        if (may_append && monotonic_ms() - request->received_ms > cancel_check_ms) {
+            append_cancel(request);
+            return;
+        }
+        if (!retry_before_deadline(request, &caller_api::check_before_cancel)) {
+            finish(*request, 503, R"({"error":"the owner of the job cannot be asked now"})",
+                   "no owner answers");
+        }
+    });
 }
 
 void caller_api::append_cancel(const std::shared_ptr<pending_request>& request)
 {
-    keyed_record record{.key = request->id + cancel_key_suffix, .value = "1", .offset = -1};
+    keyed_record record{.key = request->id + cancel_key_suffix, .value = cancel_record, .offset = -1};
     node_.store_job_record(request->shard, std::move(record), [this, request](store_status outcome) {
         if (outcome == store_status::ok) {
             finish(*request, 200, adapter::encode_job_state(job_state::cancelled), "stored");
@@ -345,16 +447,43 @@
 
 void caller_api::count_pending(const http_exchange_ptr& exchange, const queue_config& queue)
 {
-    query_pending(make_request(exchange, queue, {}));
+    const std::shared_ptr<pending_request> request = make_request(exchange, queue, {});
+    if (node_.homes->find(request->home_key) == nullptr) {
+        node_.homes->look_up(request->home_key, [](store_status) {});  // for later counts
+    }
+    query_pending(request);
 }
 
+/// Counts the jobs of a queue in the shard of its service, and in the home of its path if that is another
+/// one.
 void caller_api::query_pending(const std::shared_ptr<pending_request>& request)
 {
     ++request->attempts;
-    query_owner(node_, "GET", request->shard, "/shard/pending?queue=" + request->queue, owner_timeout_ms,
-                [this, request](const owner_reply& answer) {
-                    if (answer.answered && answer.status == 200) {
-                        finish(*request, 200, answer.body, "the owner counts");
+    use_home(*request);
+    std::vector<int> shards{request->service_shard};
+    if (request->shard != request->service_shard) {
+        shards.push_back(request->shard);
+    }
+    add_pending(request, std::move(shards), 0);
+}
+
+/// Adds the count of the last one of @p shards.
+/// @param count of the shards before
+void caller_api::add_pending(const std::shared_ptr<pending_request>& request, std::vector<int> shards,
+                             std::uint64_t count)
+{
+    if (shards.empty()) {
+        finish(*request, 200, adapter::encode_pending(count), "the owner counts");
+        return;
+    }
+    const int shard = shards.back();
+    shards.pop_back();
+    query_owner(node_, "GET", shard, "/shard/pending?queue=" + request->queue, owner_timeout_ms,
+                [this, request, shards = std::move(shards), count](const owner_reply& answer) {
+                    const std::int64_t more =
+                        answer.answered && answer.status == 200 ? parse_integer(answer.body, -1) : -1;
+                    if (more >= 0) {
+                        add_pending(request, shards, count + static_cast<std::uint64_t>(more));
                         return;
                     }
                     if (retry_before_deadline(request, &caller_api::query_pending)) {
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -72,7 +72,11 @@
         return {true, status_not_owner, {}};
     }
     if (path == "/shard/job") {
-        const std::optional<job_state> state = owner->core().state_of(query("id"));
+        const std::string id = query("id");
+        if (const std::optional<int> other = owner->core().forwarded_to(id)) {
+            return {true, status_other_shard, std::to_string(*other)};
+        }
+        const std::optional<job_state> state = owner->core().state_of(id);
         if (state) {
             return {true, 200, adapter::encode_job_state(*state)};
         }
@@ -84,7 +88,7 @@
         if (!owner->up_to_date()) {
             return {true, status_not_owner, {}};
         }
-        return {true, 200, adapter::encode_pending(owner->core().pending(query("queue")))};
+        return {true, 200, std::to_string(owner->core().pending(query("queue")))};
     }
     if (path == "/shard/load") {
         const service_demand demand = owner->core().demand_of(query("service"));
@@ -140,6 +144,29 @@
     });
 }
 
+void query_job(node_state& node, int shard, const std::string& id, std::int64_t timeout_ms,
+               std::function<void(const job_answer&)> done)
+{
+    query_owner(node, "GET", shard, "/shard/job?id=" + id, timeout_ms,
+                [done = std::move(done)](const owner_reply& reply) {
+                    const std::int64_t now = monotonic_ms();
+                    job_answer answer;
+                    if (reply.answered && reply.status == 200) {
+                        answer = {.answered = true, .known = true, .state = reply.body};
+                    }
+                    else if (reply.answered && reply.status == status_other_shard) {
+                        const std::int64_t other = parse_integer(reply.body, -1);
+                        answer.answered = answer.known = other >= 0;
+                        answer.moved_to = static_cast<int>(other);
+                    }
+                    else if (reply.answered && reply.status == 404) {
+                        answer = {.answered = true,
+                                  .complete_until_ms = now - parse_integer(reply.body, now)};
+                    }
+                    done(answer);
+                });
+}
+
 void call_owner(node_state& node, const http_call& call, answer_handler done)
 {
     node.client.send(call,
@@ -243,8 +270,9 @@
         return;
     }
     const std::string key = exchange->query("key").value_or("");
-    const bool cancel = !key.empty() && key.back() == cancel_key_suffix;
-    if (!is_job_id(cancel ? key.substr(0, key.size() - 1) : key) || exchange->body().empty()) {
+    const bool suffix =
+        !key.empty() && (key.back() == cancel_key_suffix || key.back() == rerouted_key_suffix);
+    if (!is_job_id(suffix ? key.substr(0, key.size() - 1) : key) || exchange->body().empty()) {
         exchange->reply(400, {}, "expected a key of a job or of a cancel, and a record");
         return;
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -94,6 +94,7 @@
                       std::function<void(bool)> done);
     void request_peer_joins();
     void deliver_ends();
+    void ask_for_job(int shard, const std::string& id, std::function<void(std::optional<bool>)> done);
     void request_release(const std::string& address, int shard, std::int64_t epoch,
                          std::function<void(bool)> done);
     void update_peers();
@@ -130,6 +131,7 @@
       metrics_server_(state_.loop), metrics_listener_(state_.loop, metrics_server_)
 {
     state_.store = std::make_unique<adapter::store_client>(state_.transport);
+    state_.homes = std::make_unique<job_homes>(*state_.store);
     state_.workers = std::make_unique<adapter::worker_client>(state_.client);
     if (!state_.settings.policy_address.empty()) {
         state_.advice =
@@ -324,16 +326,24 @@
 
 void node::take_shard(int shard, std::int64_t epoch)
 {
-    shard_options options{.epoch = epoch,
+    shard_options options{.shard = shard,
+                          .epoch = epoch,
                           .lease_ms = std::min(worker_lease_ms, state_.settings.max_lease_ms),
                           .ended_job_retention_ms = 2 * state_.settings.status_retention_ms};
     auto owner = std::make_unique<shard_owner>(
-        shard_owner::parts{&state_.loop, state_.store.get(), state_.workers.get(), state_.advice.get(),
-                           state_.settings.internal_address,
-                           [this](const std::string& address, int number, std::int64_t owner_epoch,
-                                  std::function<void(bool)> done) {
-                               request_release(address, number, owner_epoch, std::move(done));
-                           }},
+        shard_owner::parts{
+            &state_.loop, state_.store.get(), state_.workers.get(), state_.advice.get(),
+            state_.settings.internal_address,
+            [this](const std::string& address, int number, std::int64_t owner_epoch,
+                   std::function<void(bool)> done) {
+                request_release(address, number, owner_epoch, std::move(done));
+            },
+            [this](int other, keyed_record record, std::function<void(store_status)> done) {
+                state_.store_job_record(other, std::move(record), std::move(done));
+            },
+            [this](int other, const std::string& id, std::function<void(std::optional<bool>)> done) {
+                ask_for_job(other, id, std::move(done));
+            }},
         shard, options, [this, shard, epoch] { state_.release_shard(shard, epoch + 1); });
     if (state_.config) {
         configure_shard(shard, *owner);
@@ -346,6 +356,17 @@
     }
 }
 
+/// Asks the owner of @p shard whether it knows a job; @p done receives nothing without a certain answer.
+void node::ask_for_job(int shard, const std::string& id, std::function<void(std::optional<bool>)> done)
+{
+    query_job(state_, shard, id, peer_timeout_ms,
+              [done = std::move(done), asked_ms = monotonic_ms()](const job_answer& answer) {
+                  const bool certain =
+                      answer.answered && (answer.known || answer.complete_until_ms > asked_ms);
+                  done(certain ? std::optional(answer.known) : std::nullopt);
+              });
+}
+
 /// Asks another node to release a shard that this node owns with @p epoch.
 void node::request_release(const std::string& address, int shard, std::int64_t epoch,
                            std::function<void(bool)> done)
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -12,6 +12,7 @@
 #include "waxwingnotch/net/http_server.hpp"
 #include "waxwingnotch/node/host_api.hpp"
 #include "waxwingnotch/node/settings.hpp"
+#include "waxwingnotch/shard/job_homes.hpp"
 #include "waxwingnotch/shard/shard_group.hpp"
 #include "waxwingnotch/shard/shard_owner.hpp"
 #include "waxwingnotch/store/batch_appender.hpp"
@@ -38,6 +39,7 @@
     http_client client;
     store_transport transport;
     std::unique_ptr<log_store> store;
+    std::unique_ptr<job_homes> homes;  // of the paths under which jobs were accepted
     std::unique_ptr<worker_api> workers;
     std::unique_ptr<advice_api> advice;
     std::unique_ptr<host_api> hosts;
@@ -83,11 +85,28 @@
     std::string body;
 };
 
+/// What the owner of a shard knows of a job.
+struct job_answer {
+    bool answered = false;  // false: the owner is unknown, has not loaded the shard or did not answer
+    bool known = false;
+    std::string state;            // encoded, of a known job
+    std::optional<int> moved_to;  // shard that runs the job, if that is another one
+    std::int64_t complete_until_ms =
+        0;  // monotonic; all jobs that were stored by then are known to the owner
+};
+
+/// Asks the owner of @p shard for a job: this node or a peer.
+/// @param timeout_ms of the call to a peer; the call is not retried
+void query_job(node_state& node, int shard, const std::string& id, std::int64_t timeout_ms,
+               std::function<void(const job_answer&)> done);
+
 /// Sets the gauges of the metrics page.
 void update_metrics(node_state& node);
 
 /// Status of the answer of a node that does not own the shard, or has not loaded it.
 constexpr int status_not_owner = 421;
+/// Status of the answer about a job that another shard runs; the body is its number.
+constexpr int status_other_shard = 308;
 
 /// Sends a call to a peer that is said to own a shard. Looks for the owners again if it does not answer or is
 /// not the owner.
@@ -122,6 +141,14 @@
     struct pending_request;
 
     void submit(const http_exchange_ptr& exchange, const queue_config& queue, const std::string& id);
+    void find_home(const std::shared_ptr<pending_request>& request);
+    void refuse_or_retry_home(const std::shared_ptr<pending_request>& request);
+    void encode_record(pending_request& request);
+    void ask_owner(const std::shared_ptr<pending_request>& request,
+                   std::function<void(const job_answer&)> done);
+    void find_job(const std::shared_ptr<pending_request>& request,
+                  std::function<void(const job_answer&)> done);
+    void use_home(pending_request& request) const;
     void append_job(const std::shared_ptr<pending_request>& request);
     void finish_unknown(const std::shared_ptr<pending_request>& request);
     void refuse_unless_known(const std::shared_ptr<pending_request>& request);
@@ -132,6 +159,8 @@
     void append_cancel(const std::shared_ptr<pending_request>& request);
     void count_pending(const http_exchange_ptr& exchange, const queue_config& queue);
     void query_pending(const std::shared_ptr<pending_request>& request);
+    void add_pending(const std::shared_ptr<pending_request>& request, std::vector<int> shards,
+                     std::uint64_t count);
     std::shared_ptr<pending_request> make_request(const http_exchange_ptr& exchange,
                                                   const queue_config& queue, const std::string& id);
     void retry_later(const std::shared_ptr<pending_request>& request,
--- a/src/shard/core_jobs.cpp
+++ b/src/shard/core_jobs.cpp
@@ -29,6 +29,14 @@
 
 void shard_core::load_progress(const std::string& key, std::string_view bytes)
 {
+    if (!key.empty() && key.back() == rerouted_key_suffix) {
+        if (auto route = decode_route(bytes)) {
+            loaded_routes_[key.substr(0, key.size() - 1)] = std::move(route.value());
+            return;
+        }
+        log_event(log_level::error, "route_unreadable", {{"key", key}});
+        return;
+    }
     loaded_progress_[key] = std::string(bytes);
 }
 
@@ -39,6 +47,7 @@
     for (auto& [id, worker] : workers_) {
         worker->lease_end_ms = now_ms + options_.inherited_lease_ms;
     }
+    load_rerouted_jobs(now_ms);
     for (auto& [id, job] : jobs_) {
         open_occurrences(*job, now_ms);
     }
@@ -70,10 +79,23 @@
 
 void shard_core::add_job(const job_spec& spec, std::int64_t age_ms, std::int64_t now_ms)
 {
-    if (jobs_.contains(spec.id)) {
+    if (spec.shard >= 0 && !loaded_) {
+        rerouted_jobs_.push_back({spec, age_ms});
+        return;
+    }
+    if (jobs_.contains(spec.id) || forwards_.contains(spec.id)) {
         return;
     }
-    delete_orphans(spec.id + ".");
+    if (spec.shard >= 0) {
+        decide_route(spec, age_ms, now_ms);
+        return;
+    }
+    insert_job(spec, age_ms, now_ms);
+}
+
+shard_core::job_entry* shard_core::insert_job(const job_spec& spec, std::int64_t age_ms, std::int64_t now_ms)
+{
+    delete_orphans(spec.id);
     auto& slot = jobs_[spec.id];
     slot = std::make_unique<job_entry>();
     job_entry& job = *slot;
@@ -90,6 +112,7 @@
     if (loaded_) {
         open_occurrences(job, now_ms);
     }
+    return slot.get();
 }
 
 void shard_core::open_occurrences(job_entry& job, std::int64_t now_ms)
@@ -164,6 +187,13 @@
 
 void shard_core::cancel_job(const std::string& id, std::int64_t now_ms)
 {
+    if (const auto forward = forwards_.find(id); forward != forwards_.end()) {
+        forward->second->cancelled = true;
+        if (!forward->second->settled()) {
+            open_forwards_.insert(id);
+        }
+        return;
+    }
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) {
         cancels_without_job_.insert(id);
@@ -262,6 +292,7 @@
         }
         ++it;
     }
+    check_forwards(now_ms);
     if (now_ms - loaded_ms_ > orphan_retention_ms) {
         delete_orphans({});
     }
@@ -270,6 +301,7 @@
 void shard_core::remove_job(const std::string& id)
 {
     cancels_without_job_.erase(id);
+    remove_forward(id);
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) {
         return;
@@ -289,6 +321,10 @@
 /// Forgets the occurrences of a job whose record is deleted, and deletes their progress.
 void shard_core::drop_job(job_entry& job)
 {
+    if (job.route) {
+        deleted_progress_.insert(rerouted_key(job.spec.id));
+        batch_needed_ = true;
+    }
     for (auto& [number, occurrence] : job.occurrences) {
         open_.erase(occurrence.get());
         suspects_.erase(occurrence->key());
@@ -316,6 +352,12 @@
 
 std::optional<job_state> shard_core::state_of(const std::string& id) const
 {
+    if (const auto forward = forwards_.find(id); forward != forwards_.end()) {
+        if (forward->second->deleting) {
+            return std::nullopt;
+        }
+        return forward->second->cancelled ? job_state::cancelled : job_state::queued;
+    }
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) {
         return std::nullopt;
@@ -339,10 +381,16 @@
 
 std::uint64_t shard_core::pending(std::string_view queue) const
 {
-    return static_cast<std::uint64_t>(std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
+    const auto here = std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
         const job_entry& job = *entry.second;
         return job.spec.queue == queue && !job.started && !job.ended();
-    }));
+    });
+    const auto on_the_way =
+        std::count_if(open_forwards_.begin(), open_forwards_.end(), [&](const std::string& id) {
+            const forward_entry& forward = *forwards_.at(id);
+            return forward.route.queue == queue && !forward.route.forwarded && !forward.cancelled;
+        });
+    return static_cast<std::uint64_t>(here + on_the_way);
 }
 
 service_demand shard_core::demand_of(std::string_view service) const
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -4,6 +4,7 @@
 
 #include "waxwingnotch/decision/job_order.hpp"
 #include "waxwingnotch/decision/task_placement.hpp"
+#include "waxwingnotch/job/route.hpp"
 #include "waxwingnotch/shard/shard_core.hpp"
 
 #include <algorithm>
@@ -26,12 +27,30 @@
     std::uint64_t end_batch = 0;     // store batch that contains its last end; 0: stored before
     std::map<std::uint32_t, std::unique_ptr<occurrence_entry>> occurrences;
 
-    std::size_t runs = 0;   // active, including assignments that are not stored yet
-    bool deleting = false;  // the deletion of its record has been requested
-    bool deleted = false;   // its record has been deleted
+    std::size_t runs = 0;            // active, including assignments that are not stored yet
+    bool deleting = false;           // the deletion of its record has been requested
+    bool deleted = false;            // its record has been deleted
+    std::optional<job_route> route;  // the decision to run it here; none for a job of the home's own service
     bool ended() const { return cancelled || failed || completed_occurrences >= spec.occurrences(); }
 };
 
+/// A job that is stored here and runs in another shard.
+struct shard_core::forward_entry {
+    job_spec spec;
+    job_route route;
+    std::uint64_t route_batch = 0;  // store batch that contains the decision; 0: stored before
+    bool cancelled = false;
+    bool sending_job = false;
+    bool sending_cancel = false;
+    bool checking = false;
+    bool deleting = false;      // the deletion of its record has been requested
+    std::int64_t retry_ms = 0;  // no forwarding before
+    std::int64_t check_ms = 0;  // no question whether the other shard knows it before
+
+    /// Whether the other shard has all records of the job.
+    bool settled() const { return route.forwarded && (!cancelled || route.cancel_forwarded); }
+};
+
 /// One occurrence of a job.
 struct shard_core::occurrence_entry {
     job_entry* job = nullptr;
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -407,6 +407,7 @@
         for (const std::string& key : std::exchange(deleted_progress_, {})) {
             out.writes.emplace_back(key, std::nullopt);
         }
+        write_routes(out);
         for (occurrence_entry* occurrence : dirty_) {
             out.writes.emplace_back(occurrence->key(), encode_progress(occurrence->progress));
         }
@@ -418,6 +419,7 @@
     out.paces = std::exchange(paces_, {});
     out.advice = std::exchange(advice_requests_, {});
     plan_polls(now_ms, out);
+    plan_forwards(now_ms, out);
     return out;
 }
 
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -158,6 +158,12 @@
         log_event(log_level::error, "job_unreadable", {{"key", record.key}, {"reason", job.error().message}});
         return;
     }
+    const bool rerouted = !record.key.empty() && record.key.back() == rerouted_key_suffix;
+    if (rerouted != (job.value().shard >= 0)) {
+        log_event(log_level::error, "job_unreadable",
+                  {{"key", record.key}, {"reason", "the key does not fit the shard that runs the job"}});
+        return;
+    }
     core_.add_job(job.value(), wall_ms() - job.value().accepted_ms, now);
     pump_soon();
 }
@@ -174,6 +180,15 @@
         }
         job_offsets_.erase(found);
     }
+    if (!record.key.empty() && record.key.back() == rerouted_key_suffix) {
+        // The deletion of the id itself follows, but is not read if the store drops its history meanwhile.
+        const std::string id = record.key.substr(0, record.key.size() - 1);
+        if (!job_offsets_.contains(id)) {
+            core_.remove_job(id);
+        }
+        pump_soon();
+        return;
+    }
     core_.remove_job(record.key);
     pump_soon();
 }
@@ -273,6 +288,7 @@
     for (const std::string& id : effects.forget) {
         delete_job_records(id);
     }
+    send_forwards(effects);
     send_starts(effects);
     for (const stop_effect& effect : effects.stops) {
         parts_.workers->stop(effect.worker, effect.order,
@@ -330,6 +346,29 @@
     }
 }
 
+void shard_owner::send_forwards(shard_effects& effects)
+{
+    for (forward_effect& effect : effects.forwards) {
+        const std::string key = effect.cancel ? effect.id + cancel_key_suffix : effect.id;
+        keyed_record record{.key = key, .value = std::move(effect.record), .offset = -1};
+        parts_.forward(effect.shard, std::move(record),
+                       [this, id = effect.id, cancel = effect.cancel, alive = alive_](store_status outcome) {
+                           if (*alive) {
+                               core_.on_forwarded(id, cancel, outcome == store_status::ok, monotonic_ms());
+                               pump_soon();
+                           }
+                       });
+    }
+    for (const forward_check& check : effects.forward_checks) {
+        parts_.ask(check.shard, check.id, [this, id = check.id, alive = alive_](std::optional<bool> known) {
+            if (*alive) {
+                core_.on_forward_checked(id, known, monotonic_ms());
+                pump_soon();
+            }
+        });
+    }
+}
+
 /// Deletes the record of a job and of its cancel after its retention time. The core deletes the progress once
 /// the deletion has been read back.
 ///
@@ -345,6 +384,18 @@
             [this] { end_ownership("another owner deletes the jobs of the shard"); });
         deletions_->open([] {});
     }
+    const std::string rerouted = rerouted_key(id);
+    if (job_offsets_.contains(rerouted)) {
+        // This one goes first: if it were left without the others, it would be a new job to the next owner.
+        deletions_->put(rerouted, std::nullopt);
+        deletions_->when_stored([this, id] { delete_job_and_cancel(id); });
+        return;
+    }
+    delete_job_and_cancel(id);
+}
+
+void shard_owner::delete_job_and_cancel(const std::string& id)
+{
     deletions_->put(id, std::nullopt);
     deletions_->put(id + cancel_key_suffix, std::nullopt);
 }
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -173,6 +173,8 @@
         return "fenced";
     case store_status::wrong_sequence:
         return "unexpected sequence number";
+    case store_status::wrong_offset:
+        return "unexpected end of the partition";
     case store_status::not_holder:
         return "not the holder";
     case store_status::offset_expired:
--- a/tests/fakes/fake_store.hpp
+++ b/tests/fakes/fake_store.hpp
@@ -159,6 +159,10 @@
     {
         partition& target = partitions[{request.topic, request.partition}];
         append_result outcome{.status = store_status::ok};
+        const auto end = static_cast<std::int64_t>(target.records.size());
+        if (request.at_offset >= 0 && request.at_offset != end) {
+            return {.status = store_status::wrong_offset, .end_offset = end};
+        }
         if (!request.writer.empty()) {
             if (request.epoch < target.epoch) {
                 return {.status = store_status::fenced};
--- a/tests/shard/shard_world.hpp
+++ b/tests/shard/shard_world.hpp
@@ -9,6 +9,7 @@
 #include "waxwingnotch/shard/shard_core.hpp"
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <limits>
 #include <map>
@@ -44,7 +45,7 @@
     std::int64_t now = 1'000'000;
     std::map<std::string, fake_worker> workers;
     std::map<std::string, std::string> progress;  // stored progress by key
-    std::vector<job_spec> jobs;                   // stored jobs
+    std::vector<job_spec> jobs;                   // stored jobs; the newest of each key
     std::set<std::string> cancels;
     std::int64_t epoch = 0;             // of the newest owner
     std::set<std::string> unreachable;  // workers that get no orders
@@ -62,11 +63,17 @@
     std::map<std::string, std::int64_t> crashing_tasks;
     std::map<std::string, int> crashes;  // workers that crashed under a crashing task, by task
 
+    // Set where another world runs the rerouted jobs of this one.
+    std::function<bool(const forward_effect& effect)> forward;  // whether the record was stored and answered
+    std::function<std::optional<bool>(const std::string& id)> ask;  // whether the job is known there
+
     struct owner {
         std::unique_ptr<shard_core> core;
         std::int64_t epoch = 0;
         bool terminated = false;      // it receives no more events; its writes in flight are still stored
-        std::int64_t last_store = 0;  // time of its last write; the store applies an owner's writes in order
+        std::int64_t last_store = 0;  // time of its last write
+        // The store applies an owner's writes in order; each event of a write stores the first one.
+        std::deque<shard_effects> unstored;
     };
     using owner_ptr = std::shared_ptr<owner>;
 
@@ -160,6 +167,9 @@
 
     void submit(const job_spec& job)
     {
+        const bool rerouted = job.shard >= 0;
+        std::erase_if(jobs,
+                      [&](const job_spec& old) { return old.id == job.id && (old.shard >= 0) == rerouted; });
         jobs.push_back(job);
         for (const owner_ptr& owner : owners) {
             owner->core->add_job(job, 0, now);
@@ -257,7 +267,8 @@
         shard_effects effects = owner->core->take_effects(now);
         if (effects.batch != 0) {
             owner->last_store = std::max(now + draw(4, 12), owner->last_store + 1);
-            after(owner->last_store - now, [this, owner, effects] { store(owner, effects); });
+            owner->unstored.push_back(effects);
+            after(owner->last_store - now, [this, owner] { store(owner); });
         }
         for (const std::string& id : effects.forget) {
             after(draw(4, 12), [this, owner, id] { delete_job(owner, id); });
@@ -287,6 +298,24 @@
                 }
             });
         }
+        for (const forward_effect& effect : effects.forwards) {
+            after(draw(4, 12), [this, owner, effect] {
+                const bool stored = forward(effect);
+                if (!owner->terminated) {
+                    owner->core->on_forwarded(effect.id, effect.cancel, stored, now);
+                    pump(owner);
+                }
+            });
+        }
+        for (const forward_check& check : effects.forward_checks) {
+            after(draw(1, 4), [this, owner, id = check.id] {
+                const std::optional<bool> known = ask(id);
+                if (!owner->terminated) {
+                    owner->core->on_forward_checked(id, known, now);
+                    pump(owner);
+                }
+            });
+        }
         for (const poll_effect& effect : effects.polls) {
             const std::int64_t sent = now;
             send_poll(owner, effect, sent);
@@ -323,29 +352,31 @@
         return answer;
     }
 
-    void store(const owner_ptr& owner, const shard_effects& effects)
+    void store(const owner_ptr& owner)
     {
         if (store_down) {
             owner->last_store = std::max(now + 60, owner->last_store + 1);
-            after(owner->last_store - now, [this, owner, effects] { store(owner, effects); });
+            after(owner->last_store - now, [this, owner] { store(owner); });
             return;
         }
         if (owner->epoch < epoch && fenced_writes) {
             owner->terminated = true;
             return;
         }
+        const shard_effects effects = owner->unstored.front();
         for (const auto& [key, value] : effects.writes) {
             if (value) {
                 progress[key] = *value;
             }
             else if (progress.contains(key) && !take_deletion()) {
-                store(owner, effects);  // the records before this one are stored; repeated once it is back
+                store(owner);  // the records before this one are stored; repeated once it is back
                 return;
             }
             else {
                 progress.erase(key);
             }
         }
+        owner->unstored.pop_front();
         if (owner->terminated) {
             return;
         }
@@ -374,6 +405,14 @@
             after(60, [this, owner, id] { delete_job(owner, id); });
             return;
         }
+        // The record of a rerouted job is deleted on its own, before the others.
+        const auto is_rerouted = [&](const job_spec& job) {
+            return job.id == id && job.shard >= 0;
+        };
+        if (std::erase_if(jobs, is_rerouted) > 0) {
+            after(draw(4, 12), [this, owner, id] { delete_job(owner, id); });
+            return;
+        }
         std::erase_if(jobs, [&](const job_spec& job) { return job.id == id; });
         cancels.erase(id);
         for (const owner_ptr& reader : owners) {
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -104,6 +104,10 @@
             job.refusals += 1
 
     def answered_cancel(self, record, job, status):
+        old = job.finished and record["sent"] > job.finished + STATUS_S
+        if status == 410 and job.accepted and record["sent"] > job.accepted and not old:
+            self.breach(record["at"], "LOST", f"{record['node']} answers 410 to the cancel of {record['job']}, "
+                        f"accepted at {job.accepted:.3f}", record["job"])
         job.cancel_sent = min(job.cancel_sent or record["sent"], record["sent"])
         if 200 <= status < 300:
             job.cancelled = job.cancelled or record["at"]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -293,6 +293,22 @@
         await asyncio.sleep(random.uniform(0.02, 0.2))
 
 
+async def routes_move(world, random, seconds):
+    """Prefixes lead to other services, back again, or nowhere for a moment; accepted requests arrive once more."""
+    services = list(world.leads)
+    for _ in range(random.choice([1, 3, 8])):
+        prefix = random.choice(services)
+        world.leads[prefix] = random.choice([*services, prefix, None])
+        world.publish()
+        await asyncio.sleep(random.uniform(0.05, seconds / 3))
+        accepted = [name for name, job in world.checker.jobs.items() if job.accepted]
+        for name in random.sample(accepted, min(len(accepted), 6)):
+            world.spawn(world.repeat(name))
+        if world.leads[prefix] is None:
+            world.leads[prefix] = random.choice(services)
+            world.publish()
+
+
 async def many_routes(world, random, seconds):
     for count in (200, 500, 900):
         world.publish(count)
@@ -401,7 +417,7 @@
 FAULTS = [store_down, store_slow, store_loses_answers, store_turns_some_away, store_forgets, store_deals_anew,
           odd_entries, odd_nesting, store_links, peer_links, worker_links, workers_crash, workers_leave, workers_slow,
           workers_fail, wave, node_stop, stops_in_turn, node_kill, all_killed, node_pause, node_reload,
-          reload_at_start, configurations, many_routes, large_jobs, hopeless_jobs, deadly_job, lasting_jobs, cancels,
+          reload_at_start, configurations, routes_move, many_routes, large_jobs, hopeless_jobs, deadly_job, lasting_jobs, cancels,
           hasty_clients, many_connections, large_bodies, odd_hosts]
 
 
--- a/tests/soak/faulty_platform.py
+++ b/tests/soak/faulty_platform.py
@@ -147,6 +147,12 @@
         answer = await self.handle(method, path, {"group": "", **query}, headers, body)
         return None if lost else answer
 
+    def append(self, topic, part, query, body):
+        end = self.partition(topic, part).end
+        if "at" in query and int(query["at"]) != end:
+            return 412, dump({"end": end})
+        return super().append(topic, part, query, body)
+
     async def read(self, topic, part, query):
         first = self.first.get((topic, part), 0)
         if int(query["from"]) < first:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -70,6 +70,7 @@
         self.nodes = [Node(self, number) for number in range(node_count)]
         self.version = 0
         self.extra_routes = 0
+        self.leads = {name: name for name in SERVICES if name != STANDBY}  # by prefix: service, or None
         self.disturbed_until = 0.0  # of what concerns all nodes
         self.traffic = True
         self.background = set()
@@ -119,7 +120,8 @@
         """@param extra_service adds a service after all others, so that theirs keep their order"""
         self.version += self.random.randint(1, 5)
         self.extra_routes = self.extra_routes if extra_routes is None else extra_routes
-        names = [(f"q-{name}", f"/{name}/", name) for name in SERVICES if name != STANDBY]
+        names = [(f"q-{name}" if service == name else f"q-{name}-{service}", f"/{name}/", service)
+                 for name, service in self.leads.items() if service]
         names += [(f"extra-{number}", f"/extra{number}/", "dockside") for number in range(self.extra_routes)]
         routes = [{"name": name, "host": HOST, "pathPrefix": prefix, "kind": "non_idempotent",
                    "timeoutMs": timeout_ms, "completionTargetMs": 600, "priority": 0, "service": service,
@@ -237,6 +239,10 @@
             await asyncio.sleep(self.random.uniform(0.2, 1.0))
         return False
 
+    async def repeat(self, name):
+        """Sends an accepted request once more."""
+        await self.submit(name, tries=1)
+
     async def client(self, name, cancel_after_s=None):
         """Hands a job in and asks for its state until it has ended."""
         if not await self.submit(name):
