--- /dev/null
+++ b/tests/shard/shard_owner_test.cpp
@@ -0,0 +1,171 @@
+/// Tests of shard_owner with an in-memory store and workers that answer at once, on the real clock.
+#include "fakes/fake_store.hpp"
+#include "fakes/fake_worker.hpp"
+
+#include "waxwingnotch/base/clock.hpp"
+#include "waxwingnotch/shard/shard_owner.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+
+namespace waxwingnotch {
+namespace {
+
+constexpr std::int64_t test_timeout_ms = 30'000;
+constexpr std::int64_t task_ms = 20;
+
+/// Workers in memory; counts the starts of each task.
+class memory_workers final : public worker_api {
+public:
+    explicit memory_workers(event_loop& loop) : loop_(loop) {}
+
+    void start(const worker_target& /*target*/, const start_order& order, handler<order_answer> done) override
+    {
+        const std::size_t before = worker.running.size();
+        const order_answer answer = worker.start(order, monotonic_ms(), task_ms, end_kind::done);
+        started[order.task] += worker.running.size() > before ? 1 : 0;
+        loop_.defer([done, answer] { done(answer); });
+    }
+    void stop(const worker_target& /*target*/, const stop_order& order, handler<order_answer> done) override
+    {
+        loop_.defer([done, answer = worker.stop(order, monotonic_ms())] { done(answer); });
+    }
+    void pace(const worker_target& /*target*/, const pace_order& /*order*/,
+              handler<order_answer> done) override
+    {
+        loop_.defer([done] { done({.outcome = order_result::ok}); });
+    }
+    void poll(const worker_target& /*target*/, const poll_order& order, handler<poll_answer> done) override
+    {
+        constexpr std::int64_t wait_ms = 5;
+        polls_.push_back(
+            loop_.after(wait_ms, [this, order, done] { done(worker.poll(order, monotonic_ms())); }));
+    }
+
+    fake_worker worker;
+    std::map<std::string, int> started;
+
+private:
+    event_loop& loop_;
+    std::vector<timer> polls_;
+};
+
+class shard_owner_test : public testing::Test {
+protected:
+    shard_owner_test()
+    {
+        workers.worker.entry = {.id = "a",
+                                .service = "svc",
+                                .address = "10.0.0.1:1",
+                                .capacity = {8'000, 64'000, 0},
+                                .started_ms = monotonic_ms() - 1'000};
+    }
+
+    /// Starts an owner, which takes over from the one before.
+    void take_over()
+    {
+        owner.reset();
+        const shard_options options{.epoch = ++epoch_, .ended_job_retention_ms = 200};
+        owner = std::make_unique<shard_owner>(
+            shard_owner::parts{.loop = &loop, .store = &store, .workers = &workers, .address = "node"}, 0,
+            options, [] { FAIL() << "the owner was replaced"; });
+        auto config = std::make_shared<cluster_config>();
+        config->queues.push_back({.name = "q", .service = "svc", .max_attempts = 4});
+        config->services.push_back({.name = "svc"});
+        owner->set_config(config);
+        owner->put_worker(workers.worker.entry);
+        owner->start();
+    }
+
+    /// Runs the loop until @p condition holds; fails the test after test_timeout_ms.
+    void run_until(const std::function<bool()>& condition)
+    {
+        const timer check = loop.every(10, [&] {
+            if (condition()) {
+                loop.stop();
+            }
+        });
+        const timer timeout = loop.after(test_timeout_ms, [this] {
+            ADD_FAILURE() << "the test timed out";
+            loop.stop();
+        });
+        loop.run();
+    }
+    void run_for(std::int64_t duration_ms)
+    {
+        const std::int64_t end_ms = monotonic_ms() + duration_ms;
+        run_until([end_ms] { return monotonic_ms() >= end_ms; });
+    }
+
+    void submit(int count)
+    {
+        append_request request{.topic = jobs_topic, .partition = 0};
+        for (int number = 0; number < count; ++number) {
+            job_spec job;
+            job.id = "00000000000000" + std::to_string(10 + number);
+            job.queue = "q";
+            job.service = "svc";
+            job.steps.push_back({.task_count = 1, .need = {100, 100, 0}});
+            job.accepted_ms = wall_ms();
+            request.records.push_back({.key = job.id, .value = encode_job(job), .offset = -1});
+        }
+        store.append(request, [](const append_result&) {});
+    }
+    bool all_deleted()
+    {
+        return store.newest_of(jobs_topic, 0).empty() && store.newest_of(runs_topic, 0).size() == 1;
+    }
+
+    event_loop loop;
+    fake_store store{loop};
+    memory_workers workers{loop};
+    std::unique_ptr<shard_owner> owner;
+
+private:
+    std::int64_t epoch_ = 0;
+};
+
+// The record of an ended job was deleted by one append, whose refusal was only logged, and its progress by
+// the journal, which repeats. The job that stayed was a new one to the next owner, and its tasks ran again.
+TEST_F(shard_owner_test, a_store_that_refuses_deletions_brings_no_ended_job_back)
+{
+    constexpr int jobs = 3;
+    take_over();
+    submit(jobs);
+    run_until([&] { return workers.started.size() == jobs && workers.worker.running.empty(); });
+    run_for(300);
+    store.refuse = true;  // when the retention time is over
+    run_for(6'000);
+    store.refuse = false;
+    run_for(1'000);
+    take_over();
+    run_for(1'000);
+    for (const auto& [task, starts] : workers.started) {
+        EXPECT_EQ(starts, 1) << task;
+    }
+    run_until([&] { return all_deleted(); });
+}
+
+// A store that drops its history makes the owner read all jobs anew, also those whose deletion is on its way.
+TEST_F(shard_owner_test, a_reload_while_ended_jobs_are_deleted_brings_none_back)
+{
+    constexpr int jobs = 3;
+    take_over();
+    submit(jobs);
+    run_until([&] { return workers.started.size() == jobs && workers.worker.running.empty(); });
+    run_for(300);
+    store.lose_answers = 2;
+    for (int second = 0; second < 7; ++second) {
+        store.drop_history(jobs_topic, 0);
+        run_for(1'000);
+    }
+    for (const auto& [task, starts] : workers.started) {
+        EXPECT_EQ(starts, 1) << task;
+    }
+    run_until([&] { return all_deleted(); });
+}
+
+}  // namespace
+}  // namespace waxwingnotch
