Test that tasks follow allowed workers that are all replaced

The tests replace all allowed workers before new ones come, also while the policy service is silent, and bring a worker back under its id.

--- a/tests/shard/shard_advice_test.cpp
+++ b/tests/shard/shard_advice_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 namespace waxwingnotch {
 namespace {
@@ -103,5 +104,77 @@
     EXPECT_EQ(owner->core->state_of(id_of(1)), job_state::completed);
 }
 
+// The allowed workers had all gone before one came that could be asked about, or the policy service was
+// silent while they went; nothing was asked any more, and the tasks stayed away for good.
+TEST(shard_advice, allowed_workers_that_are_all_replaced_are_followed)
+{
+    for (const bool silent : {false, true}) {
+        for (const std::int64_t gap_ms : {0, 1'000, 20'000}) {
+            shard_world world(6);
+            bool answers = true;
+            world.policy = [&](const std::vector<std::string>& workers) {
+                return answers ? allow_a(workers) : advice_answer();
+            };
+            for (const char* id : {"a1", "a2", "b1", "b2"}) {
+                world.add_worker(id);
+            }
+            const auto owner = world.take_over();
+            job_spec job = shard_world::long_running_job(2);
+            job.steps[0].max_per_worker = 1;
+            world.submit(job);
+            world.run(3'000);
+            EXPECT_EQ(owner->core->runs(), 2U);
+            answers = !silent;
+            for (const char* id : {"a1", "a2"}) {
+                world.workers[id].entry.draining = true;
+                owner->core->put_worker(world.workers[id].entry, world.now);
+                world.run(2'000);
+                world.workers[id].alive = false;
+                world.workers[id].running.clear();
+                owner->core->remove_worker(id, world.now);
+            }
+            world.run(gap_ms);
+            world.add_worker("a3");
+            world.add_worker("a4");
+            world.run(5'000);
+            answers = true;
+            world.run(12'000);
+            std::size_t at_work = 0;
+            for (const char* id : {"a3", "a4"}) {
+                at_work += world.workers[id].running.size();
+            }
+            EXPECT_EQ(at_work, 2U) << "silent " << silent << ", gap " << gap_ms;
+            EXPECT_EQ(world.violations, std::vector<std::string>());
+        }
+    }
+}
+
+// A ticket ends with the life of its worker. One that is back under its id is another life.
+TEST(shard_advice, a_worker_that_is_back_under_its_id_is_asked_about_again)
+{
+    shard_world world(7);
+    std::set<std::string> allowed{"a1"};
+    world.policy = [&](const std::vector<std::string>& workers) {
+        advice_answer answer = allow_a(workers);
+        std::erase_if(answer.allowed,
+                      [&](const advice_row& row) { return !allowed.contains(row.worker_id); });
+        return answer;
+    };
+    world.add_worker("a1");
+    world.add_worker("a2");
+    const auto owner = world.take_over();
+    world.submit(shard_world::job(id_of(1), 1));
+    world.run(3'000);
+    EXPECT_EQ(owner->core->state_of(id_of(1)), job_state::completed);
+    allowed = {"a2"};
+    for (const char* id : {"a1", "a2"}) {
+        world.workers[id].restart(world.now);
+        owner->core->put_worker(world.workers[id].entry, world.now);
+    }
+    world.submit(shard_world::job(id_of(2), 1));
+    world.run(10'000);
+    EXPECT_EQ(owner->core->state_of(id_of(2)), job_state::completed);
+}
+
 }  // namespace
 }  // namespace waxwingnotch
