Give no task up for connections that were refused

Cause: refused connections were evidence enough to end a job, while they only say that nobody listens on the way.

A task with as many suspicions as before starts no more until one of the workers answers, which proves or refutes the crash; after 60 s without one it is given up. It is not started more often than before. A worker whose registration has lapsed is remembered for that long.

--- a/include/waxwingnotch/decision/crash_suspicion.hpp
+++ b/include/waxwingnotch/decision/crash_suspicion.hpp
@@ -45,7 +45,7 @@
 bool must_isolate(const crash_history& history);
 /// @param proved another process has been seen in the place of the crashed one. Refused connections alone may
 ///        also mean that a network turns the calls away, so without proof it takes more of them.
-/// @return whether the task has crashed enough workers to be given up
+/// @return whether the task has crashed enough workers to be given up; without proof it first waits for one
 bool must_give_up(const crash_history& history, bool proved);
 
 /// A worker that could be kept free for a task to be isolated.
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -290,6 +290,9 @@
     void refute_crash(worker_state& worker, std::int64_t started_ms);
     static void log_suspect(const run_entry& run, std::size_t runs_on_worker, bool given_up,
                             std::int64_t now_ms);
+    occurrence_entry* find_open(const task_name& name) const;
+    static bool awaits_proof(const occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index);
+    void check_awaited_proofs(std::int64_t now_ms);
     void give_up(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index, std::int64_t now_ms);
     void remove_suspicion(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
                           crash_suspicion suspicion);
@@ -342,10 +345,17 @@
     std::set<std::string> open_forwards_;   // whose job or cancel is not in the other shard yet
     std::set<std::string> changed_routes_;  // jobs whose decisions are to be written
     std::vector<forward_check> forward_checks_;
-    std::set<std::string> cancels_without_job_;          // cancelled before the job's record was read
-    std::set<occurrence_entry*> open_;                   // neither completed, failed nor cancelled
-    std::set<occurrence_entry*> dirty_;                  // changed since their last write
-    std::map<std::string, occurrence_entry*> suspects_;  // open ones with a task to isolate, by key
+    std::set<std::string> cancels_without_job_;  // cancelled before the job's record was read
+    std::set<occurrence_entry*> open_;           // neither completed, failed nor cancelled
+    std::set<occurrence_entry*> dirty_;          // changed since their last write
+    /// A task that starts no more until a crash of one of its workers is proved or refuted.
+    struct awaited_proof {
+        task_name name;
+        std::int64_t since_ms = 0;  // of its latest crash
+        bool expired = false;       // nothing can prove or refute it
+    };
+    std::map<std::string, awaited_proof> awaiting_proof_;  // by task
+    std::map<std::string, occurrence_entry*> suspects_;    // open ones with a task to isolate, by key
     std::unordered_map<std::string, std::unique_ptr<run_entry>> runs_;  // by task and number
     std::map<std::string, std::unique_ptr<worker_state>> workers_;
     std::map<std::string, advice_entry> advice_;                      // by step
--- a/src/shard/core_crashes.cpp
+++ b/src/shard/core_crashes.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+// A task that enough workers seem to have crashed under waits for one of them to answer, which proves or
+// refutes the crash. Workers that are gone this long, ten times what a restart takes, are not cut off for a
+// while.
+constexpr std::int64_t proof_wait_ms = 60'000;
 constexpr int refusals_of_a_crash = 2;  // polls in a row; one refusal may be a connection that was just reset
 
 /// Whether the worker's process has ended, as far as failed polls can tell.
@@ -147,10 +151,57 @@
     if (must_isolate(task.crashes)) {
         suspects_[occurrence.key()] = &occurrence;
     }
-    const bool given_up = must_give_up(task.crashes, false) && task.phase == task_phase::active;
-    log_suspect(run, runs_on_worker, given_up, now_ms);
-    if (given_up) {
-        give_up(occurrence, run.step, run.index, now_ms);
+    if (must_give_up(task.crashes, false)) {
+        awaiting_proof_.insert_or_assign(
+            run.task,
+            awaited_proof{{occurrence.job->spec.id, occurrence.number, run.step, run.index}, now_ms});
+    }
+    log_suspect(run, runs_on_worker, false, now_ms);
+}
+
+/// @return the open occurrence of a task, or null
+shard_core::occurrence_entry* shard_core::find_open(const task_name& name) const
+{
+    const auto job = jobs_.find(name.job);
+    if (job == jobs_.end()) {
+        return nullptr;
+    }
+    const auto found = job->second->occurrences.find(name.occurrence);
+    return found != job->second->occurrences.end() && open_.contains(found->second.get())
+               ? found->second.get()
+               : nullptr;
+}
+
+/// Whether the task starts no more until a crash is proved or refuted.
+bool shard_core::awaits_proof(const occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index)
+{
+    const std::vector<task_progress>& tasks = occurrence.progress.steps[step];
+    if (!occurrence.step(step).gang) {
+        return must_give_up(tasks[index].crashes, false);
+    }
+    return std::any_of(tasks.begin(), tasks.end(),
+                       [](const task_progress& task) { return must_give_up(task.crashes, false); });
+}
+
+/// Gives up the tasks whose crashed workers have not come back.
+void shard_core::check_awaited_proofs(std::int64_t now_ms)
+{
+    for (auto it = awaiting_proof_.begin(); it != awaiting_proof_.end();) {
+        const awaited_proof awaited = it->second;
+        occurrence_entry* occurrence = find_open(awaited.name);
+        const bool waits =
+            occurrence != nullptr && awaits_proof(*occurrence, awaited.name.step, awaited.name.index);
+        if (waits && !awaited.expired && now_ms - awaited.since_ms < proof_wait_ms) {
+            ++it;
+            continue;
+        }
+        const std::string task = it->first;
+        it = awaiting_proof_.erase(it);
+        if (waits) {
+            log_event(log_level::warning, "crash_suspect",
+                      {{"task", task}, {"outcome", "given up, no worker has come back"}});
+            give_up(*occurrence, awaited.name.step, awaited.name.index, now_ms);
+        }
     }
 }
 
@@ -176,7 +227,9 @@
                          std::int64_t now_ms)
 {
     ++counts_.given_up;
-    occurrence.task(step, index).phase = task_phase::failed;
+    task_progress& task = occurrence.task(step, index);
+    occurrence.waiting_tasks -= task.phase == task_phase::waiting ? 1 : 0;
+    task.phase = task_phase::failed;
     mark_changed(occurrence);
     stop_task(occurrence, step, index, now_ms);
     finish_occurrence(occurrence, now_ms);
@@ -186,7 +239,15 @@
 /// that is enough.
 void shard_core::prove_crash(worker_state& worker, std::int64_t now_ms)
 {
-    worker.suspected.clear();
+    for (const suspected_task& suspected : std::exchange(worker.suspected, {})) {
+        occurrence_entry* occurrence = find_open(suspected.name);
+        if (occurrence != nullptr && awaits_proof(*occurrence, suspected.name.step, suspected.name.index)) {
+            log_event(
+                log_level::warning, "crash_suspect",
+                {{"task", to_string(suspected.name)}, {"worker", worker.entry.id}, {"outcome", "given up"}});
+            give_up(*occurrence, suspected.name.step, suspected.name.index, now_ms);
+        }
+    }
     const std::vector<run_entry*> runs(worker.runs.begin(), worker.runs.end());
     for (run_entry* run : runs) {
         if (!run->in_crash || run->suspicion == crash_suspicion::none) {
@@ -221,14 +282,8 @@
         }
     }
     for (const suspected_task& suspected : std::exchange(worker.suspected, {})) {
-        const auto job = jobs_.find(suspected.name.job);
-        if (job == jobs_.end()) {
-            continue;
-        }
-        const auto occurrence = job->second->occurrences.find(suspected.name.occurrence);
-        if (occurrence != job->second->occurrences.end()) {
-            remove_suspicion(*occurrence->second, suspected.name.step, suspected.name.index,
-                             suspected.suspicion);
+        if (occurrence_entry* occurrence = find_open(suspected.name)) {
+            remove_suspicion(*occurrence, suspected.name.step, suspected.name.index, suspected.suspicion);
         }
     }
 }
--- a/src/shard/core_jobs.cpp
+++ b/src/shard/core_jobs.cpp
@@ -171,6 +171,12 @@
                 task.runs.back() = run;
             }
             occurrence.waiting_tasks += task.phase == task_phase::waiting ? 1 : 0;
+            if (must_give_up(task.crashes, false)) {
+                const task_name name{job.spec.id, number, step, index};
+                // Which workers these were is not stored, so none of them can refute its crash any more.
+                awaiting_proof_.insert_or_assign(to_string(name),
+                                                 awaited_proof{.name = name, .expired = true});
+            }
         }
     }
     open_.insert(&occurrence);
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -21,6 +21,7 @@
 constexpr double slow_down_above = 0.85;              // tail latency relative to its target
 constexpr double speed_up_below = 0.6;                // tail latency relative to its target
 constexpr std::int64_t evacuation_delay_ms = 2'000;   // a stop takes up to 0.9 s, a list is up to 1 s old
+constexpr std::int64_t suspected_keep_ms = 60'000;    // as long as a task waits for the proof of its crashes
 constexpr std::int64_t unregistered_keep_ms = 2'000;  // registrations return this soon after a store outage
 
 }  // namespace
@@ -370,8 +371,10 @@
                 request_stop(*run, now_ms);
             }
         }
+        // A worker that was cut off can still refute its crash when its registration is back.
+        const std::int64_t keep_ms = worker.suspected.empty() ? unregistered_keep_ms : suspected_keep_ms;
         const bool removable = !worker.registered && worker.runs.empty() && !worker.poll_in_flight &&
-                               now_ms - worker.removed_ms > unregistered_keep_ms;
+                               now_ms - worker.removed_ms > keep_ms;
         it = removable ? workers_.erase(it) : std::next(it);
     }
     for (auto& [id, job] : jobs_) {
@@ -384,6 +387,7 @@
             evacuate(*worker, now_ms);
         }
     }
+    check_awaited_proofs(now_ms);
     forget_ended_jobs(now_ms);
     report_waiting_tasks(now_ms);
     schedule_needed_ = true;
--- a/tests/shard/shard_crash_test.cpp
+++ b/tests/shard/shard_crash_test.cpp
@@ -297,6 +297,58 @@
     EXPECT_EQ(owner->core->counts().given_up, 0U);
 }
 
+// Workers that are cut off run on: no task has crashed them, however the cut shows, however long it lasts,
+// and however many of them are cut off at a time.
+TEST(shard_crash, workers_that_are_cut_off_fail_no_job)
+{
+    enum class cut { silent, refused, one_way, refused_then_silent };
+    constexpr int workers = 8;
+    for (const std::uint32_t tasks : {1U, 5U}) {
+        for (const cut kind : {cut::silent, cut::refused, cut::one_way, cut::refused_then_silent}) {
+            for (const std::int64_t length_ms : {1'500, 5'500, 14'000, 40'000}) {
+                shard_world world(18);
+                world.task_ms = 6'000;
+                for (int number = 0; number < workers; ++number) {
+                    world.add_worker("w" + std::to_string(number));
+                }
+                const auto owner = world.take_over();
+                world.submit(shard_world::job(id_of(1), tasks));
+                std::map<std::string, std::int64_t> cut_until;
+                for (int step = 0; step < 120; ++step) {
+                    world.run(500);
+                    std::erase_if(cut_until, [&](const auto& entry) { return entry.second <= world.now; });
+                    // Most of the workers that run something, one after the other while earlier ones are
+                    // still cut off.
+                    for (const auto& [id, worker] : world.workers) {
+                        if (step % 6 == 0 && !worker.running.empty() && cut_until.size() < workers - 2) {
+                            cut_until.try_emplace(id, world.now + length_ms);
+                        }
+                    }
+                    world.unreachable.clear();
+                    world.refusing.clear();
+                    world.answerless.clear();
+                    for (const auto& [id, until] : cut_until) {
+                        (kind == cut::one_way ? world.answerless : world.unreachable).insert(id);
+                        const bool early = until - world.now > length_ms / 2;
+                        if (kind == cut::refused || (kind == cut::refused_then_silent && early)) {
+                            world.refusing.insert(id);
+                        }
+                    }
+                }
+                world.unreachable.clear();
+                world.answerless.clear();
+                world.run(40'000);
+                const std::string which = "cut " + std::to_string(static_cast<int>(kind)) + " of " +
+                                          std::to_string(length_ms) + " ms, " + std::to_string(tasks) +
+                                          " tasks";
+                EXPECT_EQ(owner->core->state_of(id_of(1)), job_state::completed) << which;
+                EXPECT_EQ(owner->core->counts().given_up, 0U) << which;
+                EXPECT_TRUE(world.violations.empty()) << which;
+            }
+        }
+    }
+}
+
 // The search ended at the first task without a worker. With all idle workers reserved for the isolated tasks
 // of the step, that was one which is not isolated, so the step waited for ever beside an idle pool.
 TEST(shard_crash, a_step_with_some_isolated_tasks_goes_on)
--- a/tests/shard/shard_world.hpp
+++ b/tests/shard/shard_world.hpp
@@ -49,6 +49,8 @@
     std::set<std::string> cancels;
     std::int64_t epoch = 0;             // of the newest owner
     std::set<std::string> unreachable;  // workers that get no orders
+    std::set<std::string> refusing;     // of these: connections are refused at once
+    std::set<std::string> answerless;   // workers that get orders, and whose answers do not arrive
     bool store_down = false;
     // Deletions that the store carries out before it goes down.
     std::size_t deletions_until_down = std::numeric_limits<std::size_t>::max();
@@ -439,16 +441,18 @@
             fake_worker& worker = workers[id];
             if (unreachable.contains(id) || !worker.alive ||
                 (late && worker.entry.started_ms != started_ms)) {
-                const bool reachable = !unreachable.contains(id);
-                const Answer failure{.outcome = reachable ? worker.failure : order_result::no_answer};
+                const order_result cut =
+                    refusing.contains(id) ? order_result::not_listening : order_result::no_answer;
+                const Answer failure{.outcome = unreachable.contains(id) ? cut : worker.failure};
                 const bool at_once = failure.outcome != order_result::no_answer;
                 after(at_once ? 1 : timeout_ms,
                       [this, owner, done, failure] { deliver<Answer>(owner, done, failure); });
                 return;
             }
             const Answer answer = act(worker);
-            after(lost ? timeout_ms : draw(1, 2), [this, owner, done, answer, lost] {
-                deliver<Answer>(owner, done, lost ? Answer{} : answer);
+            const bool unanswered = lost || answerless.contains(id);
+            after(unanswered ? timeout_ms : draw(1, 2), [this, owner, done, answer, unanswered] {
+                deliver<Answer>(owner, done, unanswered ? Answer{} : answer);
             });
         });
     }
