--- a/tests/shard/job_homes_test.cpp
+++ b/tests/shard/job_homes_test.cpp
@@ -178,7 +178,8 @@
             }
         });
         // A claim that was answered at once may have stopped the loop before it runs.
-        for (const bool wait = *rc::gen::arbitrary<bool>(); wait && open > 0;) {
+        const bool wait = *rc::gen::arbitrary<bool>();
+        while (wait && open > 0) {
             loop.run();
         }
     }
