--- a/src/node/callers.cpp
+++ b/src/node/callers.cpp
@@ -238,7 +238,7 @@
     });
 }
 
-/// Nothing of the submission is stored yet.
+/// Continues a submission whose home could not be found. Nothing of it is stored yet, so it can be refused.
 void caller_api::refuse_or_retry_home(const std::shared_ptr<pending_request>& request)
 {
     if (monotonic_ms() - request->received_ms >= max_refusal_ms) {
--- a/src/shard/core_forwards.cpp
+++ b/src/shard/core_forwards.cpp
@@ -80,7 +80,8 @@
     insert_job(routed(spec, route), age_ms, now_ms)->route = route;
 }
 
-/// Decides where a job runs that this shard does not know yet.
+/// Decides that a job which this shard does not know yet runs where its record says. Nothing of it is
+/// forwarded or started before the decision is stored.
 void shard_core::decide_route(const job_spec& spec, std::int64_t age_ms, std::int64_t now_ms)
 {
     const job_route route{
@@ -100,6 +101,7 @@
     forwards_[spec.id]->route_batch = batch_ + 1;
 }
 
+/// @param spec empty if the job's records are being deleted; @p id is known then as well
 void shard_core::add_forward(const job_spec& spec, const job_route& route, bool cancelled,
                              std::int64_t now_ms, const std::string& id)
 {
@@ -114,6 +116,7 @@
     }
 }
 
+/// Adds the decisions that were made or have changed to the writes of a batch.
 void shard_core::write_routes(shard_effects& out)
 {
     for (const std::string& id : std::exchange(changed_routes_, {})) {
@@ -128,6 +131,8 @@
     }
 }
 
+/// Adds the records that other shards must get, except those on their way and those whose decision is not
+/// stored.
 void shard_core::plan_forwards(std::int64_t now_ms, shard_effects& out)
 {
     for (const std::string& id : open_forwards_) {
