Keep the wait for a crash's proof in one constant, and ask for it only while one is awaited

The time that a task waits for the proof of its crashes stood in two files under two names and has to be the same in both; it is proof_wait_ms in core_parts.hpp now. The check whether a task waits so ran for each worker of each placement; it is skipped while no task does. Suffixes of keys are tested with ends_with. No behaviour changes.

--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -270,8 +270,7 @@
         return;
     }
     const std::string key = exchange->query("key").value_or("");
-    const bool suffix =
-        !key.empty() && (key.back() == cancel_key_suffix || key.back() == rerouted_key_suffix);
+    const bool suffix = key.ends_with(cancel_key_suffix) || key.ends_with(rerouted_key_suffix);
     if (!is_job_id(suffix ? key.substr(0, key.size() - 1) : key) || exchange->body().empty()) {
         exchange->reply(400, {}, "expected a key of a job or of a cancel, and a record");
         return;
--- a/src/shard/core_crashes.cpp
+++ b/src/shard/core_crashes.cpp
@@ -12,10 +12,6 @@
 
 namespace {
 
-// A task that enough workers seem to have crashed under waits for one of them to answer, which proves or
-// refutes the crash. Workers that are gone this long, ten times what a restart takes, are not cut off for a
-// while.
-constexpr std::int64_t proof_wait_ms = 60'000;
 constexpr int refusals_of_a_crash = 2;  // polls in a row; one refusal may be a connection that was just reset
 
 /// Whether the worker's process has ended, as far as failed polls can tell.
--- a/src/shard/core_jobs.cpp
+++ b/src/shard/core_jobs.cpp
@@ -29,7 +29,7 @@
 
 void shard_core::load_progress(const std::string& key, std::string_view bytes)
 {
-    if (!key.empty() && key.back() == rerouted_key_suffix) {
+    if (key.ends_with(rerouted_key_suffix)) {
         if (auto route = decode_route(bytes)) {
             loaded_routes_[key.substr(0, key.size() - 1)] = std::move(route.value());
             return;
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -199,6 +199,11 @@
 /// delayed orders that were meant for its previous incarnation.
 constexpr std::int64_t tokens_per_epoch = 1'000;
 
+/// A task that enough workers seem to have crashed under waits for one of them to answer, which proves or
+/// refutes the crash. Workers that are gone this long, ten times what a restart takes, are not cut off for a
+/// while.
+constexpr std::int64_t proof_wait_ms = 60'000;
+
 /// Slowest rate of a worker's clock, relative to this process's clock.
 constexpr double min_clock_rate = 0.98;
 
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -262,7 +262,7 @@
 bool shard_core::may_run(const occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
                          const worker_state& worker, std::int64_t now_ms) const
 {
-    if (awaits_proof(occurrence, step, index)) {
+    if (!awaiting_proof_.empty() && awaits_proof(occurrence, step, index)) {
         return false;
     }
     const std::vector<std::string>& labels = worker.entry.labels;
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -21,7 +21,6 @@
 constexpr double slow_down_above = 0.85;              // tail latency relative to its target
 constexpr double speed_up_below = 0.6;                // tail latency relative to its target
 constexpr std::int64_t evacuation_delay_ms = 2'000;   // a stop takes up to 0.9 s, a list is up to 1 s old
-constexpr std::int64_t suspected_keep_ms = 60'000;    // as long as a task waits for the proof of its crashes
 constexpr std::int64_t unregistered_keep_ms = 2'000;  // registrations return this soon after a store outage
 
 }  // namespace
@@ -372,7 +371,7 @@
             }
         }
         // A worker that was cut off can still refute its crash when its registration is back.
-        const std::int64_t keep_ms = worker.suspected.empty() ? unregistered_keep_ms : suspected_keep_ms;
+        const std::int64_t keep_ms = worker.suspected.empty() ? unregistered_keep_ms : proof_wait_ms;
         const bool removable = !worker.registered && worker.runs.empty() && !worker.poll_in_flight &&
                                now_ms - worker.removed_ms > keep_ms;
         it = removable ? workers_.erase(it) : std::next(it);
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -147,7 +147,7 @@
         return;
     }
     const std::int64_t now = monotonic_ms();
-    if (!record.key.empty() && record.key.back() == cancel_key_suffix) {
+    if (record.key.ends_with(cancel_key_suffix)) {
         core_.cancel_job(record.key.substr(0, record.key.size() - 1), now);
         pump_soon();
         return;
@@ -158,7 +158,7 @@
         log_event(log_level::error, "job_unreadable", {{"key", record.key}, {"reason", job.error().message}});
         return;
     }
-    const bool rerouted = !record.key.empty() && record.key.back() == rerouted_key_suffix;
+    const bool rerouted = record.key.ends_with(rerouted_key_suffix);
     if (rerouted != (job.value().shard >= 0)) {
         log_event(log_level::error, "job_unreadable",
                   {{"key", record.key}, {"reason", "the key does not fit the shard that runs the job"}});
@@ -180,7 +180,7 @@
         }
         job_offsets_.erase(found);
     }
-    if (!record.key.empty() && record.key.back() == rerouted_key_suffix) {
+    if (record.key.ends_with(rerouted_key_suffix)) {
         // The deletion of the id itself follows, but is not read if the store drops its history meanwhile.
         const std::string id = record.key.substr(0, record.key.size() - 1);
         if (!job_offsets_.contains(id)) {
