Store the shard of each service, so that a changed list moves none

Cause: the shard of a service was its rank by name among the services of the newest configuration. Tokens are ordered within a shard only, so both owners of a worker may have the same token, and the worker refuses neither.

Change: the shard of a service is claimed once in keyed.homes, under the condition that the partition has not grown since it was read, and never changes. A version is in force at a node once the shards of its services are known. The first list is spread as before, by name, so stored jobs of running deployments are found. A worker's entry that names another service leaves the shard of the one before.

--- a/include/waxwingnotch/job/spec.hpp
+++ b/include/waxwingnotch/job/spec.hpp
@@ -103,8 +103,8 @@
     const queue_config* match(std::string_view host, std::string_view path) const;
     const queue_config* queue(std::string_view name) const;
     const service_config* service(std::string_view name) const;
-    /// Partition of the store that holds a service's jobs: its rank by name, modulo @p partitions.
-    int partition_of(std::string_view service, int partitions) const;
+    /// @return the names of all services, of those that only a queue names too
+    std::vector<std::string> service_names() const;
 };
 
 // Times beyond these are refused, so that sums and products of them stay within 64 bits.
--- a/include/waxwingnotch/shard/job_homes.hpp
+++ b/include/waxwingnotch/shard/job_homes.hpp
@@ -4,7 +4,8 @@
 /// The shard that runs a job follows from the service that the route of its path leads to, and routes change.
 /// The home of a path does not: the first submission to it stores the shard of its service as the home, and
 /// every later submission, question and cancel goes there. A home never changes, so that nodes keep what they
-/// have read, and a request costs no call to the store once its path is known.
+/// have read, and a request costs no call to the store once its path is known. The shards of the services
+/// themselves are stored in the same way; see service_shards.hpp.
 ///
 ///     if (const job_home* home = homes.find(key)) ...
 ///     else homes.claim(key, {queue.service, shard}, [](store_status) { ... find() again ... });
@@ -19,6 +20,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace waxwingnotch {
@@ -47,13 +49,20 @@
 
     /// @return the key of the paths that consist of @p prefix and a job id, of the same length for all
     static std::string key_of(std::string_view host, std::string_view prefix);
+    /// @return the key under which the shard of a service is stored
+    static std::string service_key(std::string_view service);
     /// @return the home, or null if this node knows none; valid until the next call
     const job_home* find(const std::string& key) const;
+    /// @return shards by service, of all services that this node knows one of
+    std::map<std::string, int> services() const;
     /// Reads the home of @p key. A path without one had no jobs at @p since_ms (monotonic time).
     void look_up(const std::string& key, std::int64_t since_ms, handler done);
     /// Reads the home of @p key, and stores @p home as such if it has none. Of several claims for one path
     /// the first in the store wins.
     void claim(const std::string& key, job_home home, handler done);
+    /// Claims several homes by their keys, with one append. @p done receives `ok` if all of them are known
+    /// now.
+    void claim(const std::vector<std::pair<std::string, job_home>>& homes, handler done);
 
 private:
     struct request {
--- a/src/job/spec.cpp
+++ b/src/job/spec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 
 namespace waxwingnotch {
 
@@ -72,12 +73,16 @@
     return found == services.end() ? nullptr : &*found;
 }
 
-int cluster_config::partition_of(std::string_view service, int partitions) const
+std::vector<std::string> cluster_config::service_names() const
 {
-    const auto found =
-        std::lower_bound(services.begin(), services.end(), service,
-                         [](const service_config& item, std::string_view name) { return item.name < name; });
-    return static_cast<int>(found - services.begin()) % std::max(partitions, 1);
+    std::set<std::string> names;
+    for (const service_config& item : services) {
+        names.insert(item.name);
+    }
+    for (const queue_config& item : queues) {
+        names.insert(item.service);
+    }
+    return {names.begin(), names.end()};
 }
 
 bool is_job_id(std::string_view id)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,6 +1,7 @@
 #include "waxwingnotch/node/node.hpp"
 
 #include "documents.hpp"
+#include "node/configuration_gate.hpp"
 #include "node/libevent_log.hpp"
 #include "node/listen.hpp"
 #include "node/node_state.hpp"
@@ -85,6 +86,7 @@
     void follow_operator_topic();
     void enable_registry_follower(bool enabled);
     void on_operator_record(const keyed_record& record);
+    void use_configuration(std::shared_ptr<const cluster_config> config);
     void on_worker_record(const keyed_record& record);
     void join_group();
     void take_shard(int shard, std::int64_t epoch);
@@ -112,6 +114,7 @@
     http_server internal_server_;
     http_server metrics_server_;
     optional_listener metrics_listener_;
+    std::unique_ptr<configuration_gate> configuration_gate_;
     std::unique_ptr<keyed_follower> operator_follower_;
     std::unique_ptr<keyed_follower> registry_follower_;
     std::unique_ptr<host_manager> host_manager_;
@@ -132,6 +135,10 @@
 {
     state_.store = std::make_unique<adapter::store_client>(state_.transport);
     state_.homes = std::make_unique<job_homes>(*state_.store);
+    state_.shards_of_services = std::make_unique<service_shards>(*state_.homes, state_.settings.partitions);
+    configuration_gate_ = std::make_unique<configuration_gate>(
+        state_.loop, *state_.shards_of_services,
+        [this](std::shared_ptr<const cluster_config> config) { use_configuration(std::move(config)); });
     state_.workers = std::make_unique<adapter::worker_client>(state_.client);
     if (!state_.settings.policy_address.empty()) {
         state_.advice =
@@ -239,20 +246,7 @@
             note_rejected_input(input_source::operator_record, record.key, config.error().message);
             return;
         }
-        // Versions rise, so a record that is read again or is older has no effect.
-        if (state_.config && config.value().version <= state_.config->version) {
-            return;
-        }
-        state_.config = std::make_shared<const cluster_config>(std::move(config.value()));
-        log_event(log_level::info, "configuration",
-                  {{"version", state_.config->version},
-                   {"queues", state_.config->queues.size()},
-                   {"outcome", "in force"}});
-        caller_server_.limit_body(state_.config->max_body_bytes);
-        caller_server_.set_idle_timeout(state_.config->idle_timeout_ms);
-        for (auto& [shard, owner] : state_.shards) {
-            configure_shard(shard, *owner);
-        }
+        configuration_gate_->offer(std::move(config.value()));
         return;
     }
     if (record.key.starts_with(adapter::wave_prefix)) {
@@ -266,6 +260,20 @@
     }
 }
 
+void node::use_configuration(std::shared_ptr<const cluster_config> config)
+{
+    state_.config = std::move(config);
+    log_event(log_level::info, "configuration",
+              {{"version", state_.config->version},
+               {"queues", state_.config->queues.size()},
+               {"outcome", "in force"}});
+    caller_server_.limit_body(state_.config->max_body_bytes);
+    caller_server_.set_idle_timeout(state_.config->idle_timeout_ms);
+    for (auto& [shard, owner] : state_.shards) {
+        configure_shard(shard, *owner);
+    }
+}
+
 /// Passes the configuration and the registered workers of the shard's services to its owner.
 void node::configure_shard(int shard, shard_owner& owner)
 {
@@ -296,9 +304,14 @@
     if (!state_.config) {
         return;
     }
-    const auto owner = state_.shards.find(state_.shard_of(entry.value().service));
-    if (owner != state_.shards.end()) {
-        owner->second->put_worker(entry.value());
+    const int home = state_.shard_of(entry.value().service);
+    for (auto& [shard, owner] : state_.shards) {
+        if (shard == home) {
+            owner->put_worker(entry.value());
+        }
+        else {
+            owner->remove_worker(record.key);  // it may have changed its service
+        }
     }
 }
 
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -13,6 +13,7 @@
 #include "waxwingnotch/node/host_api.hpp"
 #include "waxwingnotch/node/settings.hpp"
 #include "waxwingnotch/shard/job_homes.hpp"
+#include "waxwingnotch/shard/service_shards.hpp"
 #include "waxwingnotch/shard/shard_group.hpp"
 #include "waxwingnotch/shard/shard_owner.hpp"
 #include "waxwingnotch/store/batch_appender.hpp"
@@ -40,6 +41,7 @@
     store_transport transport;
     std::unique_ptr<log_store> store;
     std::unique_ptr<job_homes> homes;  // of the paths under which jobs were accepted
+    std::unique_ptr<service_shards> shards_of_services;
     std::unique_ptr<worker_api> workers;
     std::unique_ptr<advice_api> advice;
     std::unique_ptr<host_api> hosts;
@@ -69,11 +71,9 @@
     /// Appender of accepted jobs and cancels of a shard; made on first use.
     batch_appender& job_appender(int shard);
     std::map<int, std::unique_ptr<batch_appender>> job_appenders;  // by shard
-    /// Shard of the jobs of @p service. Needs a configuration.
-    int shard_of(const std::string& service) const
-    {
-        return config->partition_of(service, settings.partitions);
-    }
+    /// @return the shard of the jobs and workers of @p service, or service_shards::no_shard; known for all
+    ///         services of the configuration in force
+    int shard_of(const std::string& service) const { return shards_of_services->find(service); }
     /// @return the owner if this node owns the shard and has loaded it, else null
     shard_owner* loaded_shard(int partition) const;
 };
--- a/src/shard/job_homes.cpp
+++ b/src/shard/job_homes.cpp
@@ -13,7 +13,8 @@
 
 using nlohmann::json;
 
-constexpr std::size_t key_digits = 32;  // 128 bits; keys of the store have at most 255 bytes
+constexpr std::size_t key_digits = 32;                   // 128 bits; keys of the store have at most 255 bytes
+constexpr std::string_view service_prefix = "service/";  // of the keys of services; those of paths are digits
 
 std::string encode_home(const job_home& home)
 {
@@ -47,6 +48,21 @@
     return sha256_hex(std::string(host) + '\n' + std::string(prefix)).substr(0, key_digits);
 }
 
+std::string job_homes::service_key(std::string_view service)
+{
+    return std::string(service_prefix) + sha256_hex(std::string(service)).substr(0, key_digits);
+}
+
+std::map<std::string, int> job_homes::services() const
+{
+    std::map<std::string, int> shards;
+    for (auto at = homes_.lower_bound(std::string(service_prefix));
+         at != homes_.end() && at->first.starts_with(service_prefix); ++at) {
+        shards.emplace(at->second.service, at->second.shard);
+    }
+    return shards;
+}
+
 const job_home* job_homes::find(const std::string& key) const
 {
     const auto found = homes_.find(key);
@@ -73,6 +89,29 @@
     start();
 }
 
+void job_homes::claim(const std::vector<std::pair<std::string, job_home>>& homes, handler done)
+{
+    if (homes.empty()) {
+        done(store_status::ok);
+        return;
+    }
+    struct outcome {
+        std::size_t open = 0;
+        store_status status = store_status::ok;
+        handler done;
+    };
+    auto all = std::make_shared<outcome>(outcome{.open = homes.size(), .done = std::move(done)});
+    for (const auto& [key, home] : homes) {
+        waiting_.push_back({key, home, [all](store_status status) {
+                                all->status = status == store_status::ok ? all->status : status;
+                                if (--all->open == 0) {
+                                    all->done(all->status);
+                                }
+                            }});
+    }
+    start();
+}
+
 void job_homes::start()
 {
     if (!active_.empty() || waiting_.empty()) {
