Log which owner acted on a run, and what it knew of the task

In the users' record of tasks that ran twice, the lines on runs and ends name neither the shard nor the owner's epoch, nor whether the owner had ordered the run or read it from the store. A copy that was still at work when its task was done is logged by the same run_unknown line as a run whose record is missing, and an end of a run that the owner does not know is skipped without a line and acknowledged.

run_start, run_end, run_lost and run_unknown have shard and epoch now; run_end and run_lost say whether the run was inherited, run_end from whom it was heard. run_unknown has the state of the task, its last run number and the run that may be active (shard_core::report_task). The new event end_unknown has the same; it is left out where the record of the task explains the end, and bounded to 20 lines a second and shard. An end `done` of a run that was requeued before is logged, because its task runs again and the end is acknowledged all the same. Gauges runs_unknown and ends_unknown.

No line and no text is made where none was before, but for unknown ends, which a new owner sees once per worker.

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -130,6 +130,30 @@
     std::uint64_t unanswered = 0;      // starts without an answer
     std::uint64_t worker_crashes = 0;  // with runs on the worker, and not by an order to its host
     std::uint64_t given_up = 0;        // tasks that crashed their workers
+    std::uint64_t runs_unknown = 0;    // rows of runs that workers listed and this owner stopped
+    std::uint64_t ends_unknown = 0;    // ends of runs that the states of their tasks do not explain
+};
+
+/// What an owner knows of a task.
+enum class task_state : std::uint8_t {
+    no_job,       // no record of its job, or a deleted one
+    other_shard,  // the job is stored here and runs in another shard
+    no_task,      // the job has no such task, or its occurrence has not been opened
+    job_ended,    // the task had not ended before its job did
+    waiting,
+    active,
+    done,
+    failed,
+};
+const char* to_string(task_state state);
+
+/// What an owner knows of a task and its runs; tells why it does not know a run that a worker lists.
+struct task_report {
+    task_state state = task_state::no_job;
+    bool long_running = false;
+    std::uint32_t last_run = 0;    // highest run number assigned, by this owner or an earlier one; 0: none
+    std::uint32_t active_run = 0;  // the run asked about, if it may be active, else the newest; 0: none
+    std::string active_worker;     // of `active_run`
 };
 
 class shard_core {
@@ -178,9 +202,12 @@
     /// The writes of @p batch and of all batches before it are in the store.
     void on_stored(std::uint64_t batch, std::int64_t now_ms);
     /// Applies ends that a previous owner has read and could not store. Ignores runs that are not active.
-    void report_ends(const std::vector<ended_row>& ends, std::int64_t now_ms);
+    /// @return the number of ends that were applied
+    std::size_t report_ends(const std::vector<ended_row>& ends, std::int64_t now_ms);
     /// @return ends that were read and are not stored yet, to be passed to the next owner
     std::vector<ended_row> unstored_ends() const;
+    /// @return when the oldest of unstored_ends() was read; 0: there are none
+    std::int64_t oldest_unstored_end_ms() const;
     /// Handles what depends on the time; to be called regularly.
     /// @param wall_ms time of day, for due times
     void tick(std::int64_t now_ms, std::int64_t wall_ms);
@@ -203,6 +230,8 @@
     std::size_t suspected_occurrences() const { return suspects_.size(); }
     /// Long-running tasks that wait, by the reason found in the latest check, at most a second ago.
     const std::array<std::size_t, wait_reason_count>& waiting_tasks() const { return waiting_tasks_; }
+    /// @param task its full name @param run the one of its runs that is asked about
+    task_report report_task(std::string_view task, std::uint32_t run) const;
     bool fenced() const { return fenced_; }  // a worker has seen a higher token: this owner is replaced
 
     // Host operations
@@ -250,14 +279,19 @@
     run_entry& add_run(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
                        std::uint32_t number, worker_state& worker);
     void remove_run(run_entry& run);
-    void end_run(run_entry& run, end_kind kind, const std::string& checkpoint, std::int64_t now_ms);
+    void end_run(run_entry& run, end_kind kind, const std::string& checkpoint, const char* heard,
+                 std::int64_t now_ms);
     void requeue(run_entry& run, const char* reason, std::int64_t now_ms);
     void request_stop(run_entry& run, std::int64_t now_ms);
     static resources ordered_resources(const worker_state& worker);
     void stop_task(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
                    std::int64_t now_ms);
     void complete_gang(occurrence_entry& occurrence, std::uint32_t step, std::int64_t now_ms);
-    void record_end(occurrence_entry& occurrence, const run_entry& run, end_kind kind, std::int64_t now_ms);
+    void record_end(occurrence_entry& occurrence, const run_entry& run, end_kind kind, const char* heard,
+                    std::int64_t now_ms);
+    void note_unknown_run(const worker_state& worker, const running_row& row, bool known_elsewhere);
+    void note_unknown_end(const std::string& worker, const ended_row& row, const char* heard,
+                          std::int64_t now_ms);
 
     // Workers
     worker_state& find_or_add_worker(const std::string& id);
@@ -358,8 +392,20 @@
     std::map<std::string, occurrence_entry*> suspects_;    // open ones with a task to isolate, by key
     std::unordered_map<std::string, std::unique_ptr<run_entry>> runs_;  // by task and number
     std::map<std::string, std::unique_ptr<worker_state>> workers_;
-    std::map<std::string, advice_entry> advice_;                      // by step
-    std::vector<std::pair<std::uint64_t, ended_row>> unstored_ends_;  // with the batch that contains them
+    std::map<std::string, advice_entry> advice_;  // by step
+    struct unstored_end {
+        std::uint64_t batch = 0;  // store batch that contains the end
+        std::int64_t read_ms = 0;
+        ended_row row;
+    };
+    std::vector<unstored_end> unstored_ends_;  // the oldest first
+    /// Lines of the event `end_unknown`, which are bounded.
+    struct unknown_end_lines {
+        std::int64_t since_ms = 0;  // start of the interval that the bound counts in
+        int lines = 0;
+        std::uint64_t left_out = 0;  // ends without a line since the last one
+    };
+    unknown_end_lines unknown_end_lines_;
     std::map<std::uint64_t, std::vector<std::string>> writing_;  // runs to start once the batch is stored
     std::vector<std::string> forgotten_jobs_;
     std::set<std::string> orphaned_progress_;  // keys of records that were loaded without a job
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -19,6 +19,8 @@
     std::int64_t suspects = 0;
     std::int64_t worker_crashes = 0;
     std::int64_t given_up = 0;
+    std::int64_t runs_unknown = 0;
+    std::int64_t ends_unknown = 0;
     std::array<std::int64_t, wait_reason_count> waiting{};
     for (const auto& [shard, owner] : node.shards) {
         for (std::size_t reason = 0; reason < waiting.size(); ++reason) {
@@ -29,6 +31,8 @@
         suspects += static_cast<std::int64_t>(owner->core().suspected_occurrences());
         worker_crashes += static_cast<std::int64_t>(owner->core().counts().worker_crashes);
         given_up += static_cast<std::int64_t>(owner->core().counts().given_up);
+        runs_unknown += static_cast<std::int64_t>(owner->core().counts().runs_unknown);
+        ends_unknown += static_cast<std::int64_t>(owner->core().counts().ends_unknown);
     }
     set("shards_owned", "Shards that this node owns", static_cast<std::int64_t>(node.shards.size()));
     set("jobs_known", "Jobs in the shards of this node", jobs);
@@ -38,6 +42,11 @@
     set("worker_crashes", "Workers that crashed with runs on them since this node took their shards over",
         worker_crashes);
     set("tasks_given_up", "Tasks given up because they crash their workers, since the same time", given_up);
+    set("runs_unknown", "Runs that workers listed, this node did not know and stopped, since the same time",
+        runs_unknown);
+    set("ends_unknown",
+        "Ends that workers listed of runs that this node has no record of, since the same time",
+        ends_unknown);
     constexpr std::pair<wait_reason, const char*> waiting_names[] = {
         {wait_reason::no_worker, "tasks_waiting_no_worker"},
         {wait_reason::no_room, "tasks_waiting_no_room"},
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -106,8 +106,9 @@
     schedule_needed_ = true;
 }
 
+/// @param heard from whom: "worker" in its list, or "peer", a previous owner that could not store the end
 void shard_core::record_end(occurrence_entry& occurrence, const run_entry& run, end_kind kind,
-                            std::int64_t now_ms)
+                            const char* heard, std::int64_t now_ms)
 {
     const bool done = kind == end_kind::done;
     (done ? counts_.ends_done : kind == end_kind::failed ? counts_.ends_failed : counts_.ends_other) += 1;
@@ -124,21 +125,26 @@
         ratio += duration_weight * (sample - ratio);
     }
     log_event(log_level::info, "run_end",
-              {{"task", run.task},
+              {{"shard", options_.shard},
+               {"epoch", options_.epoch},
+               {"task", run.task},
                {"run", run.number},
                {"worker", run.worker->entry.id},
                {"how", to_string(kind)},
+               {"heard", heard},
+               {"inherited", run.inherited},
                {"ms", now_ms - run.ordered_ms}});
 }
 
-void shard_core::end_run(run_entry& run, end_kind kind, const std::string& checkpoint, std::int64_t now_ms)
+void shard_core::end_run(run_entry& run, end_kind kind, const std::string& checkpoint, const char* heard,
+                         std::int64_t now_ms)
 {
     occurrence_entry& occurrence = *run.occurrence;
     const std::uint32_t step = run.step;
     const std::uint32_t index = run.index;
     const step_spec& spec = occurrence.step(step);
     task_progress& task = occurrence.task(step, index);
-    record_end(occurrence, run, kind, now_ms);
+    record_end(occurrence, run, kind, heard, now_ms);
     const std::string worker = run.worker->entry.id;
     remove_run(run);
     mark_changed(occurrence);
@@ -198,9 +204,12 @@
     const std::uint32_t step = run.step;
     const std::uint32_t index = run.index;
     log_event(log_level::info, "run_lost",
-              {{"task", run.task},
+              {{"shard", options_.shard},
+               {"epoch", options_.epoch},
+               {"task", run.task},
                {"run", run.number},
                {"worker", run.worker->entry.id},
+               {"inherited", run.inherited},
                {"reason", reason},
                {"ms", now_ms - run.ordered_ms}});
     if (run.in_crash && run.suspicion != crash_suspicion::none) {
@@ -267,7 +276,7 @@
             worker->next_poll_ms = now_ms;
         }
     }
-    std::erase_if(unstored_ends_, [&](const auto& end) { return end.first <= batch; });
+    std::erase_if(unstored_ends_, [&](const unstored_end& end) { return end.batch <= batch; });
     std::vector<std::string> ready;
     while (!writing_.empty() && writing_.begin()->first <= batch) {
         std::vector<std::string>& keys = writing_.begin()->second;
@@ -327,7 +336,9 @@
         return;
     }
     log_event(log_level::info, "run_start",
-              {{"task", run.task},
+              {{"shard", options_.shard},
+               {"epoch", options_.epoch},
+               {"task", run.task},
                {"run", run.number},
                {"worker", worker_id},
                {"token", order.fencing_token},
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -207,10 +207,12 @@
         worker.applied_end = row.number;
         changed = true;
         const auto found = runs_.find(row.task + "#" + std::to_string(row.run));
-        if (found != runs_.end() && found->second->worker == &worker) {
-            unstored_ends_.emplace_back(batch_ + 1, row);
-            end_run(*found->second, row.kind, row.checkpoint, now_ms);
+        if (found == runs_.end() || found->second->worker != &worker) {
+            note_unknown_end(worker.entry.id, row, "worker", now_ms);
+            continue;
         }
+        unstored_ends_.push_back({.batch = batch_ + 1, .read_ms = now_ms, .row = row});
+        end_run(*found->second, row.kind, row.checkpoint, "worker", now_ms);
     }
     if (changed) {
         batch_needed_ = true;
@@ -218,25 +220,22 @@
     }
 }
 
-void shard_core::report_ends(const std::vector<ended_row>& ends, std::int64_t now_ms)
+std::size_t shard_core::report_ends(const std::vector<ended_row>& ends, std::int64_t now_ms)
 {
+    std::size_t applied = 0;
     for (const ended_row& row : ends) {
         const auto found = runs_.find(row.task + "#" + std::to_string(row.run));
-        if (found != runs_.end() && (row.kind == end_kind::done || row.kind == end_kind::failed)) {
-            unstored_ends_.emplace_back(batch_ + 1, row);
-            end_run(*found->second, row.kind, row.checkpoint, now_ms);
+        if (found == runs_.end()) {
+            note_unknown_end({}, row, "peer", now_ms);
+            continue;
+        }
+        if (row.kind == end_kind::done || row.kind == end_kind::failed) {
+            unstored_ends_.push_back({.batch = batch_ + 1, .read_ms = now_ms, .row = row});
+            end_run(*found->second, row.kind, row.checkpoint, "peer", now_ms);
+            ++applied;
         }
     }
-}
-
-std::vector<ended_row> shard_core::unstored_ends() const
-{
-    std::vector<ended_row> ends;
-    ends.reserve(unstored_ends_.size());
-    for (const auto& [batch, row] : unstored_ends_) {
-        ends.push_back(row);
-    }
-    return ends;
+    return applied;
 }
 
 void shard_core::apply_running(worker_state& worker, std::int64_t sent_ms, const poll_answer& answer,
@@ -249,12 +248,7 @@
         const auto found = runs_.find(key);
         if (found == runs_.end() || found->second->worker != &worker) {
             // Started by a previous owner or by a late order, and no longer wanted.
-            log_event(log_level::warning, "run_unknown",
-                      {{"task", row.task},
-                       {"run", row.run},
-                       {"worker", worker.entry.id},
-                       {"known_elsewhere", found != runs_.end()},
-                       {"outcome", "stopped"}});
+            note_unknown_run(worker, row, found != runs_.end());
             stops_.push_back({worker.target(), {row.task, row.run, token_of(worker)}});
             continue;
         }
--- /dev/null
+++ b/tests/shard/shard_events_test.cpp
@@ -0,0 +1,235 @@
+/// Tests of the log events from which an operator tells which owner acted on a run, and with what knowledge.
+#include "log_capture.hpp"
+#include "shard_world.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace waxwingnotch {
+namespace {
+
+constexpr std::int64_t start_ms = 100;
+
+std::string task_of(int job)
+{
+    return id_of(job) + ".0.0.0";
+}
+
+/// A core of epoch 7 that has read one job of one task and its progress.
+class loaded_core {
+public:
+    explicit loaded_core(const task_progress& task) : core({.shard = 3, .epoch = 7})
+    {
+        core.set_config(shard_world::config());
+        for (const char* id : {"a", "b"}) {
+            core.put_worker({.id = id,
+                             .service = "svc",
+                             .address = "x:1",
+                             .rack = "r",
+                             .capacity = {4'000, 9'000, 0},
+                             .started_ms = 5},
+                            start_ms);
+        }
+        const job_spec job = shard_world::job(id_of(1), 1);
+        occurrence_progress progress = make_occurrence(job);
+        progress.steps[0][0] = task;
+        core.load_progress(id_of(1) + ".0", encode_progress(progress));
+        core.tick(start_ms, start_ms);
+        core.add_job(job, 0, start_ms);
+        core.finish_load(start_ms);
+    }
+
+    /// Lets @p worker answer a poll with these lists.
+    void answer(const std::string& worker, std::vector<running_row> running, std::vector<ended_row> ended,
+                std::int64_t now_ms)
+    {
+        core.on_poll(worker, now_ms, false,
+                     {.outcome = order_result::ok,
+                      .clock_ms = now_ms,
+                      .started_ms = 5,
+                      .running = std::move(running),
+                      .ended = std::move(ended)},
+                     now_ms);
+    }
+
+    shard_core core;
+};
+
+// A copy that was still at work when its task was done, and a run whose record is missing, were logged by the
+// same line. Only the second can make a task run twice.
+TEST(shard_events, a_missing_record_and_a_copy_of_a_done_task_are_told_apart)
+{
+    const log_capture log;
+    loaded_core owner({.phase = task_phase::done, .last_run = 2});
+    owner.answer("a", {{.task = task_of(1), .run = 1}, {.task = task_of(1), .run = 5}}, {}, 110);
+    owner.answer("b", {{.task = task_of(2), .run = 1}}, {}, 111);
+    const auto lines = log.lines("run_unknown");
+    ASSERT_EQ(lines.size(), 3U);
+    EXPECT_EQ(lines[0]["task_state"], "done");
+    EXPECT_EQ(lines[0]["last_run"], 2);
+    EXPECT_EQ(lines[1]["run"], 5);  // above the highest run of the record
+    EXPECT_EQ(lines[1]["last_run"], 2);
+    EXPECT_EQ(lines[2]["task_state"], "no such job");
+    EXPECT_EQ(lines[2]["last_run"], 0);
+    EXPECT_EQ(lines[2]["shard"], 3);
+    EXPECT_EQ(lines[2]["epoch"], 7);
+    EXPECT_EQ(owner.core.counts().runs_unknown, 3U);
+}
+
+// The line about a run on the wrong worker did not say which worker has it.
+TEST(shard_events, an_unknown_run_names_the_run_that_is_active_elsewhere)
+{
+    const log_capture log;
+    loaded_core owner(
+        {.phase = task_phase::active, .last_run = 2, .runs = {{.number = 2, .worker = {"a", 5}}}});
+    owner.answer("b", {{.task = task_of(1), .run = 2}, {.task = task_of(1), .run = 1}}, {}, 110);
+    const auto lines = log.lines("run_unknown");
+    ASSERT_EQ(lines.size(), 2U);
+    for (const auto& line : lines) {
+        EXPECT_EQ(line["task_state"], "active");
+        EXPECT_EQ(line["active_run"], 2);
+        EXPECT_EQ(line["active_worker"], "a");
+    }
+    EXPECT_EQ(lines[0]["known_elsewhere"], true);
+    EXPECT_EQ(lines[1]["known_elsewhere"], false);
+}
+
+// Every new owner reads the ends again that its workers were not told to forget; lines about these would hide
+// the few that matter.
+TEST(shard_events, an_end_that_the_record_explains_is_not_reported)
+{
+    const log_capture log;
+    loaded_core done({.phase = task_phase::done, .last_run = 2});
+    done.answer("a", {}, {{1, task_of(1), 1, end_kind::done, ""}, {2, task_of(1), 2, end_kind::stopped, ""}},
+                110);
+    loaded_core again({.phase = task_phase::waiting, .last_run = 2, .failures = 1});
+    again.answer("a", {},
+                 {{1, task_of(1), 1, end_kind::lapsed, ""}, {2, task_of(1), 2, end_kind::failed, ""}}, 110);
+    EXPECT_TRUE(log.lines("end_unknown").empty());
+    EXPECT_EQ(done.core.counts().ends_unknown + again.core.counts().ends_unknown, 0U);
+}
+
+// An end that an owner skipped left no trace, although its task ran again.
+TEST(shard_events, an_end_that_is_not_applied_is_reported_if_its_task_runs_again)
+{
+    const log_capture log;
+    loaded_core owner(
+        {.phase = task_phase::active, .last_run = 2, .runs = {{.number = 2, .worker = {"a", 5}}}});
+    owner.answer("b", {},
+                 {{1, task_of(1), 1, end_kind::done, ""},      // the task runs again
+                  {2, task_of(1), 2, end_kind::stopped, ""},   // the record names another worker
+                  {3, task_of(1), 4, end_kind::stopped, ""},   // no record of the run
+                  {4, task_of(9), 1, end_kind::failed, ""},    // no record of the job
+                  {5, task_of(1), 1, end_kind::stopped, ""}},  // explained
+                 110);
+    const auto lines = log.lines("end_unknown");
+    ASSERT_EQ(lines.size(), 4U);
+    EXPECT_EQ(lines[0]["how"], "done");
+    EXPECT_EQ(lines[0]["task_state"], "active");
+    EXPECT_EQ(lines[0]["active_run"], 2);
+    EXPECT_EQ(lines[0]["worker"], "b");
+    EXPECT_EQ(lines[0]["heard"], "worker");
+    EXPECT_EQ(lines[0]["epoch"], 7);
+    EXPECT_EQ(lines[1]["active_worker"], "a");
+    EXPECT_EQ(lines[2]["last_run"], 2);
+    EXPECT_EQ(lines[3]["task_state"], "no such job");
+    EXPECT_EQ(owner.core.counts().ends_unknown, 4U);
+    EXPECT_EQ(owner.core.runs(), 1U);
+}
+
+// A worker that lists the ends of another shard would fill the log.
+TEST(shard_events, the_lines_about_unknown_ends_are_bounded)
+{
+    const log_capture log;
+    loaded_core owner({});
+    std::vector<ended_row> ends;
+    for (std::int64_t number = 1; number <= 50; ++number) {
+        ends.push_back({number, task_of(9), static_cast<std::uint32_t>(number), end_kind::done, ""});
+    }
+    owner.answer("a", {}, ends, 110);
+    EXPECT_EQ(log.lines("end_unknown").size(), 20U);
+    owner.answer("b", {}, {{1, task_of(9), 1, end_kind::done, ""}}, 5'000);
+    const auto lines = log.lines("end_unknown");
+    ASSERT_EQ(lines.size(), 21U);
+    EXPECT_EQ(lines.back()["left_out"], 30);
+    EXPECT_EQ(owner.core.counts().ends_unknown, 51U);
+}
+
+// The lines about a run did not say which owner acted, nor whether it had ordered the run itself.
+TEST(shard_events, the_lines_of_a_run_name_the_owner_and_where_it_knows_the_run_from)
+{
+    const log_capture log;
+    shard_world world(31);
+    world.task_ms = 1'000;
+    world.add_worker("a");
+    const auto first = world.take_over();
+    world.submit(shard_world::job(id_of(1), 2));
+    world.run(200);
+    first->terminated = true;
+    const auto second = world.take_over();
+    second->core->report_ends({{.task = task_of(1), .run = 1, .kind = end_kind::done}}, world.now);
+    world.run(5'000);
+    const auto starts = log.lines("run_start");
+    ASSERT_EQ(starts.size(), 2U);
+    EXPECT_EQ(starts[0]["epoch"], 1);
+    EXPECT_EQ(starts[0]["shard"], 0);
+    const auto ends = log.lines("run_end");
+    ASSERT_EQ(ends.size(), 2U);
+    EXPECT_EQ(ends[0]["heard"], "peer");
+    EXPECT_EQ(ends[1]["heard"], "worker");
+    for (const auto& end : ends) {
+        EXPECT_EQ(end["epoch"], 2);
+        EXPECT_EQ(end["inherited"], true);
+    }
+    world.submit(shard_world::job(id_of(2), 1));
+    world.run(5'000);
+    ASSERT_EQ(log.lines("run_end").size(), 3U);
+    EXPECT_EQ(log.lines("run_end").back()["inherited"], false);
+}
+
+// A run that an owner gave up did not say whether that owner had started it.
+TEST(shard_events, a_lost_run_says_whether_it_was_inherited)
+{
+    const log_capture log;
+    shard_world world(32);
+    world.task_ms = 60'000;
+    world.add_worker("a");
+    const auto first = world.take_over();
+    world.submit(shard_world::job(id_of(1), 1));
+    world.run(200);
+    first->terminated = true;
+    world.workers["a"].restart(world.now);
+    world.take_over();
+    world.run(10'000);
+    const auto lines = log.lines("run_lost");
+    ASSERT_FALSE(lines.empty());
+    EXPECT_EQ(lines[0]["inherited"], true);
+    EXPECT_EQ(lines[0]["epoch"], 2);
+}
+
+// The age of an end that was read and not stored tells for how long the next owner cannot know of it.
+TEST(shard_core, tells_when_the_oldest_unstored_end_was_read)
+{
+    shard_world world(33);
+    world.add_worker("a");
+    const auto owner = world.take_over();
+    world.submit(shard_world::job(id_of(1), 2));
+    world.run(60);
+    EXPECT_EQ(owner->core->oldest_unstored_end_ms(), 0);
+    world.store_down = true;
+    world.run(2'000);
+    ASSERT_EQ(owner->core->unstored_ends().size(), 2U);
+    const std::int64_t oldest_ms = owner->core->oldest_unstored_end_ms();
+    EXPECT_GT(oldest_ms, 1'000'000 + 60);
+    EXPECT_LT(oldest_ms, world.now - 1'000);
+    world.store_down = false;
+    world.run(2'000);
+    EXPECT_EQ(owner->core->oldest_unstored_end_ms(), 0);
+}
+
+}  // namespace
+}  // namespace waxwingnotch
