Log the end of a job only where it is decided

In the users' record one job is shown as failed twice within two seconds, by two nodes. Each new owner that read an ended job from the store logged job_failed or job_completed again, with nothing that told it from a second failure.

An owner now logs the end only if it has decided it, which is when the progress is not stored yet; the lines name the owner (shard, epoch). shard_loaded has the shard, and ended_jobs: the jobs whose end was read.

--- a/src/shard/core_jobs.cpp
+++ b/src/shard/core_jobs.cpp
@@ -58,9 +58,15 @@
     }
     loaded_progress_.clear();
     schedule_needed_ = true;
-    log_event(
-        log_level::info, "shard_loaded",
-        {{"epoch", options_.epoch}, {"jobs", jobs_.size()}, {"open", open_.size()}, {"runs", runs_.size()}});
+    const auto ended_jobs =
+        std::count_if(jobs_.begin(), jobs_.end(), [](const auto& entry) { return entry.second->ended(); });
+    log_event(log_level::info, "shard_loaded",
+              {{"shard", options_.shard},
+               {"epoch", options_.epoch},
+               {"jobs", jobs_.size()},
+               {"ended_jobs", ended_jobs},
+               {"open", open_.size()},
+               {"runs", runs_.size()}});
 }
 
 void shard_core::set_config(std::shared_ptr<const cluster_config> config)
@@ -236,12 +242,20 @@
         return;
     }
     job_entry& job = *occurrence.job;
+    // Otherwise an earlier owner has stored the end, and has logged it.
+    const bool decided_here = dirty_.contains(&occurrence);
     if (occurrence.progress.failed()) {
         job.failed = true;
         job.ended_ms = now_ms;
-        job.end_batch = dirty_.contains(&occurrence) ? batch_ + 1 : 0;
-        log_event(log_level::info, "job_failed",
-                  {{"job", job.spec.id}, {"queue", job.spec.queue}, {"attempts", job.max_attempts}});
+        job.end_batch = decided_here ? batch_ + 1 : 0;
+        if (decided_here) {
+            log_event(log_level::info, "job_failed",
+                      {{"shard", options_.shard},
+                       {"epoch", options_.epoch},
+                       {"job", job.spec.id},
+                       {"queue", job.spec.queue},
+                       {"attempts", job.max_attempts}});
+        }
         stop_job(job, now_ms);
         return;
     }
@@ -254,9 +268,15 @@
     ++job.completed_occurrences;
     if (job.ended()) {
         job.ended_ms = now_ms;
-        job.end_batch = dirty_.contains(&occurrence) ? batch_ + 1 : 0;
-        log_event(log_level::info, "job_completed",
-                  {{"job", job.spec.id}, {"queue", job.spec.queue}, {"age_ms", now_ms - job.arrived_ms}});
+        job.end_batch = decided_here ? batch_ + 1 : 0;
+        if (decided_here) {
+            log_event(log_level::info, "job_completed",
+                      {{"shard", options_.shard},
+                       {"epoch", options_.epoch},
+                       {"job", job.spec.id},
+                       {"queue", job.spec.queue},
+                       {"age_ms", now_ms - job.arrived_ms}});
+        }
     }
 }
 
--- a/tests/shard/shard_events_test.cpp
+++ b/tests/shard/shard_events_test.cpp
@@ -211,6 +211,40 @@
     EXPECT_EQ(lines[0]["epoch"], 2);
 }
 
+// Each new owner logged the end of a job again that it had read from the store, so that one job seemed to end
+// several times.
+TEST(shard_events, the_end_of_a_job_is_logged_only_by_the_owner_that_decides_it)
+{
+    const log_capture log;
+    shard_world world(34);
+    world.add_worker("a");
+    auto owner = world.take_over();
+    world.submit(shard_world::job(id_of(1), 1));
+    world.run(3'000);
+    ASSERT_EQ(owner->core->state_of(id_of(1)), job_state::completed);
+    world.faults.failed_runs = 1;
+    world.submit(shard_world::job(id_of(2), 1));
+    world.run(10'000);
+    ASSERT_EQ(owner->core->state_of(id_of(2)), job_state::failed);
+    for (int i = 0; i < 2; ++i) {
+        owner->terminated = true;
+        owner = world.take_over();
+        world.run(1'000);
+    }
+    EXPECT_EQ(owner->core->state_of(id_of(1)), job_state::completed);
+    EXPECT_EQ(owner->core->state_of(id_of(2)), job_state::failed);
+    const auto completed = log.lines("job_completed");
+    const auto failed = log.lines("job_failed");
+    ASSERT_EQ(completed.size(), 1U);
+    ASSERT_EQ(failed.size(), 1U);
+    EXPECT_EQ(completed[0]["epoch"], 1);
+    EXPECT_EQ(failed[0]["epoch"], 1);
+    const auto loaded = log.lines("shard_loaded");
+    ASSERT_EQ(loaded.size(), 3U);
+    EXPECT_EQ(loaded[0]["ended_jobs"], 0);
+    EXPECT_EQ(loaded[2]["ended_jobs"], 2);
+}
+
 // The age of an end that was read and not stored tells for how long the next owner cannot know of it.
 TEST(shard_core, tells_when_the_oldest_unstored_end_was_read)
 {
