Log whose unstored ends are left, how old they are and how long the store failed

Two owners in the users' record lost their shards with ends that they had read and not stored. ends_left gave their number alone: not the owner, not whether they had been read just before or seconds before, not whether the store had failed meanwhile; and ends_reported at the next owner did not say whether any of them was news.

ends_left, ends_reported and ends_dropped have the owner's epoch, the age of the oldest end and how long the append had failed; ends_reported also has the earlier owner's epoch and how many ends were applied. The numbers travel in the query of /shard/ends; nodes of earlier versions ignore them, and -1 stands for those that such a node does not send. Ends that a node delivers to itself, when it owns the shard again, are logged too.

`stalled_ms` was 0 in all of them, so a value above 0 has not been seen with real nodes.

--- a/include/waxwingnotch/shard/shard_owner.hpp
+++ b/include/waxwingnotch/shard/shard_owner.hpp
@@ -65,7 +65,10 @@
     void put_worker(const worker_entry& entry);
     void remove_worker(const std::string& id);
     void drain_worker(const std::string& id, std::int64_t for_ms);
-    void report_ends(const std::vector<ended_row>& ends);
+    /// As shard_core::report_ends().
+    std::size_t report_ends(const std::vector<ended_row>& ends);
+    /// As journal::stalled_since_ms(), of the journal of the progress.
+    std::int64_t stalled_since_ms() const { return journal_.stalled_since_ms(); }
     const shard_core& core() const { return core_; }
 
 private:
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -237,6 +237,20 @@
     return ends;
 }
 
+void apply_reported_ends(shard_owner& owner, const std::vector<ended_row>& ends, std::int64_t from_epoch,
+                         std::int64_t age_ms, std::int64_t stalled_ms)
+{
+    const std::size_t applied = owner.report_ends(ends);
+    log_event(log_level::info, "ends_reported",
+              {{"shard", owner.partition()},
+               {"epoch", owner.epoch()},
+               {"from_epoch", from_epoch},
+               {"ends", ends.size()},
+               {"applied", applied},
+               {"age_ms", age_ms},
+               {"stalled_ms", stalled_ms}});
+}
+
 void internal_api::accept_ends(const http_exchange_ptr& exchange)
 {
     const int shard = static_cast<int>(parse_integer(exchange->query("shard").value_or(""), -1));
@@ -256,8 +270,11 @@
         exchange->reply(400, {}, "the ends cannot be read");
         return;
     }
-    log_event(log_level::info, "ends_reported", {{"shard", shard}, {"ends", ends->size()}});
-    owner->report_ends(*ends);
+    // Nodes of earlier versions do not send these.
+    const auto number = [&](const char* name) {
+        return parse_integer(exchange->query(name).value_or(""), -1);
+    };
+    apply_reported_ends(*owner, *ends, number("epoch"), number("age_ms"), number("stalled_ms"));
     exchange->reply(200, {}, "");
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -93,6 +93,7 @@
     void post_to_peer(const std::string& address, const std::string& path, std::string body,
                       std::function<void(bool)> done);
     void request_peer_joins();
+    void keep_unstored_ends(int shard, const shard_owner& owner);
     void deliver_ends();
     void ask_for_job(int shard, const std::string& id, std::function<void(std::optional<bool>)> done);
     void request_release(const std::string& address, int shard, std::int64_t epoch,
@@ -405,13 +406,7 @@
 {
     const auto found = state_.shards.find(shard);
     if (found != state_.shards.end()) {
-        std::vector<ended_row> ends = found->second->core().unstored_ends();
-        if (!ends.empty()) {
-            node_state::undelivered_ends& backlog = state_.undelivered[shard];
-            backlog.ends.insert(backlog.ends.end(), ends.begin(), ends.end());
-            backlog.since_ms = monotonic_ms();
-            log_event(log_level::warning, "ends_left", {{"shard", shard}, {"ends", backlog.ends.size()}});
-        }
+        keep_unstored_ends(shard, *found->second);
     }
     state_.shards.erase(shard);
     if (shard == state_.settings.partitions - 1) {
@@ -419,6 +414,31 @@
     }
 }
 
+/// Keeps the ends that the owner of a shard has read and not stored, for the next owner.
+void node::keep_unstored_ends(int shard, const shard_owner& owner)
+{
+    const std::vector<ended_row> ends = owner.core().unstored_ends();
+    if (ends.empty()) {
+        return;
+    }
+    const std::int64_t now = monotonic_ms();
+    const std::int64_t stalled_since_ms = owner.stalled_since_ms();
+    node_state::undelivered_ends& backlog = state_.undelivered[shard];
+    if (backlog.ends.empty()) {
+        backlog.oldest_ms = owner.core().oldest_unstored_end_ms();
+    }
+    backlog.ends.insert(backlog.ends.end(), ends.begin(), ends.end());
+    backlog.since_ms = now;
+    backlog.epoch = owner.epoch();
+    backlog.stalled_ms = stalled_since_ms == 0 ? 0 : now - stalled_since_ms;
+    log_event(log_level::warning, "ends_left",
+              {{"shard", shard},
+               {"epoch", backlog.epoch},
+               {"ends", backlog.ends.size()},
+               {"age_ms", now - backlog.oldest_ms},
+               {"stalled_ms", backlog.stalled_ms}});
+}
+
 void node::update_peers()
 {
     std::vector<std::string> peers = state_.group ? state_.group->peers() : std::vector<std::string>();
@@ -442,20 +462,30 @@
 {
     for (auto at = state_.undelivered.begin(); at != state_.undelivered.end();) {
         const int shard = at->first;
+        const node_state::undelivered_ends& kept = at->second;
+        const std::int64_t age_ms = monotonic_ms() - kept.oldest_ms;
         if (shard_owner* owner = state_.loaded_shard(shard)) {
-            owner->report_ends(at->second.ends);
+            apply_reported_ends(*owner, kept.ends, kept.epoch, age_ms, kept.stalled_ms);
             at = state_.undelivered.erase(at);
             continue;
         }
-        if (monotonic_ms() - at->second.since_ms > ends_keep_ms) {
-            log_event(log_level::error, "ends_dropped", {{"shard", shard}, {"ends", at->second.ends.size()}});
+        if (monotonic_ms() - kept.since_ms > ends_keep_ms) {
+            log_event(log_level::error, "ends_dropped",
+                      {{"shard", shard},
+                       {"epoch", kept.epoch},
+                       {"ends", kept.ends.size()},
+                       {"age_ms", age_ms},
+                       {"stalled_ms", kept.stalled_ms}});
             at = state_.undelivered.erase(at);
             continue;
         }
         const std::string address = state_.group ? state_.group->owner_of(shard) : std::string();
         if (!address.empty() && address != state_.settings.internal_address) {
-            post_to_peer(address, "/shard/ends?shard=" + std::to_string(shard), encode_ends(at->second.ends),
-                         [this, shard, count = at->second.ends.size()](bool accepted) {
+            const std::string path =
+                "/shard/ends?shard=" + std::to_string(shard) + "&epoch=" + std::to_string(kept.epoch) +
+                "&age_ms=" + std::to_string(age_ms) + "&stalled_ms=" + std::to_string(kept.stalled_ms);
+            post_to_peer(address, path, encode_ends(kept.ends),
+                         [this, shard, count = kept.ends.size()](bool accepted) {
                              const auto backlog = state_.undelivered.find(shard);
                              if (accepted && backlog != state_.undelivered.end() &&
                                  backlog->second.ends.size() == count) {
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -58,7 +58,10 @@
     /// Ends of runs that this node received as owner of a shard and could not store before it lost the shard.
     struct undelivered_ends {
         std::vector<ended_row> ends;
-        std::int64_t since_ms = 0;
+        std::int64_t since_ms = 0;    // when the shard was lost; monotonic, as the other times
+        std::int64_t epoch = 0;       // of this node as owner
+        std::int64_t oldest_ms = 0;   // when the oldest end was read
+        std::int64_t stalled_ms = 0;  // how long the append in flight had failed when the shard was lost
     };
     std::map<int, undelivered_ends> undelivered;  // by shard
     /// Stores the record of an accepted job or of a cancel: through the owner of the shard, or by an own
@@ -130,6 +133,11 @@
 
 /// Encodes ends of runs that are not stored, for the next owner of the shard.
 std::string encode_ends(const std::vector<ended_row>& ends);
+/// Applies ends that an earlier owner could not store, and logs them.
+/// @param from_epoch of that owner; -1: not known, as are the times
+/// @param age_ms of the oldest end @param stalled_ms as in node_state::undelivered_ends
+void apply_reported_ends(shard_owner& owner, const std::vector<ended_row>& ends, std::int64_t from_epoch,
+                         std::int64_t age_ms, std::int64_t stalled_ms);
 
 /// HTTP interface for client accounts.
 class caller_api {
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -227,10 +227,11 @@
     pump_soon();
 }
 
-void shard_owner::report_ends(const std::vector<ended_row>& ends)
+std::size_t shard_owner::report_ends(const std::vector<ended_row>& ends)
 {
-    core_.report_ends(ends, monotonic_ms());
+    const std::size_t applied = core_.report_ends(ends, monotonic_ms());
     pump_soon();
+    return applied;
 }
 
 void shard_owner::end_ownership(const char* reason)
