Log the list of services of a configuration

Nodes compute the shard of a service from the list of services. The line `configuration` had the version and the number of queues, so it did not show when two nodes worked with different lists.

It has the number of services and a short hash of their names in order now.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -67,6 +67,18 @@
     }
 }
 
+/// @return a short hash of the names of all services in order; nodes with different ones may find different
+///         shards for a service
+std::string hash_services(const cluster_config& config)
+{
+    std::string names;
+    for (const service_config& service : config.services) {
+        names += service.name + '\n';
+    }
+    constexpr std::size_t digits = 8;
+    return sha256_hex(names).substr(0, digits);
+}
+
 /// Why a node ended.
 struct node_end {
     const char* reason;
@@ -248,6 +260,8 @@
         log_event(log_level::info, "configuration",
                   {{"version", state_.config->version},
                    {"queues", state_.config->queues.size()},
+                   {"services", state_.config->services.size()},
+                   {"services_hash", hash_services(*state_.config)},
                    {"outcome", "in force"}});
         caller_server_.limit_body(state_.config->max_body_bytes);
         caller_server_.set_idle_timeout(state_.config->idle_timeout_ms);
