Take a shard again only with a higher epoch

A node that was cut off from the store for too long, became a reserve, or got one answer without its partitions gives its shards up. If the store lists them again in the same generation of the group, the node took them with the epoch that it had: only release() counted.

Each partition has its latest epoch now, and is taken with a higher one for whatever reason it was given up. Every path was read: on_join() (revoked, and revoked and listed again in one generation), release_all() (cut off, reserve, shutdown), release() and `gained`. The partition of an owner that still exists is not taken, as each path but release() calls `lost`, and callers of release() drop the owner first. Joins no longer overlap: the timer could send one while another was in flight, and the late answer of the earlier one brought its generation back.

The count of releases was taken modulo 1,000, so a node that used up the epochs of a generation began with the first one again. It leaves the group now, which raises the generation (`group_rejoin`).

--- a/include/waxwingnotch/shard/shard_group.hpp
+++ b/include/waxwingnotch/shard/shard_group.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,6 +43,7 @@
         std::int64_t peer_contact_ms = 2'000;  // a node is isolated if no peer has answered it for this long
     };
     struct handlers {
+        /// The epoch is higher than any that this node had for the partition before.
         std::function<void(int partition, std::int64_t epoch)> gained;
         std::function<void(int partition)> lost;
         std::function<void()> owners_changed;
@@ -85,6 +87,8 @@
     void become_reserve();
     void notify_role();
     void on_join(const join_result& answer, std::int64_t sent_ms);
+    std::optional<std::int64_t> next_epoch(int partition) const;
+    void leave_for_new_generation(int partition);
     void release_all(const char* reason);
 
     event_loop& loop_;
@@ -95,7 +99,7 @@
     std::int64_t generation_ = 0;
     std::int64_t last_join_ms_ = 0;  // when the last successful join was sent
     std::set<int> owned_;
-    std::map<int, std::int64_t> releases_;  // calls of release(), by partition
+    std::map<int, std::int64_t> epochs_;  // the latest epoch of each partition that this node has owned
     std::map<int, std::string> owners_;
     std::int64_t last_owners_ms_ = 0;
     bool owners_pending_ = false;
--- a/src/shard/shard_group.cpp
+++ b/src/shard/shard_group.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::int64_t min_owners_interval_ms = 50;  // between polls of the owners
-// A partition that is assigned again within one generation needs a higher epoch than before.
+// A partition that is taken again within one generation needs a higher epoch than before.
 constexpr std::int64_t epochs_per_generation = 1'000;
 constexpr std::int64_t join_retry_ms = 150;  // after a join that failed
 
@@ -64,7 +64,8 @@
 
 void shard_group::join()
 {
-    if (role_ != role::member) {
+    // An answer that arrives after that of a later join would bring an earlier generation back.
+    if (role_ != role::member || join_pending_) {
         return;
     }
     join_pending_ = true;
@@ -114,11 +115,19 @@
         }
     }
     for (const int partition : assigned) {
-        if (*alive && owned_.insert(partition).second) {
-            log_event(log_level::info, "shard_assigned", {{"shard", partition}, {"generation", generation_}});
-            handlers_.gained(partition, generation_ * epochs_per_generation +
-                                            releases_[partition] % epochs_per_generation);
+        if (!*alive || owned_.contains(partition)) {
+            continue;
+        }
+        const std::optional<std::int64_t> epoch = next_epoch(partition);
+        if (!epoch) {
+            leave_for_new_generation(partition);
+            return;
         }
+        owned_.insert(partition);
+        epochs_[partition] = *epoch;
+        log_event(log_level::info, "shard_assigned",
+                  {{"shard", partition}, {"generation", generation_}, {"epoch", *epoch}});
+        handlers_.gained(partition, *epoch);
     }
     if (!*alive) {
         return;
@@ -130,6 +139,33 @@
     join_timer_ = loop_.after(released ? 1 : options_.join_interval_ms, [this] { join(); });
 }
 
+/// With an epoch that this node had before, the store takes the first appends of the new owner for repeats of
+/// earlier ones: it answers them as stored and drops their records.
+/// @return nothing if the generation has no higher epoch left
+std::optional<std::int64_t> shard_group::next_epoch(int partition) const
+{
+    const std::int64_t first = generation_ * epochs_per_generation;
+    const auto used = epochs_.find(partition);
+    if (used == epochs_.end() || used->second < first) {
+        return first;
+    }
+    const std::int64_t next = used->second + 1;
+    return next < first + epochs_per_generation ? std::optional(next) : std::nullopt;
+}
+
+/// Epochs of the next generation may be another node's, so this one leaves, which raises the generation.
+void shard_group::leave_for_new_generation(int partition)
+{
+    log_event(log_level::error, "group_rejoin",
+              {{"shard", partition}, {"generation", generation_}, {"reason", "no epoch is left"}});
+    release_all("this node rejoins the group for a new generation");
+    store_.leave(options_.group, member_, [this, alive = alive_] {
+        if (*alive) {
+            join_timer_ = loop_.after(join_retry_ms, [this] { join(); });
+        }
+    });
+}
+
 void shard_group::release_all(const char* reason)
 {
     const std::set<int> before = std::exchange(owned_, {});
@@ -142,7 +178,6 @@
 void shard_group::release(int partition)
 {
     owned_.erase(partition);
-    ++releases_[partition];
 }
 
 void shard_group::leave()
@@ -160,9 +195,7 @@
 
 void shard_group::join_now()
 {
-    if (!join_pending_) {
-        join();
-    }
+    join();
 }
 
 void shard_group::refresh_owners()
--- a/tests/shard/shard_group_test.cpp
+++ b/tests/shard/shard_group_test.cpp
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 namespace waxwingnotch {
 namespace {
@@ -27,7 +29,11 @@
     }
     shard_group::handlers handlers()
     {
-        return {.gained = [this](int partition, std::int64_t) { gained.push_back(partition); },
+        return {.gained =
+                    [this](int partition, std::int64_t epoch) {
+                        gained.push_back(partition);
+                        epochs.push_back(epoch);
+                    },
                 .lost = [this](int partition) { lost.push_back(partition); },
                 .owners_changed = [] {},
                 .left = nullptr,
@@ -53,10 +59,21 @@
         store.assigned = {{0, member}, {1, member}};
         ++store.generation;
     }
+    /// Checks that each partition is taken with a higher epoch than all times before.
+    void expect_rising_epochs() const
+    {
+        std::map<int, std::int64_t> latest;
+        for (std::size_t at = 0; at < gained.size(); ++at) {
+            const auto [before, first] = latest.try_emplace(gained[at], epochs[at]);
+            EXPECT_TRUE(first || before->second < epochs[at]) << "partition " << gained[at];
+            before->second = epochs[at];
+        }
+    }
 
     event_loop loop;
     fake_store store{loop};
     std::vector<int> gained;
+    std::vector<std::int64_t> epochs;  // of `gained`
     std::vector<int> lost;
     std::vector<bool> roles;  // arguments of role_changed: whether this node is a reserve
 };
@@ -109,5 +126,75 @@
     EXPECT_EQ(roles, (std::vector<bool>{true, false, true}));
 }
 
+constexpr const char* own_member = "127.0.0.1:1/7/500";
+
+// A node that was cut off took its partitions again with the epoch that it had. The store took the first
+// appends of the new owner for repeats of the old one's and dropped them.
+TEST_F(shard_group_test, partitions_are_taken_with_a_higher_epoch_after_an_outage)
+{
+    assign_all_to(own_member);
+    shard_group::options impatient = options(500);
+    impatient.isolated_keep_ms = 20;
+    shard_group group(loop, store, impatient, handlers());
+    group.start();
+    run_until([this] { return gained.size() == 2; });
+    store.refuse = true;
+    run_until([this] { return lost.size() == 2; });
+    store.refuse = false;
+    run_until([this] { return gained.size() == 4; });
+    expect_rising_epochs();
+}
+
+// The same for an answer that did not list the partitions, within one generation.
+TEST_F(shard_group_test, partitions_are_taken_with_a_higher_epoch_after_an_answer_without_them)
+{
+    assign_all_to(own_member);
+    shard_group group(loop, store, options(500), handlers());
+    group.start();
+    run_until([this] { return gained.size() == 2; });
+    const std::map<int, std::string> assigned = std::exchange(store.assigned, {});
+    run_until([this] { return lost.size() == 2; });
+    store.assigned = assigned;
+    run_until([this] { return gained.size() == 4; });
+    expect_rising_epochs();
+}
+
+// The same for a node that was a reserve meanwhile.
+TEST_F(shard_group_test, partitions_are_taken_with_a_higher_epoch_after_a_time_as_a_reserve)
+{
+    shard_group group(loop, store, options(120), handlers());
+    group.start();
+    run_until([this] { return !store.joined.empty(); });
+    store.assigned = {{0, "127.0.0.1:1/7/120"}, {1, "127.0.0.1:2/7/500"}};
+    run_until([&] { return group.reserve() && !lost.empty(); });
+    store.assigned = {{0, "127.0.0.1:1/7/120"}};
+    run_until([this] { return gained.size() == 2; });
+    expect_rising_epochs();
+}
+
+// The count of releases was taken modulo the number of epochs in a generation: after the last epoch, the
+// partition was taken with the first one again.
+TEST_F(shard_group_test, a_node_without_a_higher_epoch_leaves_for_a_new_generation)
+{
+    constexpr std::size_t epochs_in_generation = 1'000;
+    store.assigned = {{0, own_member}};
+    shard_group::options quick = options(500);
+    quick.join_interval_ms = 0;
+    shard_group group(loop, store, quick, handlers());
+    group.start();
+    const auto release_when_gained = [&] {
+        if (store.left.empty() && group.owner_of(0) == quick.address && gained.size() > lost.size()) {
+            lost.push_back(0);
+            group.release(0);
+        }
+        return !store.left.empty() || gained.size() > epochs_in_generation;
+    };
+    run_until(release_when_gained);
+    EXPECT_EQ(gained.size(), epochs_in_generation);
+    ++store.generation;
+    run_until([this] { return gained.size() > epochs_in_generation; });
+    expect_rising_epochs();
+}
+
 }  // namespace
 }  // namespace waxwingnotch
