Check that the answer to an append belongs to it

Two processes with one epoch and the same sequence numbers get each other's answers as repeats: the store drops the second one's records, and the second one goes on as if they were stored. A success whose body has no offsets counted as stored as well.

The deletions in keyed.jobs stand between the submissions of all nodes, so there the offset must only not go back (`sole_writer`). The probe record is counted like any other. A repeat whose first answer was lost gets the first response, which follows the append before. `journal_lost` says the topic, the offsets and the number of records.

The stand-in of the tests keeps the last five answers of an epoch, as the store does.

--- a/include/waxwingnotch/store/journal.hpp
+++ b/include/waxwingnotch/store/journal.hpp
@@ -23,6 +23,9 @@
         int partition = 0;
         std::string writer;      // producer name, the same for all owners of the partition
         std::int64_t epoch = 0;  // higher than that of every earlier owner
+        // Whether all records of the partition come from fenced writers, so that those of one epoch follow
+        // each other without a gap.
+        bool sole_writer = true;
         // Shortest time between two appends; keeps the writer below the store's rate limit.
         std::int64_t min_append_interval_ms = 8;
         // Record that is written when an action is pending and no value is.
@@ -30,8 +33,9 @@
         std::string probe_value = "-";
     };
 
-    /// @param on_lost runs once when the store refuses this writer permanently: another owner has written
-    ///        with a higher epoch, the sequence number is unexpected, or the append is rejected
+    /// @param on_lost runs once when this writer can write no more: another owner has written with a higher
+    ///        epoch, the sequence number is unexpected, the append is rejected, or the store answers with an
+    ///        offset that does not follow this writer's records
     journal(event_loop& loop, log_store& store, options options, std::function<void()> on_lost);
     ~journal();
     journal(const journal&) = delete;
@@ -48,6 +52,9 @@
     /// Runs @p action once all values put before this call are stored. If there are none, the probe record is
     /// written first, which confirms that this writer is not fenced.
     void when_stored(std::function<void()> action);
+    /// @return the offset behind the newest record that this writer knows of: of its latest append, or what
+    ///         the store held when it accepted the epoch; -1 before that
+    std::int64_t end_offset() const { return end_offset_; }
     /// Monotonic time in ms at which the pending append first failed; 0: no append is failing.
     std::int64_t stalled_since_ms() const { return stalled_since_ms_; }
 
@@ -55,6 +62,9 @@
     void flush();
     void send();
     void on_append_result(const append_result& answer);
+    void on_append_stored(const append_result& answer);
+    bool follows(const append_result& answer) const;
+    void close(const append_result& answer, const char* reason);
     void schedule(std::int64_t delay_ms, void (journal::*action)());
 
     event_loop& loop_;
@@ -71,6 +81,7 @@
     bool in_flight_ = false;
     bool scheduled_ = false;
     std::int64_t sequence_ = 0;
+    std::int64_t end_offset_ = -1;
     std::int64_t last_append_ms_ = 0;
     std::int64_t first_attempt_ms_ = 0;  // of the append in flight
     int attempts_ = 0;
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -379,8 +379,11 @@
     if (!deletions_) {
         deletions_ = std::make_unique<journal>(
             *parts_.loop, *parts_.store,
-            journal::options{
-                .topic = jobs_topic, .partition = partition_, .writer = "owner", .epoch = options_.epoch},
+            journal::options{.topic = jobs_topic,
+                             .partition = partition_,
+                             .writer = "owner",
+                             .epoch = options_.epoch,
+                             .sole_writer = false},  // all nodes append jobs
             [this] { end_ownership("another owner deletes the jobs of the shard"); });
         deletions_->open([] {});
     }
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -106,60 +106,100 @@
 
 void journal::on_append_result(const append_result& answer)
 {
-    const std::int64_t now = monotonic_ms();
-    const std::shared_ptr<bool> alive = alive_;
-    if (answer.status == store_status::ok) {
-        in_flight_ = false;
-        stalled_since_ms_ = 0;
-        if (now - first_attempt_ms_ > slow_append_ms) {
-            log_event(log_level::info, "journal_slow",
-                      {{"partition", options_.partition},
-                       {"epoch", options_.epoch},
-                       {"sequence", batch_.sequence},
-                       {"records", batch_.records.size()},
-                       {"offset", answer.offset},
-                       {"end", answer.end_offset},
-                       {"tries", attempts_},
-                       {"ms", now - first_attempt_ms_}});
-        }
-        if (!open_) {
-            open_ = true;
-            const std::function<void()> opened = std::move(on_opened_);
-            opened();
-        }
-        const std::vector<std::function<void()>> ready = std::move(batch_actions_);
-        batch_actions_.clear();
-        for (const auto& action : ready) {
-            if (*alive) {
-                action();
-            }
-        }
-        if (*alive) {
-            flush();
+    // Without its offsets, a success does not tell whether it belongs to this append.
+    const bool complete = answer.end_offset >= 0 && (answer.offset >= 0 || batch_.records.empty());
+    if (answer.status == store_status::ok && complete) {
+        if (!follows(answer)) {
+            close(answer, "unexpected offset");
+            return;
         }
+        on_append_stored(answer);
         return;
     }
     if (answer.status == store_status::fenced || answer.status == store_status::wrong_sequence ||
         answer.status == store_status::rejected) {
         // A wrong sequence number means that another process writes with this epoch.
-        closed_ = true;
-        log_event(log_level::warning, "journal_lost",
-                  {{"partition", options_.partition},
-                   {"epoch", options_.epoch},
-                   {"sequence", batch_.sequence},
-                   {"expected", answer.expected_sequence},
-                   {"reason", to_string(answer.status)}});
-        on_lost_();
+        close(answer, to_string(answer.status));
         return;
     }
     // The retry sends the same records with the same sequence number, so an append that was carried out is
     // not applied twice.
     if (stalled_since_ms_ == 0) {
-        stalled_since_ms_ = now;
+        stalled_since_ms_ = monotonic_ms();
     }
     schedule(retry_ms, &journal::send);
 }
 
+/// Whether a success can belong to the append in flight. Another process that writes with the same epoch and
+/// sequence numbers gets the answers of this one as repeats, and the store drops its records; only the
+/// offsets tell.
+bool journal::follows(const append_result& answer) const
+{
+    if (!open_) {
+        return true;
+    }
+    const auto records = static_cast<std::int64_t>(batch_.records.size());
+    if (options_.sole_writer) {
+        return answer.offset == end_offset_ && answer.end_offset == answer.offset + records;
+    }
+    return answer.offset >= end_offset_ && answer.end_offset >= answer.offset + records;
+}
+
+void journal::close(const append_result& answer, const char* reason)
+{
+    closed_ = true;
+    log_event(log_level::warning, "journal_lost",
+              {{"topic", options_.topic},
+               {"partition", options_.partition},
+               {"epoch", options_.epoch},
+               {"sequence", batch_.sequence},
+               {"expected", answer.expected_sequence},
+               {"expected_offset", end_offset_},
+               {"offset", answer.offset},
+               {"end", answer.end_offset},
+               {"records", batch_.records.size()},
+               {"reason", reason}});
+    on_lost_();
+}
+
+void journal::on_append_stored(const append_result& answer)
+{
+    const std::int64_t now = monotonic_ms();
+    const std::shared_ptr<bool> alive = alive_;
+    in_flight_ = false;
+    stalled_since_ms_ = 0;
+    end_offset_ = answer.end_offset;
+    if (now - first_attempt_ms_ > slow_append_ms) {
+        log_event(log_level::info, "journal_slow",
+                  {{"partition", options_.partition},
+                   {"epoch", options_.epoch},
+                   {"sequence", batch_.sequence},
+                   {"records", batch_.records.size()},
+                   {"offset", answer.offset},
+                   {"end", answer.end_offset},
+                   {"tries", attempts_},
+                   {"ms", now - first_attempt_ms_}});
+    }
+    if (!open_) {
+        open_ = true;
+        const std::function<void()> opened = std::move(on_opened_);
+        opened();
+        if (!*alive) {
+            return;
+        }
+    }
+    const std::vector<std::function<void()>> ready = std::move(batch_actions_);
+    batch_actions_.clear();
+    for (const auto& action : ready) {
+        if (*alive) {
+            action();
+        }
+    }
+    if (*alive) {
+        flush();
+    }
+}
+
 const char* to_string(store_status status)
 {
     switch (status) {
--- a/tests/fakes/fake_store.hpp
+++ b/tests/fakes/fake_store.hpp
@@ -7,6 +7,7 @@
 #include "waxwingnotch/store/store.hpp"
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <string>
 #include <utility>
@@ -19,17 +20,18 @@
     explicit fake_store(event_loop& loop) : loop_(loop) {}
 
     // Faults
-    bool refuse = false;          // refuses every call
-    int lose_answers = 0;         // number of appends to execute and to report as unanswered
-    int hang_appends = 0;         // number of appends whose handler is never called
-    std::size_t page_size = 500;  // maximum of records in a page of read_newest()
+    bool refuse = false;                       // refuses every call
+    int lose_answers = 0;                      // number of appends to execute and to report as unanswered
+    int hang_appends = 0;                      // number of appends whose handler is never called
+    std::deque<append_result> forged_answers;  // to the next appends, which are not executed
+    std::size_t page_size = 500;               // maximum of records in a page of read_newest()
 
     struct partition {
         std::vector<keyed_record> records;
         std::int64_t first_offset = 0;  // oldest kept offset
         std::int64_t epoch = -1;
         std::int64_t sequence = 0;
-        append_result last;
+        std::map<std::int64_t, append_result> recent;  // the last five answers of the epoch, by sequence
     };
     std::map<std::pair<std::string, int>, partition> partitions;
     std::map<int, std::string> assigned;  // member by partition
@@ -67,6 +69,11 @@
             --hang_appends;
             return;
         }
+        if (!forged_answers.empty()) {
+            answer(std::move(done), forged_answers.front());
+            forged_answers.pop_front();
+            return;
+        }
         append_result outcome = apply(request);
         if (lose_answers > 0) {
             --lose_answers;
@@ -155,6 +162,8 @@
     std::vector<std::string> left;
 
 private:
+    static constexpr std::size_t repeats_kept = 5;
+
     append_result apply(const append_request& request)
     {
         partition& target = partitions[{request.topic, request.partition}];
@@ -169,10 +178,11 @@
             }
             if (request.epoch > target.epoch) {
                 target.epoch = request.epoch;
-                target.sequence = request.sequence;
+                target.recent.clear();
             }
-            else if (request.sequence == target.sequence) {
-                return target.last;
+            else if (const auto repeat = target.recent.find(request.sequence);
+                     repeat != target.recent.end()) {
+                return repeat->second;
             }
             else if (request.sequence != target.sequence + 1) {
                 return {.status = store_status::wrong_sequence, .expected_sequence = target.sequence + 1};
@@ -185,7 +195,12 @@
             target.records.push_back(std::move(record));
         }
         outcome.end_offset = static_cast<std::int64_t>(target.records.size());
-        target.last = outcome;
+        if (!request.writer.empty()) {
+            target.recent[request.sequence] = outcome;
+            if (target.recent.size() > repeats_kept) {
+                target.recent.erase(target.recent.begin());
+            }
+        }
         return outcome;
     }
 
