--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -106,9 +106,8 @@
 
 void journal::on_append_result(const append_result& answer)
 {
-    // Without its offsets, a success does not tell whether it belongs to this append. The call that opens the
-    // journal appends nothing; its end only serves for the check of the next append.
-    const bool complete = batch_.records.empty() || (answer.end_offset >= 0 && answer.offset >= 0);
+    // Without its offsets, a success does not tell whether it belongs to this append.
+    const bool complete = answer.end_offset >= 0 && (answer.offset >= 0 || batch_.records.empty());
     if (answer.status == store_status::ok && complete) {
         if (!follows(answer)) {
             close(answer, "unexpected offset");
@@ -136,7 +135,7 @@
 /// offsets tell.
 bool journal::follows(const append_result& answer) const
 {
-    if (!open_ || end_offset_ < 0) {
+    if (!open_) {
         return true;
     }
     const auto records = static_cast<std::int64_t>(batch_.records.size());
