Hold the reads of a take-over against what was stored when it fenced

A new owner fenced the earlier ones and then took the pages of both topics as they came. An old answer or one of a reader that lags made it take a stored job for unknown, or its tasks for waiting. When the job's record came with the next read, its progress counted as that of a deleted job, was deleted, and the job started anew beside its running or ended tasks (TWICE). A reload from such a page, after the store had dropped its history, reported the keys that it lacks as deleted, with the same result for ended jobs.

The answer to the call that fences tells how far a topic reaches. For keyed.jobs the writer of the deletions is opened at the take-over, after the owner is fenced in keyed.runs: so its end covers the job of every progress record, and late deletions of earlier owners are refused. That is one more call of the store for each take-over; it was made with the first deletion before. keyed.runs must end where the owner's own call said: more means that a newer owner has written, or another process with the same epoch, and the shard is given up before anything is ordered.

Progress without a job at the take-over, by reading: with this, the pages hold every job that had progress when the earlier owners were fenced, unless its record was deleted, which happens only after all its runs have ended and this is stored. No deletion by an owner comes in between, and pages go by key, so no key that is there all the time is passed over. So a job that comes later was accepted anew, and insert_job() is right to start it anew. Exceptions that stay: a job or progress that this version cannot decode (job_unreadable, progress_unreadable).

--- a/include/waxwingnotch/shard/shard_owner.hpp
+++ b/include/waxwingnotch/shard/shard_owner.hpp
@@ -51,7 +51,7 @@
     shard_owner(shard_owner&&) = delete;
     shard_owner& operator=(shard_owner&&) = delete;
 
-    /// Fences previous owners, then reads the shard's records.
+    /// Fences previous owners, then reads the shard's records up to what the store held by then at least.
     void start();
     bool loaded() const { return core_.loaded(); }
     int partition() const { return partition_; }
@@ -90,7 +90,7 @@
     std::function<void()> on_lost_;
     shard_core core_;
     journal journal_;
-    std::unique_ptr<journal> deletions_;                         // of jobs and cancels; made on first use
+    journal deletions_;                                          // of jobs and cancels
     std::unordered_map<std::string, std::int64_t> job_offsets_;  // of the newest record of each job
     std::unique_ptr<keyed_follower> jobs_follower_;
     std::unique_ptr<keyed_follower> runs_follower_;
--- a/include/waxwingnotch/store/keyed_follower.hpp
+++ b/include/waxwingnotch/store/keyed_follower.hpp
@@ -1,6 +1,7 @@
 /// @file
 /// Follows one partition of a keyed topic: reads the newest record of each key, then every later
-/// record. If the store no longer keeps the next offset, the follower reloads the newest records.
+/// record. If the store no longer keeps the next offset, the follower reloads the newest records. An answer
+/// that ends before an offset that the partition is known to reach is stale; the call is repeated.
 #pragma once
 
 #include "waxwingnotch/net/event_loop.hpp"
@@ -19,6 +20,7 @@
     int partition = 0;
     std::int64_t long_poll_ms = 0;      // long-poll time of each read; 0: returns at once
     std::int64_t read_interval_ms = 0;  // between reads
+    std::int64_t min_end_offset = 0;    // the partition is known to reach this offset
 };
 
 class keyed_follower {
@@ -38,12 +40,15 @@
     void start();
     /// @return monotonic time in ms; all records that the store held then have been handled. 0: none yet
     std::int64_t complete_until_ms() const { return complete_until_ms_; }
+    /// @return the offset that the partition is known to reach: the highest end of an answer so far
+    std::int64_t end_offset() const { return end_offset_; }
 
 private:
     void load_page(const std::string& after);
     void finish_load();
     void read_next();
     void schedule_read(std::int64_t delay_ms);
+    bool stale(std::int64_t end_offset);
     void on_newest_page(const std::string& after, const newest_page& page);
     void on_read_result(const read_result& read);
 
@@ -53,6 +58,8 @@
     handlers handlers_;
     bool first_page_ = true;
     std::int64_t next_offset_ = 0;
+    std::int64_t end_offset_;
+    bool stale_logged_ = false;
     std::int64_t complete_until_ms_ = 0;
     std::int64_t read_sent_ms_ = 0;      // of the read in flight
     std::set<std::string> live_keys_;    // keys that have a value
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -28,7 +28,14 @@
                                 .epoch = options.epoch,
                                 .probe_key = owner_key,
                                 .probe_value = parts_.address.empty() ? "-" : parts_.address},
-                               [this] { end_ownership("another owner has written to the shard"); })
+                               [this] { end_ownership("another owner has written to the shard"); }),
+      deletions_(*parts_.loop, *parts_.store,
+                 {.topic = jobs_topic,
+                  .partition = partition,
+                  .writer = "owner",
+                  .epoch = options.epoch,
+                  .sole_writer = false},  // all nodes append jobs
+                 [this] { end_ownership("another owner deletes the jobs of the shard"); })
 {
 }
 
@@ -41,17 +48,20 @@
 {
     started_ms_ = monotonic_ms();
     // Both topics are read after fencing previous owners, so that the job of each progress record is read
-    // too.
+    // too. The answers tell what the store held then, and so which pages are too old.
     journal_.open([this] {
-        load_jobs();
         load_runs();
+        deletions_.open([this] { load_jobs(); });
     });
 }
 
 void shard_owner::load_jobs()
 {
-    const follow_options follow{
-        .topic = jobs_topic, .partition = partition_, .long_poll_ms = read_wait_ms, .read_interval_ms = 0};
+    const follow_options follow{.topic = jobs_topic,
+                                .partition = partition_,
+                                .long_poll_ms = read_wait_ms,
+                                .read_interval_ms = 0,
+                                .min_end_offset = deletions_.end_offset()};
     jobs_follower_ = std::make_unique<keyed_follower>(
         *parts_.loop, *parts_.store, follow,
         keyed_follower::handlers{.record = [this](const keyed_record& record) { on_job_record(record); },
@@ -66,8 +76,11 @@
 /// Reads the progress once; from then on this owner is the only writer.
 void shard_owner::load_runs()
 {
-    const follow_options once{
-        .topic = runs_topic, .partition = partition_, .long_poll_ms = 0, .read_interval_ms = read_wait_ms};
+    const follow_options once{.topic = runs_topic,
+                              .partition = partition_,
+                              .long_poll_ms = 0,
+                              .read_interval_ms = read_wait_ms,
+                              .min_end_offset = journal_.end_offset()};
     runs_follower_ = std::make_unique<keyed_follower>(
         *parts_.loop, *parts_.store, once,
         keyed_follower::handlers{.record =
@@ -83,6 +96,13 @@
                                      },
                                  .after_read =
                                      [this] {
+                                         if (runs_loaded_) {
+                                             return;
+                                         }
+                                         if (runs_follower_->end_offset() != journal_.end_offset()) {
+                                             end_ownership("another owner has written to the shard");
+                                             return;
+                                         }
                                          runs_loaded_ = true;
                                          parts_.loop->defer([this, alive = alive_] {
                                              if (*alive) {
@@ -376,22 +396,11 @@
 /// retry, deletes nothing a second time: the job may have been accepted anew by then.
 void shard_owner::delete_job_records(const std::string& id)
 {
-    if (!deletions_) {
-        deletions_ = std::make_unique<journal>(
-            *parts_.loop, *parts_.store,
-            journal::options{.topic = jobs_topic,
-                             .partition = partition_,
-                             .writer = "owner",
-                             .epoch = options_.epoch,
-                             .sole_writer = false},  // all nodes append jobs
-            [this] { end_ownership("another owner deletes the jobs of the shard"); });
-        deletions_->open([] {});
-    }
     const std::string rerouted = rerouted_key(id);
     if (job_offsets_.contains(rerouted)) {
         // This one goes first: if it were left without the others, it would be a new job to the next owner.
-        deletions_->put(rerouted, std::nullopt);
-        deletions_->when_stored([this, id] { delete_job_and_cancel(id); });
+        deletions_.put(rerouted, std::nullopt);
+        deletions_.when_stored([this, id] { delete_job_and_cancel(id); });
         return;
     }
     delete_job_and_cancel(id);
@@ -399,8 +408,8 @@
 
 void shard_owner::delete_job_and_cancel(const std::string& id)
 {
-    deletions_->put(id, std::nullopt);
-    deletions_->put(id + cancel_key_suffix, std::nullopt);
+    deletions_.put(id, std::nullopt);
+    deletions_.put(id + cancel_key_suffix, std::nullopt);
 }
 
 }  // namespace waxwingnotch
--- a/src/store/keyed_follower.cpp
+++ b/src/store/keyed_follower.cpp
@@ -13,7 +13,8 @@
 }  // namespace
 
 keyed_follower::keyed_follower(event_loop& loop, log_store& store, follow_options options, handlers handlers)
-    : loop_(loop), store_(store), options_(std::move(options)), handlers_(std::move(handlers))
+    : loop_(loop), store_(store), options_(std::move(options)), handlers_(std::move(handlers)),
+      end_offset_(options_.min_end_offset)
 {
 }
 
@@ -36,7 +37,7 @@
                            if (!*alive) {
                                return;
                            }
-                           if (page.status != store_status::ok) {
+                           if (page.status != store_status::ok || stale(page.end_offset)) {
                                delay_timer_ = loop_.after(retry_ms, [this, after] { load_page(after); });
                                return;
                            }
@@ -44,6 +45,27 @@
                        });
 }
 
+/// Notes the end of the partition in an answer. Records that were there before may be missing from a stale
+/// answer, so a load would take their keys for deleted.
+bool keyed_follower::stale(std::int64_t end_offset)
+{
+    if (end_offset >= end_offset_) {
+        end_offset_ = end_offset;
+        return false;
+    }
+    if (!stale_logged_) {
+        stale_logged_ = true;
+        log_event(log_level::warning, "follow",
+                  {{"topic", options_.topic},
+                   {"partition", options_.partition},
+                   {"outcome", "read again"},
+                   {"reason", "the answer is older than what the store held before"},
+                   {"end", end_offset},
+                   {"expected_end", end_offset_}});
+    }
+    return true;
+}
+
 void keyed_follower::on_newest_page(const std::string& after, const newest_page& page)
 {
     if (first_page_) {
@@ -124,7 +146,7 @@
         start();
         return;
     }
-    if (read.status != store_status::ok) {
+    if (read.status != store_status::ok || stale(read.end_offset)) {
         schedule_read(retry_ms);
         return;
     }
--- a/tests/fakes/fake_store.hpp
+++ b/tests/fakes/fake_store.hpp
@@ -25,6 +25,8 @@
     int hang_appends = 0;                      // number of appends whose handler is never called
     std::deque<append_result> forged_answers;  // to the next appends, which are not executed
     std::size_t page_size = 500;               // maximum of records in a page of read_newest()
+    // Number of calls of read_newest() for a partition that are answered as if it held no records.
+    std::map<std::pair<std::string, int>, int> empty_pages;
 
     struct partition {
         std::vector<keyed_record> records;
@@ -113,6 +115,12 @@
             return;
         }
         newest_page page{.status = store_status::ok};
+        if (int& left = empty_pages[{topic, number}]; left > 0) {
+            --left;
+            page.end_offset = 0;
+            answer(std::move(done), page);
+            return;
+        }
         for (const auto& [key, value] : newest_of(topic, number)) {
             if (key <= after && !after.empty()) {
                 continue;
--- a/tests/shard/shard_owner_test.cpp
+++ b/tests/shard/shard_owner_test.cpp
@@ -167,5 +167,73 @@
     run_until([&] { return all_deleted(); });
 }
 
+// The pages of jobs were taken as they came. With one from before the job was stored, the owner took the job
+// for a new one when its record came later, and its tasks ran again.
+TEST_F(shard_owner_test, a_page_of_jobs_from_before_the_takeover_starts_no_job_anew)
+{
+    constexpr int jobs = 3;
+    take_over();
+    submit(jobs);
+    run_until([&] { return workers.started.size() == jobs && workers.worker.running.empty(); });
+    store.empty_pages[{jobs_topic, 0}] = 2;
+    take_over();
+    run_until([&] { return owner->loaded(); });
+    run_for(1'000);
+    for (const auto& [task, starts] : workers.started) {
+        EXPECT_EQ(starts, 1) << task;
+    }
+    EXPECT_EQ(owner->core().jobs(), jobs);
+}
+
+// The same for a page of the progress: the tasks of a job without progress are waiting.
+TEST_F(shard_owner_test, a_page_of_progress_from_before_the_takeover_starts_no_job_anew)
+{
+    constexpr int jobs = 3;
+    take_over();
+    submit(jobs);
+    run_until([&] { return workers.started.size() == jobs && workers.worker.running.empty(); });
+    store.empty_pages[{runs_topic, 0}] = 2;
+    take_over();
+    run_until([&] { return owner->loaded(); });
+    run_for(1'000);
+    for (const auto& [task, starts] : workers.started) {
+        EXPECT_EQ(starts, 1) << task;
+    }
+}
+
+// A second owner with the same epoch gets the answer to the first one's call as a repeat. It went on beside
+// the first one.
+TEST_F(shard_owner_test, an_owner_whose_epoch_is_in_use_ends)
+{
+    take_over();
+    run_until([&] { return store.newest_of(runs_topic, 0).contains(owner_key); });
+    bool lost = false;
+    shard_owner second({.loop = &loop, .store = &store, .workers = &workers, .address = "other"}, 0,
+                       {.epoch = owner->epoch()}, [&] { lost = true; });
+    second.start();
+    run_until([&] { return lost; });
+    EXPECT_FALSE(second.loaded());
+}
+
+// Deletions of an earlier owner that the store carried out late came after the new owner's reads.
+TEST_F(shard_owner_test, a_takeover_fences_the_deletions_of_earlier_owners)
+{
+    take_over();
+    run_until([&] { return owner->loaded(); });
+    const append_request late{.topic = jobs_topic,
+                              .partition = 0,
+                              .writer = "owner",
+                              .epoch = owner->epoch() - 1,
+                              .sequence = 1,
+                              .records = {{.key = "0000000000000010", .value = std::nullopt}}};
+    store_status outcome = store_status::ok;
+    store.append(late, [&](const append_result& answer) {
+        outcome = answer.status;
+        loop.stop();
+    });
+    loop.run();
+    EXPECT_EQ(outcome, store_status::fenced);
+}
+
 }  // namespace
 }  // namespace waxwingnotch
--- a/tests/store/store_test.cpp
+++ b/tests/store/store_test.cpp
@@ -235,6 +235,34 @@
     EXPECT_FALSE(seen.values.contains("gone"));
 }
 
+// A reload from an older page reported the keys that the page lacks as deleted: ended jobs were forgotten,
+// and started again when their records came back.
+TEST_F(store_test, follower_reports_no_deletion_from_an_older_page)
+{
+    follower_state seen;
+    store.append(unfenced_append("a", "1"), [](const append_result&) {});
+    bool deleted = false;
+    keyed_follower::handlers handlers = record_into(seen, [&] {
+        if (seen.reads == 1) {
+            store.append(unfenced_append("b", "1"), [](const append_result&) {});
+            store.drop_history("keyed.t", 0);
+            store.empty_pages[{"keyed.t", 0}] = 1;
+        }
+        if (seen.values.contains("b")) {
+            loop.stop();
+        }
+    });
+    handlers.record = [&, record = std::move(handlers.record)](const keyed_record& read) {
+        deleted = deleted || !read.value;
+        record(read);
+    };
+    keyed_follower follower(loop, store, {.topic = "keyed.t", .read_interval_ms = 1}, std::move(handlers));
+    follower.start();
+    run();
+    EXPECT_FALSE(deleted);
+    EXPECT_EQ(seen.values.size(), 2U);
+}
+
 /// A store or peer that answers every call with the same status.
 class answering_server {
 public:
