Take a host only once its worker has nothing to list that is not stored

The order ends the worker at once, and with it an end whose answer is on its way. The platform counts that end as noted, the owner never reads it, and the task starts again.

The owner is now told to close the worker and, after 2 s or when the wave is late, to stop the short runs that are left, so that the worker lists an end for each; one that ends `done` meanwhile is stored as done. The order follows when no run is left and every end is stored. Short runs are not stopped while a long-running task that may not be moved (`max_unavailable`) holds the host up. A silent worker's runs go when its leases lapse; a worker that answers and does not stop its runs is given up 5 s after the stop. The owner counts these 5 s, so they begin anew with each owner. The rule is decision/host_drain.hpp; the worker's part moves to shard/core_drain.cpp.

Hosts of the standby pool and those without a worker pass the check of the hosts that are down, too.

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "waxwingnotch/decision/crash_suspicion.hpp"
+#include "waxwingnotch/decision/host_drain.hpp"
 #include "waxwingnotch/decision/job_order.hpp"
 #include "waxwingnotch/decision/task_placement.hpp"
 #include "waxwingnotch/job/progress.hpp"
@@ -109,16 +110,6 @@
     std::vector<std::string> busy;       // workers with active runs or with ends that are not stored yet
 };
 
-/// Whether a worker can be removed.
-struct drain_state {
-    bool known = false;
-    std::size_t runs = 0;   // active on the worker
-    bool serving = false;   // some of these runs are long-running
-    bool unstored = false;  // it has listed ends that are not in the store yet and would be lost with it
-
-    bool empty() const { return runs == 0 && !unstored; }
-};
-
 /// Counters since the core was constructed.
 struct shard_counts {
     std::uint64_t starts = 0;
@@ -207,8 +198,10 @@
 
     // Host operations
     /// Starts no task on @p worker until @p until_ms and moves its long-running tasks to other workers.
-    void drain_worker(const std::string& worker, std::int64_t until_ms, std::int64_t now_ms);
-    drain_state drain_of(const std::string& worker) const;
+    /// @param leftover `stop` stops its short runs too, once no long-running task holds the host up
+    void drain_worker(const std::string& worker, std::int64_t until_ms, std::int64_t now_ms,
+                      leftover_runs leftover = leftover_runs::keep);
+    drain_state drain_of(const std::string& worker, std::int64_t now_ms) const;
 
 private:
     struct job_entry;
@@ -274,6 +267,7 @@
     std::int64_t renew_lease(worker_state& worker, std::int64_t now_ms);
     void adjust_pace(worker_state& worker, std::int64_t now_ms);
     void evacuate(worker_state& worker, std::int64_t now_ms);
+    void stop_short_runs(worker_state& worker, std::int64_t now_ms);
 
     // Crashes of workers
     static bool settled(const run_entry& run);
--- a/src/node/host_keeper.cpp
+++ b/src/node/host_keeper.cpp
@@ -35,7 +35,8 @@
                        .runs =
                            static_cast<std::size_t>(std::max<std::int64_t>(integer_or(body, "runs", 1), 0)),
                        .serving = bool_or(body, "serving", true),
-                       .unstored = bool_or(body, "unstored", true)};
+                       .unstored = bool_or(body, "unstored", true),
+                       .stopping_ms = std::max<std::int64_t>(integer_or(body, "stopping_ms", 0), 0)};
 }
 
 /// Decodes the answer to a question for the load of a service.
@@ -286,20 +287,23 @@
         order_move(planned);
         return;
     }
-    request_drain(planned.from, worker, [this, planned](const std::optional<drain_state>& state) {
-        if (state && state->empty()) {
-            order_move(planned);
-        }
-    });
+    request_drain(planned.from, worker, leftover_runs::keep,
+                  [this, planned](const std::optional<drain_state>& state) {
+                      if (state && state->empty()) {
+                          order_move(planned);
+                      }
+                  });
 }
 
 /// Asks the owner of @p pool to place no new work on @p worker for drain_request_ms, and to move
 /// long-running tasks off it.
+/// @param leftover what becomes of its short runs
 /// @param done receives what is left on the worker; nothing if no owner answered
-void host_manager::request_drain(const std::string& pool, const std::string& worker,
+void host_manager::request_drain(const std::string& pool, const std::string& worker, leftover_runs leftover,
                                  std::function<void(const std::optional<drain_state>&)> done)
 {
-    const std::string path = "/shard/close?worker=" + worker + "&ms=" + std::to_string(drain_request_ms);
+    const std::string path = "/shard/close?worker=" + worker + "&ms=" + std::to_string(drain_request_ms) +
+                             (leftover == leftover_runs::stop ? "&stop=1" : "");
     query_owner(node_, "POST", node_.shard_of(pool), path, owner_timeout_ms,
                 [done = std::move(done), alive = alive_](const owner_reply& answer) {
                     if (*alive) {
--- a/src/node/host_waves.cpp
+++ b/src/node/host_waves.cpp
@@ -9,13 +9,6 @@
 
 namespace waxwingnotch {
 
-namespace {
-
-constexpr std::int64_t wave_deadline_margin_ms = 500;  // a wave should end this long before its deadline
-constexpr std::int64_t drain_timeout_ms = 2'500;       // how long a host may take to drain if time allows
-
-}  // namespace
-
 bool host_manager::wave_unfinished(std::int64_t number) const
 {
     const auto found = wave_status_.find(number);
@@ -121,47 +114,42 @@
     return names;
 }
 
-/// Requests a drain of the host's worker, and orders the maintenance once the worker is empty or the drain
-/// has timed out.
+/// Requests a drain of the host's worker, and orders the maintenance once nothing on it can be lost.
 void host_manager::drain_host(const host_row& host, const maintenance_wave& wave, std::int64_t remaining_ms)
 {
     host_maintenance& work = *maintenance_[{wave.number, host.name}];
-    if (host.worker_id.empty()) {
-        order_maintenance(host.name, wave.number);
+    const service_config* pool = node_.config->service(host.pool);
+    if (host.worker_id.empty() || (pool != nullptr && pool->standby)) {
+        order_if_room(host.name, wave);
         return;
     }
     work.request_in_flight = true;
-    const service_config* pool = node_.config->service(host.pool);
-    const bool standby = pool != nullptr && pool->standby;
-    request_drain(
-        host.pool, host.worker_id,
-        [this, name = host.name, number = wave.number, remaining_ms, standby,
-         max_down = wave.max_down](const std::optional<drain_state>& state) {
-            host_maintenance& item = *maintenance_[{number, name}];
-            item.request_in_flight = false;
-            const std::int64_t now = monotonic_ms();
-            if (!state && !standby) {
-                return;  // no owner at the moment; the next poll retries
-            }
-            const bool empty = standby || state->empty();
-            // Ends that are not stored yet would be lost if the worker stopped.
-            const bool must_wait = state && (state->serving || state->unstored);
-            const bool drain_overdue =
-                now - item.draining_since_ms > drain_timeout_ms || remaining_ms < wave_deadline_margin_ms;
-            if (!empty && (must_wait || !drain_overdue)) {
-                return;
-            }
-            // Other orders may have been sent while this answer was in flight.
-            const auto down = std::count_if(maintenance_.begin(), maintenance_.end(), [&](const auto& entry) {
-                const host_maintenance& other = *entry.second;
-                return entry.first.first == number && other.ordered && !other.excluded &&
-                       (!other.confirmed ||
-                        now - other.confirmed_ms < node_.settings.maintenance_ms + poll_interval_ms);
-            });
-            if (down < static_cast<std::ptrdiff_t>(max_down)) {
-                order_maintenance(name, number);
-            }
-        });
+    const leftover_runs leftover = choose_leftover(monotonic_ms() - work.draining_since_ms, remaining_ms);
+    request_drain(host.pool, host.worker_id, leftover,
+                  [this, name = host.name, wave](const std::optional<drain_state>& state) {
+                      maintenance_[{wave.number, name}]->request_in_flight = false;
+                      // Without an answer there is no owner at the moment; the next poll asks again.
+                      if (state && may_take_host(*state)) {
+                          order_if_room(name, wave);
+                      }
+                  });
+}
+
+/// Orders the maintenance unless too many other hosts of the wave are down. Orders may have been sent since
+/// the host list was read.
+void host_manager::order_if_room(const std::string& host, const maintenance_wave& wave)
+{
+    const std::int64_t now = monotonic_ms();
+    const auto down = std::count_if(maintenance_.begin(), maintenance_.end(), [&](const auto& entry) {
+        const host_maintenance& other = *entry.second;
+        return entry.first.first == wave.number && entry.first.second != host && other.ordered &&
+               !other.excluded &&
+               (!other.confirmed ||
+                now - other.confirmed_ms < node_.settings.maintenance_ms + poll_interval_ms);
+    });
+    if (down < static_cast<std::ptrdiff_t>(wave.max_down)) {
+        order_maintenance(host, wave.number);
+    }
 }
 
 void host_manager::order_maintenance(const std::string& host, std::int64_t wave)
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -102,13 +102,15 @@
     if (path == "/shard/close") {
         const std::string worker = query("worker");
         if (const std::int64_t for_ms = parse_integer(query("ms"), 0); for_ms > 0) {
-            owner->drain_worker(worker, for_ms);
+            owner->drain_worker(worker, for_ms,
+                                query("stop") == "1" ? leftover_runs::stop : leftover_runs::keep);
         }
-        const drain_state state = owner->core().drain_of(worker);
+        const drain_state state = owner->core().drain_of(worker, monotonic_ms());
         const nlohmann::json body{{"known", state.known},
                                   {"runs", state.runs},
                                   {"serving", state.serving},
-                                  {"unstored", state.unstored}};
+                                  {"unstored", state.unstored},
+                                  {"stopping_ms", state.stopping_ms}};
         return {true, 200, write_json(body)};
     }
     return {true, 404, {}};
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -126,6 +126,7 @@
     int refusals = 0;                         // connections that were refused in a row
     std::int64_t avoid_until_ms = 0;          // gets no tasks until then, because it rejected one
     std::int64_t closed_until_ms = 0;         // gets no tasks until then, because of a host operation
+    std::int64_t stops_since_ms = 0;          // when its short runs were first stopped for that; 0: not
     std::int64_t applied_end = 0;             // highest end number that was applied
     std::int64_t stored_end = 0;              // highest end number that is in the store
     std::uint64_t end_batch = 0;              // store batch that contains `applied_end`; 0: stored
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -20,7 +20,6 @@
 constexpr double pace_decrease_factor = 0.5;
 constexpr double slow_down_above = 0.85;              // tail latency relative to its target
 constexpr double speed_up_below = 0.6;                // tail latency relative to its target
-constexpr std::int64_t evacuation_delay_ms = 2'000;   // a stop takes up to 0.9 s, a list is up to 1 s old
 constexpr std::int64_t unregistered_keep_ms = 2'000;  // registrations return this soon after a store outage
 
 }  // namespace
@@ -434,69 +433,4 @@
     }
 }
 
-void shard_core::drain_worker(const std::string& id, std::int64_t until_ms, std::int64_t now_ms)
-{
-    const auto found = workers_.find(id);
-    if (found == workers_.end()) {
-        return;
-    }
-    found->second->closed_until_ms = until_ms;
-    evacuate(*found->second, now_ms);
-}
-
-/// Stops the long-running tasks of a worker that is leaving, so that they start elsewhere. Unless it is
-/// draining, at most `max_unavailable` tasks of a step may be out of service.
-void shard_core::evacuate(worker_state& worker, std::int64_t now_ms)
-{
-    // A task that the previous owner has just stopped may still be listed as serving.
-    if (!worker.entry.draining && now_ms - loaded_ms_ < evacuation_delay_ms) {
-        return;
-    }
-    for (run_entry* run : std::vector<run_entry*>(worker.runs.begin(), worker.runs.end())) {
-        occurrence_entry& occurrence = *run->occurrence;
-        const step_spec& spec = occurrence.step(run->step);
-        if (!spec.long_running || run->stopping || run->stage != run_stage::running) {
-            continue;
-        }
-        if (!worker.entry.draining) {
-            std::uint32_t unavailable = 0;
-            for (std::uint32_t index = 0; index < spec.task_count; ++index) {
-                if (index == run->index) {
-                    continue;
-                }
-                const task_progress& other = occurrence.task(run->step, index);
-                const std::string name =
-                    to_string(task_name{occurrence.job->spec.id, occurrence.number, run->step, index});
-                const bool serves =
-                    std::any_of(other.runs.begin(), other.runs.end(), [&](const active_run& active) {
-                        const auto entry = runs_.find(name + "#" + std::to_string(active.number));
-                        return entry != runs_.end() && entry->second->percent >= 100 &&
-                               !entry->second->stopping && entry->second->worker->silent_since_ms == 0;
-                    });
-                unavailable += serves ? 0 : 1;
-            }
-            if (unavailable + 1 > spec.max_unavailable.value_or(0)) {
-                continue;
-            }
-        }
-        log_event(log_level::info, "evacuate",
-                  {{"task", run->task}, {"worker", worker.entry.id}, {"draining", worker.entry.draining}});
-        request_stop(*run, now_ms);
-    }
-}
-
-drain_state shard_core::drain_of(const std::string& id) const
-{
-    const auto found = workers_.find(id);
-    if (found == workers_.end()) {
-        return {};
-    }
-    drain_state state{.known = true, .runs = found->second->runs.size()};
-    state.unstored = found->second->end_batch != 0;
-    for (const run_entry* run : found->second->runs) {
-        state.serving = state.serving || run->occurrence->step(run->step).long_running;
-    }
-    return state;
-}
-
 }  // namespace waxwingnotch
--- a/tests/fakes/fake_worker.hpp
+++ b/tests/fakes/fake_worker.hpp
@@ -35,6 +35,7 @@
     std::int64_t lapsed_end = 0;
     std::map<std::string, std::uint32_t> highest_ended;  // by task: highest run that was stopped or ended
     double clock_rate = 1.0;                             // of its clock, relative to the true time
+    std::int64_t stop_ms = 0;                            // how long a run goes on after it was told to stop
 
     /// @return time on its clock at the true time @p now_ms
     std::int64_t clock(std::int64_t now_ms) const
@@ -77,10 +78,18 @@
         std::uint32_t& highest = highest_ended[order.task];
         highest = std::max(highest, order.run);
         for (std::size_t index = 0; index < running.size(); ++index) {
-            if (running[index].task == order.task && running[index].run == order.run) {
+            active_task& active = running[index];
+            if (active.task != order.task || active.run != order.run) {
+                continue;
+            }
+            if (stop_ms == 0) {
                 finish(index, end_kind::stopped);
-                break;
             }
+            else if (active.end_ms == 0 || active.end_ms > now_ms + stop_ms) {
+                active.end_ms = now_ms + stop_ms;
+                active.result = end_kind::stopped;
+            }
+            break;
         }
         return reply(order_result::ok, now_ms);
     }
--- a/tests/shard/shard_hosts_test.cpp
+++ b/tests/shard/shard_hosts_test.cpp
@@ -101,12 +101,12 @@
     world.run(60);
     world.store_down = true;
     world.run(2'000);
-    EXPECT_EQ(owner->core->drain_of("a").runs, 0U);
-    EXPECT_TRUE(owner->core->drain_of("a").unstored);
+    EXPECT_EQ(owner->core->drain_of("a", world.now).runs, 0U);
+    EXPECT_TRUE(owner->core->drain_of("a", world.now).unstored);
     EXPECT_EQ(owner->core->demand_of("svc").busy, (std::vector<std::string>{"a"}));
     world.store_down = false;
     world.run(500);
-    EXPECT_FALSE(owner->core->drain_of("a").unstored);
+    EXPECT_FALSE(owner->core->drain_of("a", world.now).unstored);
     EXPECT_TRUE(owner->core->demand_of("svc").busy.empty());
 }
 
--- a/tests/shard/shard_world.hpp
+++ b/tests/shard/shard_world.hpp
@@ -118,6 +118,21 @@
         });
     }
 
+    /// Ends the process of worker @p id because its host is maintained. Its answers on their way are lost, as
+    /// are the ends that it would list at this moment; the platform counts these as noted.
+    void take_host(const std::string& id)
+    {
+        fake_worker& worker = workers[id];
+        worker.advance(now);
+        for (const ended_row& row : worker.ended) {
+            if (row.kind == end_kind::done && row.number > worker.lapsed_end) {
+                acknowledged_done_.insert(row.task);
+            }
+        }
+        taken_hosts_.insert(id);
+        crash_worker(id, 2'000);
+    }
+
     static std::shared_ptr<const cluster_config> config(std::uint32_t attempts = 4)
     {
         auto created = std::make_shared<cluster_config>();
@@ -451,8 +466,10 @@
             }
             const Answer answer = act(worker);
             const bool unanswered = lost || answerless.contains(id);
-            after(unanswered ? timeout_ms : draw(1, 2), [this, owner, done, answer, unanswered] {
-                deliver<Answer>(owner, done, unanswered ? Answer{} : answer);
+            after(unanswered ? timeout_ms : draw(1, 2), [this, owner, id, done, answer, unanswered] {
+                const Answer closed{.outcome = order_result::disconnected};
+                const bool taken = taken_hosts_.contains(id);
+                deliver<Answer>(owner, done, unanswered ? Answer{} : taken ? closed : answer);
             });
         });
     }
@@ -509,6 +526,7 @@
     std::priority_queue<event> events_;
     std::uint64_t order_ = 0;
     std::set<std::string> acknowledged_done_;
+    std::set<std::string> taken_hosts_;  // workers whose hosts were maintained
 
 public:
     bool fenced_writes = true;
