Know the shards of removed services, and hold no version back for a new one

What callers would see: - A node that started after a service was removed did not know its shard: the jobs at work of the service stood still for good (LOST). find() read only the services of the version in force; it reads all that are stored now. - While keyed.homes could not be written, a version with a new service was held back at every node, with its routes to old services, and a restarted node answered 503 for all. The version is in force at once now; only requests for the new service are refused (503, Retry-After) until its shard is known. - Shards were chosen before the claim was made, so that two nodes put two services into one shard beside free ones, for good. They are chosen between the read and the append that depends on it. - After an upgrade a service whose rank had changed under the earlier version got a shard without its jobs. It gets the shard of a path whose first job ran under it, if there is one. - A stored shard beyond the number of partitions was used, and its jobs waited without a word. It is logged as an error, and requests for the service are refused. - A host whose pool was never in a configuration held its wave up: nobody answers for it, and nothing of ours runs there.

--- a/include/waxwingnotch/shard/job_homes.hpp
+++ b/include/waxwingnotch/shard/job_homes.hpp
@@ -40,7 +40,11 @@
     /// Receives `ok` if find() now tells what is stored, else why not.
     using handler = std::function<void(store_status)>;
 
-    explicit job_homes(log_store& store);
+    /// In a claim for a service: the shard is chosen when the claim is stored.
+    static constexpr int no_shard = -1;
+
+    /// @param shards number of shards to choose from, at least 1
+    explicit job_homes(log_store& store, int shards = 1);
     ~job_homes();
     job_homes(const job_homes&) = delete;
     job_homes& operator=(const job_homes&) = delete;
@@ -60,9 +64,10 @@
     /// Reads the home of @p key, and stores @p home as such if it has none. Of several claims for one path
     /// the first in the store wins.
     void claim(const std::string& key, job_home home, handler done);
-    /// Claims several homes by their keys, with one append. @p done receives `ok` if all of them are known
-    /// now.
-    void claim(const std::vector<std::pair<std::string, job_home>>& homes, handler done);
+    /// Stores a shard for each of @p services that has none, with one append. That is the shard of a path
+    /// whose first job ran under the service, if there is one, because its jobs are there; else the shard
+    /// with the fewest services. @p done receives `ok` if all of them have a shard now.
+    void claim_services(const std::vector<std::string>& services, handler done);
 
 private:
     struct request {
@@ -76,10 +81,12 @@
     void read_changes();
     void on_read();
     void append_claims();
+    std::map<std::string, job_home> choose_shards(const std::vector<std::string>& services) const;
     void finish(store_status status);
     void keep(const keyed_record& record);
 
     log_store& store_;
+    int shards_;
     std::map<std::string, job_home> homes_;
     std::vector<request> waiting_;         // for the next read
     std::vector<request> active_;          // for the read or append in flight
--- a/src/node/callers.cpp
+++ b/src/node/callers.cpp
@@ -170,6 +170,11 @@
         reply(exchange, 404, R"({"error":"no such queue"})");
         return;
     }
+    if (node_.shard_of(queue->service) == service_shards::no_shard) {
+        reply(exchange, 503, R"({"error":"this node does not know yet where the jobs of this queue are"})",
+              1);
+        return;
+    }
     const std::string id = exchange->path().substr(queue->path_prefix.size());
     const std::string& method = exchange->method();
     if (id.empty() && method == "GET") {
--- a/src/node/host_keeper.cpp
+++ b/src/node/host_keeper.cpp
@@ -130,12 +130,15 @@
 
 void host_manager::query_loads(const std::shared_ptr<host_survey>& survey)
 {
+    const auto asked = [this](const service_config& pool) {
+        return !pool.standby && node_.shard_of(pool.name) != service_shards::no_shard;
+    };
     for (const service_config& pool : node_.config->services) {
         survey->loads[pool.name].known = pool.standby;
-        survey->open += pool.standby ? 0 : 1;
+        survey->open += asked(pool) ? 1 : 0;
     }
     for (const service_config& pool : node_.config->services) {
-        if (pool.standby) {
+        if (!asked(pool)) {
             continue;
         }
         query_owner(node_, "GET", node_.shard_of(pool.name), "/shard/load?service=" + pool.name,
--- a/src/node/host_waves.cpp
+++ b/src/node/host_waves.cpp
@@ -119,7 +119,8 @@
 {
     host_maintenance& work = *maintenance_[{wave.number, host.name}];
     const service_config* pool = node_.config->service(host.pool);
-    if (host.worker_id.empty() || (pool != nullptr && pool->standby)) {
+    const bool never_used = pool == nullptr && node_.shard_of(host.pool) == service_shards::no_shard;
+    if (host.worker_id.empty() || never_used || (pool != nullptr && pool->standby)) {
         order_if_room(host.name, wave);
         return;
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,7 +1,6 @@
 #include "waxwingnotch/node/node.hpp"
 
 #include "documents.hpp"
-#include "node/configuration_gate.hpp"
 #include "node/libevent_log.hpp"
 #include "node/listen.hpp"
 #include "node/node_state.hpp"
@@ -98,7 +97,8 @@
     void follow_operator_topic();
     void enable_registry_follower(bool enabled);
     void on_operator_record(const keyed_record& record);
-    void use_configuration(std::shared_ptr<const cluster_config> config);
+    void use_configuration(cluster_config config);
+    void configure_shards();
     void on_worker_record(const keyed_record& record);
     void join_group();
     void take_shard(int shard, std::int64_t epoch);
@@ -127,7 +127,6 @@
     http_server internal_server_;
     http_server metrics_server_;
     optional_listener metrics_listener_;
-    std::unique_ptr<configuration_gate> configuration_gate_;
     std::unique_ptr<keyed_follower> operator_follower_;
     std::unique_ptr<keyed_follower> registry_follower_;
     std::unique_ptr<host_manager> host_manager_;
@@ -147,11 +146,9 @@
       metrics_server_(state_.loop), metrics_listener_(state_.loop, metrics_server_)
 {
     state_.store = std::make_unique<adapter::store_client>(state_.transport);
-    state_.homes = std::make_unique<job_homes>(*state_.store);
-    state_.shards_of_services = std::make_unique<service_shards>(*state_.homes, state_.settings.partitions);
-    configuration_gate_ = std::make_unique<configuration_gate>(
-        state_.loop, *state_.shards_of_services,
-        [this](std::shared_ptr<const cluster_config> config) { use_configuration(std::move(config)); });
+    state_.homes = std::make_unique<job_homes>(*state_.store, state_.settings.partitions);
+    state_.shards_of_services =
+        std::make_unique<service_shards>(state_.loop, *state_.homes, state_.settings.partitions);
     state_.workers = std::make_unique<adapter::worker_client>(state_.client);
     if (!state_.settings.policy_address.empty()) {
         state_.advice =
@@ -259,7 +256,11 @@
             note_rejected_input(input_source::operator_record, record.key, config.error().message);
             return;
         }
-        configuration_gate_->offer(std::move(config.value()));
+        // Versions rise, so a record that is read again or is older has no effect.
+        if (state_.config && config.value().version <= state_.config->version) {
+            return;
+        }
+        use_configuration(std::move(config.value()));
         return;
     }
     if (record.key.starts_with(adapter::wave_prefix)) {
@@ -273,9 +274,10 @@
     }
 }
 
-void node::use_configuration(std::shared_ptr<const cluster_config> config)
+/// Puts a version in force. Requests for services whose shards are not known yet are refused until they are.
+void node::use_configuration(cluster_config config)
 {
-    state_.config = std::move(config);
+    state_.config = std::make_shared<const cluster_config>(std::move(config));
     log_event(log_level::info, "configuration",
               {{"version", state_.config->version},
                {"queues", state_.config->queues.size()},
@@ -284,6 +286,20 @@
                {"outcome", "in force"}});
     caller_server_.limit_body(state_.config->max_body_bytes);
     caller_server_.set_idle_timeout(state_.config->idle_timeout_ms);
+    const std::vector<std::string> services = state_.config->service_names();
+    const bool known_before = std::ranges::all_of(services, [&](const std::string& service) {
+        return state_.shard_of(service) != service_shards::no_shard;
+    });
+    configure_shards();
+    state_.shards_of_services->ensure(services, [this, known_before] {
+        if (!known_before) {
+            configure_shards();  // with the workers of the new services
+        }
+    });
+}
+
+void node::configure_shards()
+{
     for (auto& [shard, owner] : state_.shards) {
         configure_shard(shard, *owner);
     }
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -74,8 +74,8 @@
     /// Appender of accepted jobs and cancels of a shard; made on first use.
     batch_appender& job_appender(int shard);
     std::map<int, std::unique_ptr<batch_appender>> job_appenders;  // by shard
-    /// @return the shard of the jobs and workers of @p service, or service_shards::no_shard; known for all
-    ///         services of the configuration in force
+    /// @return the shard of the jobs and workers of @p service; service_shards::no_shard if it is not known,
+    ///         shortly after a version has added the service
     int shard_of(const std::string& service) const { return shards_of_services->find(service); }
     /// @return the owner if this node owns the shard and has loaded it, else null
     shard_owner* loaded_shard(int partition) const;
--- a/src/shard/job_homes.cpp
+++ b/src/shard/job_homes.cpp
@@ -4,7 +4,9 @@
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/hash.hpp"
 #include "waxwingnotch/base/log.hpp"
+#include "waxwingnotch/decision/shard_choice.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace waxwingnotch {
@@ -27,7 +29,8 @@
 {
     try {
         const json row = parse_bounded_cbor(bytes);
-        return job_home{row.at(0).get<std::string>(), row.at(1).get<int>()};
+        job_home home{row.at(0).get<std::string>(), row.at(1).get<int>()};
+        return home.shard < 0 ? std::nullopt : std::optional(std::move(home));
     }
     catch (const json::exception&) {
         return std::nullopt;
@@ -36,7 +39,7 @@
 
 }  // namespace
 
-job_homes::job_homes(log_store& store) : store_(store) {}
+job_homes::job_homes(log_store& store, int shards) : store_(store), shards_(shards) {}
 
 job_homes::~job_homes()
 {
@@ -89,9 +92,9 @@
     start();
 }
 
-void job_homes::claim(const std::vector<std::pair<std::string, job_home>>& homes, handler done)
+void job_homes::claim_services(const std::vector<std::string>& services, handler done)
 {
-    if (homes.empty()) {
+    if (services.empty()) {
         done(store_status::ok);
         return;
     }
@@ -100,9 +103,9 @@
         store_status status = store_status::ok;
         handler done;
     };
-    auto all = std::make_shared<outcome>(outcome{.open = homes.size(), .done = std::move(done)});
-    for (const auto& [key, home] : homes) {
-        waiting_.push_back({key, home, [all](store_status status) {
+    auto all = std::make_shared<outcome>(outcome{.open = services.size(), .done = std::move(done)});
+    for (const std::string& service : services) {
+        waiting_.push_back({service_key(service), job_home{service, no_shard}, [all](store_status status) {
                                 all->status = status == store_status::ok ? all->status : status;
                                 if (--all->open == 0) {
                                     all->done(all->status);
@@ -112,6 +115,23 @@
     start();
 }
 
+/// @return the homes of services that have none, by key
+std::map<std::string, job_home> job_homes::choose_shards(const std::vector<std::string>& services) const
+{
+    std::map<std::string, int> known = this->services();
+    std::map<std::string, job_home> chosen;
+    for (const auto& [key, home] : homes_) {
+        const bool wanted = std::find(services.begin(), services.end(), home.service) != services.end();
+        if (wanted && known.try_emplace(home.service, home.shard).second) {
+            chosen[service_key(home.service)] = home;
+        }
+    }
+    for (const auto& [service, shard] : choose_service_shards(services, known, shards_)) {
+        chosen[service_key(service)] = {service, shard};
+    }
+    return chosen;
+}
+
 void job_homes::start()
 {
     if (!active_.empty() || waiting_.empty()) {
@@ -204,11 +224,21 @@
 {
     append_request append{.topic = homes_topic, .partition = 0, .at_offset = next_offset_};
     std::map<std::string, job_home> claimed;
+    std::vector<std::string> services;
     for (const request& item : active_) {
-        if (item.claimed && !homes_.contains(item.key) &&
-            claimed.try_emplace(item.key, *item.claimed).second) {
-            append.records.push_back({.key = item.key, .value = encode_home(*item.claimed), .offset = -1});
+        if (!item.claimed || homes_.contains(item.key)) {
+            continue;
+        }
+        if (item.claimed->shard == no_shard) {
+            services.push_back(item.claimed->service);
         }
+        else {
+            claimed.try_emplace(item.key, *item.claimed);
+        }
+    }
+    claimed.merge(choose_shards(services));
+    for (const auto& [key, home] : claimed) {
+        append.records.push_back({.key = key, .value = encode_home(home), .offset = -1});
     }
     if (claimed.empty()) {
         finish(store_status::ok);
--- a/src/shard/service_shards.cpp
+++ b/src/shard/service_shards.cpp
@@ -1,13 +1,21 @@
 #include "waxwingnotch/shard/service_shards.hpp"
 
-#include "waxwingnotch/base/clock.hpp"
-#include "waxwingnotch/decision/shard_choice.hpp"
+#include "waxwingnotch/base/log.hpp"
 
 #include <utility>
 
 namespace waxwingnotch {
 
-service_shards::service_shards(job_homes& homes, int shards) : homes_(homes), shards_(shards) {}
+namespace {
+
+constexpr std::int64_t retry_ms = 150;  // after a call that failed; several fit into the bound for a version
+
+}  // namespace
+
+service_shards::service_shards(event_loop& loop, job_homes& homes, int shards)
+    : loop_(loop), homes_(homes), shards_(shards)
+{
+}
 
 service_shards::~service_shards()
 {
@@ -17,60 +25,71 @@
 int service_shards::find(const std::string& service) const
 {
     const auto found = known_.find(service);
-    return found == known_.end() ? no_shard : found->second;
+    if (found != known_.end()) {
+        return found->second;
+    }
+    const job_home* home = homes_.find(job_homes::service_key(service));
+    return home == nullptr || home->shard >= shards_ ? no_shard : home->shard;
 }
 
-void service_shards::ensure(std::vector<std::string> services, handler done)
+void service_shards::ensure(std::vector<std::string> services, std::function<void()> known)
 {
-    std::erase_if(services, [&](const std::string& service) { return known_.contains(service); });
-    if (services.empty()) {
-        done(store_status::ok);
+    wanted_ = std::move(services);
+    on_known_ = std::move(known);
+    ++calls_;
+    failure_logged_ = false;
+    retry_.cancel();
+    if (keep()) {
+        on_known_();
         return;
     }
-    const std::string key = job_homes::service_key(services.front());
-    homes_.look_up(
-        key, monotonic_ms(),
-        [this, services = std::move(services), done = std::move(done), alive = alive_](store_status status) {
-            if (!*alive) {
-                return;
-            }
-            if (status != store_status::ok) {
-                done(status);
-                return;
-            }
-            claim(services, done);
-        });
+    claim();
 }
 
-void service_shards::claim(const std::vector<std::string>& services, handler done)
+void service_shards::claim()
 {
-    if (keep(services)) {
-        done(store_status::ok);
-        return;
-    }
-    std::vector<std::pair<std::string, job_home>> claims;
-    for (auto& [service, shard] : choose_service_shards(services, homes_.services(), shards_)) {
-        claims.emplace_back(job_homes::service_key(service), job_home{service, shard});
-    }
-    homes_.claim(claims, [this, services, done = std::move(done), alive = alive_](store_status status) {
-        if (*alive) {
-            done(keep(services) ? store_status::ok : status);
+    homes_.claim_services(wanted_, [this, call = calls_, alive = alive_](store_status status) {
+        if (!*alive || call != calls_) {
+            return;
+        }
+        if (keep()) {
+            on_known_();
+            return;
         }
+        if (!failure_logged_) {
+            failure_logged_ = true;
+            log_event(
+                log_level::warning, "service_shards",
+                {{"outcome", "asked again"}, {"reason", to_string(status)}, {"services", wanted_.size()}});
+        }
+        retry_ = loop_.after(retry_ms, [this] { claim(); });
     });
 }
 
-/// Keeps the shards of @p services that have been read. @return whether all of them have
-bool service_shards::keep(const std::vector<std::string>& services)
+/// Keeps the shards that have been read. @return whether all wanted services have one
+bool service_shards::keep()
 {
-    bool all = true;
-    for (const std::string& service : services) {
+    std::erase_if(wanted_, [&](const std::string& service) {
+        if (known_.contains(service)) {
+            return true;
+        }
         const job_home* home = homes_.find(job_homes::service_key(service));
-        all = all && home != nullptr;
-        if (home != nullptr) {
-            known_.try_emplace(service, home->shard);
+        if (home == nullptr) {
+            return false;
         }
-    }
-    return all;
+        const bool usable = home->shard < shards_;
+        if (!usable) {
+            log_event(log_level::error, "service_shards",
+                      {{"service", service},
+                       {"shard", home->shard},
+                       {"shards", shards_},
+                       {"outcome", "its requests are refused"},
+                       {"reason", "the stored shard is beyond the number of partitions"}});
+        }
+        known_[service] = usable ? home->shard : no_shard;
+        return true;
+    });
+    return wanted_.empty();
 }
 
 }  // namespace waxwingnotch
