Let one shard have a worker that starts again in another service

A worker may start again under its id; if its registration then names another service, the owner of its old shard went on polling it while it had runs there, stopped the runs of the new one as unknown and acknowledged their ends, and their tasks ran again (TWICE).

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -177,6 +177,9 @@
     // Registrations and answers of workers.
     void put_worker(const worker_entry& entry, std::int64_t now_ms);
     void remove_worker(const std::string& id, std::int64_t now_ms);
+    /// The worker belongs to another shard now, whose owner orders it. This one sends it nothing more and
+    /// waits until the leases of its runs have lapsed.
+    void leave_worker(const std::string& id, std::int64_t now_ms);
     /// @param sent_ms when the poll was sent; a run that the answer does not list is gone only if its start
     ///        or stop was confirmed before
     /// @param extra as in poll_effect
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -331,6 +331,12 @@
         }
         return;
     }
+    const auto before = state_.registry.find(record.key);
+    if (before != state_.registry.end() && before->second.service != entry.value().service &&
+        before->second.started_ms == entry.value().started_ms) {
+        note_rejected_input(input_source::worker_entry, record.key, "the service changed without a restart");
+        return;
+    }
     state_.registry[record.key] = entry.value();
     if (!state_.config) {
         return;
@@ -341,7 +347,7 @@
             owner->put_worker(entry.value());
         }
         else {
-            owner->remove_worker(record.key);  // it may have changed its service
+            owner->leave_worker(record.key);  // it may have started again in another service
         }
     }
 }
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -111,6 +111,7 @@
 /// A worker and its runs.
 struct shard_core::worker_state {
     worker_entry entry;
+    std::int64_t registered_life_ms = 0;  // start of the process that wrote its registration; 0: not said
     bool registered = false;
     bool synced = false;  // has answered a poll of this owner
     std::set<run_entry*> runs;
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -109,6 +109,10 @@
 {
     placement_round round;
     for (auto& [id, worker] : workers_) {
+        // A process that has not registered yet may have started in another service.
+        if (worker->registered_life_ms != 0 && worker->registered_life_ms != worker->entry.started_ms) {
+            continue;
+        }
         if (worker->entry.service != service || !worker->registered || !worker->synced ||
             worker->entry.draining || worker->silent_since_ms != 0 || worker->avoid_until_ms > now_ms ||
             worker->closed_until_ms > now_ms || worker->clock_ms < 0) {
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -74,6 +74,7 @@
         handle_restart(worker, entry.started_ms, now_ms);
     }
     worker.registered = true;
+    worker.registered_life_ms = entry.started_ms;
     worker.removed_ms = 0;
     if (newly_registered || address_changed) {
         worker.next_poll_ms = now_ms;
@@ -101,6 +102,14 @@
     log_event(log_level::info, "worker", {{"worker", id}, {"state", "unregistered"}});
 }
 
+void shard_core::leave_worker(const std::string& id, std::int64_t now_ms)
+{
+    remove_worker(id, now_ms);
+    if (const auto found = workers_.find(id); found != workers_.end()) {
+        found->second->entry.address.clear();
+    }
+}
+
 void shard_core::update_clock(worker_state& worker, std::int64_t clock_ms, std::int64_t now_ms)
 {
     // Answers may arrive out of order; a higher reading is newer.
@@ -148,6 +157,9 @@
 {
     worker_state& worker = find_or_add_worker(worker_id);
     worker.poll_in_flight = worker.poll_in_flight && extra;
+    if (worker.entry.address.empty()) {
+        return;  // it has been left to another shard
+    }
     if (answer.outcome == order_result::fenced) {
         fenced_ = true;
         return;
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -240,6 +240,11 @@
     core_.remove_worker(id, monotonic_ms());
 }
 
+void shard_owner::leave_worker(const std::string& id)
+{
+    core_.leave_worker(id, monotonic_ms());
+}
+
 void shard_owner::drain_worker(const std::string& id, std::int64_t for_ms, leftover_runs leftover)
 {
     const std::int64_t now = monotonic_ms();
