--- /dev/null
+++ b/tests/soak/node_faults.py
@@ -0,0 +1,156 @@
+"""Disturbances of the processes, and how they start."""
+import asyncio
+import json
+import os
+import signal
+
+from fault_tools import some, taken, touch
+from faulty_platform import odd_values
+from nodes import limit_files
+
+
+# processes
+
+
+async def node_stop(world, random, seconds):
+    """Planned stops with restart, of some nodes at once."""
+    with taken(some(random, world.nodes, 3)) as nodes:
+        touch(world, nodes, 8)
+        await asyncio.gather(*[node.stop() for node in nodes])
+        await asyncio.sleep(random.choice([0, seconds / 3]))
+        for node in nodes:
+            node.start()
+
+
+async def stops_in_turn(world, random, seconds):
+    with taken(world.nodes) as nodes:
+        for node in nodes:
+            touch(world, [node], 8)
+            await node.stop()
+            node.start()
+            await asyncio.sleep(0.3)
+
+
+async def node_kill(world, random, seconds):
+    with taken(some(random, world.nodes, 3)) as nodes:
+        await kill(world, random, nodes, random.choice([0, 0, 0.3, seconds]))
+
+
+async def all_killed(world, random, seconds):
+    with taken(world.nodes) as nodes:
+        await kill(world, random, nodes, random.choice([0, 0.7]))
+
+
+async def kill(world, random, nodes, away_s):
+    touch(world, None, away_s + 3)
+    for node in nodes:
+        node.kill()
+    await asyncio.sleep(away_s)
+    for node in random.sample(nodes, len(nodes)):
+        node.start()
+        await asyncio.sleep(random.uniform(0, 0.05))
+
+
+async def node_pause(world, random, seconds):
+    with taken(some(random, world.nodes, 3)) as nodes:
+        touch(world, None, seconds)
+        for node in nodes:
+            node.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        for node in nodes:
+            node.signal(signal.SIGCONT)
+
+
+async def node_reload(world, random, seconds):
+    """SIGHUP with other settings, unreadable ones, or none."""
+    with taken(some(random, world.nodes, 4)) as nodes:
+        for node in nodes:
+            how = random.choice(["seeds", "null", "broken", "missing", "same"])
+            node.extra = {"seeds": {"seeds": [random.choice(world.nodes).listen["control"], "127.0.0.1:9", "x", ""]},
+                          "null": {"zones": None, "cloudApi": None, "limits": None, "bounds": None, "new": [{}]},
+                          }.get(how, {})
+            node.write_settings()
+            if how == "broken":
+                with open(node.file, "w", encoding="utf-8") as out:
+                    out.write(json.dumps(node.settings())[:random.randrange(200)])
+            if how == "missing":
+                os.remove(node.file)
+            for _ in range(random.choice([1, 1, 20])):
+                node.signal(signal.SIGHUP)
+            await asyncio.sleep(0.3)
+            node.extra = {}
+            node.write_settings()
+
+
+async def reload_at_start(world, random, seconds):
+    """SIGHUP in the first milliseconds of a process."""
+    with taken([random.choice(world.nodes)]) as nodes:
+        touch(world, None, 5)
+        for node in nodes * 6:
+            node.kill()
+            node.start()
+            await asyncio.sleep(random.uniform(0.001, 0.03))
+            node.signal(signal.SIGHUP)
+            await asyncio.sleep(0.3)
+
+
+# starts
+
+
+async def apart(world, random):
+    """All nodes within 0.3 s, in any order."""
+    for node in random.sample(world.nodes, len(world.nodes)):
+        node.start()
+        await asyncio.sleep(random.uniform(0, 0.3 / len(world.nodes)))
+
+
+async def without_store(world, random):
+    """The store is not there yet."""
+    world.store.down = True
+    touch(world, None, 4)
+    await apart(world, random)
+    await asyncio.sleep(3)
+    world.store.down = False
+
+
+async def without_configuration(world, random):
+    newest = world.store.partition("keyed.op", 0).newest.pop(b"config")
+    touch(world, None, 4)
+    await apart(world, random)
+    await asyncio.sleep(3)
+    world.store.put("keyed.op", 0, [(b"config", newest[0])])
+
+
+async def with_odd_settings(world, random):
+    """Null, unknown and missing fields."""
+    for node in world.nodes:
+        node.extra = random.choice([
+            {"cloudApi": None}, {"advice": None}, {"bounds": None}, {"limits": None}, {"seeds": None}, {"seeds": []},
+            {"unknown": {"a": [None]}}, {"zones": None, "contracts": None}, {"cloudApi": {"address": None}},
+            {"cloudApi": {"address": world.host_address, "dutyPerS": 0.5}},
+            {"faultTolerance": None, "heartbeatMs": None, "region": None, "dataDir": "/none"}])
+    await apart(world, random)
+    for node in world.nodes:
+        node.extra = {}
+
+
+async def restarted_at_once(world, random):
+    """Killed and started again under the same ports before they are ready."""
+    await apart(world, random)
+    for node in random.sample(world.nodes, len(world.nodes)):
+        node.kill()
+        node.start()
+
+
+async def with_odd_records(world, random):
+    """Unreadable records are there before the nodes."""
+    for number in range(40):
+        world.store.put(random.choice(["keyed.servers", "keyed.op"]), 0, [(b"odd-%d" % number, odd_values(random))])
+    await apart(world, random)
+
+
+async def with_small_files(world, random):
+    """The size of files is limited, and the logs reach it."""
+    for node in world.nodes:
+        node.limits = limit_files
+    await apart(world, random)
--- /dev/null
+++ b/tests/soak/platform_faults.py
@@ -0,0 +1,173 @@
+"""Disturbances of the store, of connections, of workers and of the host service."""
+import asyncio
+
+from fault_tools import some, touch
+from faulty_platform import LAPSE_S, odd_values
+from users_platform import call, dump
+
+
+# the store
+
+
+async def store_down(world, random, seconds):
+    """The store answers nobody; afterwards the members' times have passed or paused, and entries may be gone."""
+    touch(world, None, seconds)
+    world.store.down = True
+    await asyncio.sleep(seconds)
+    if random.random() < 0.5:
+        for group in world.store.groups.values():
+            group.pause(int(seconds * 1000))
+    if seconds > LAPSE_S and random.random() < 0.5:
+        for worker in random.sample(world.workers, 10):
+            world.store.put("keyed.servers", 0, [(worker.id.encode(), None)])
+    world.store.down = False
+
+
+async def store_slow(world, random, seconds):
+    await with_store(world, seconds, "delay_s", random.choice([0.05, 0.2, 0.6]))
+
+
+async def store_loses_answers(world, random, seconds):
+    await with_store(world, seconds, "lost_share", random.choice([0.1, 0.4]))
+
+
+async def with_store(world, seconds, name, value):
+    touch(world, None, seconds)
+    setattr(world.store, name, value)
+    await asyncio.sleep(seconds)
+    setattr(world.store, name, 0.0)
+
+
+async def store_turns_some_away(world, random, seconds):
+    nodes = some(random, world.nodes, len(world.nodes) // 2)
+    touch(world, nodes, seconds)
+    how = random.choice(["503", "429", "reset", "silent"])
+    world.store.treatment.update({node.number: how for node in nodes})
+    await asyncio.sleep(seconds)
+    for node in nodes:
+        world.store.treatment.pop(node.number, None)
+
+
+async def store_forgets(world, random, seconds):
+    touch(world, None, 0)
+    world.store.drop_history()
+
+
+async def store_deals_anew(world, random, seconds):
+    for _ in range(random.randint(1, 3)):
+        touch(world, None, 0)
+        world.store.deal_anew()
+        await asyncio.sleep(seconds / 3)
+
+
+async def odd_entries(world, random, seconds):
+    """Other writers leave what cannot be read."""
+    for number in range(25):
+        key = random.choice([b"odd-%d" % number, b"\xff\xfe%d" % number, b"odd\r\n%d" % number, b"o" * 255])
+        topic, name = random.choice([("keyed.servers", key), ("keyed.servers", key),
+                                     ("keyed.op", b"wave/" + key[:9]), ("keyed.op", key)])
+        world.store.put(topic, 0, [(name, odd_values(random))])
+        await asyncio.sleep(seconds / 25)
+    for name in [name for name in world.store.partition("keyed.servers", 0).newest if not name.startswith(b"i-")]:
+        world.store.put("keyed.servers", 0, [(name, None)])
+
+
+async def odd_nesting(world, random, seconds):
+    """Entries and requests of very deep nesting."""
+    deep = b'{"a":' * 60_000 + b"1" + b"}" * 60_000
+    world.store.put("keyed.servers", 0, [(b"odd-deep", deep)])
+    await call(random.choice(world.nodes).listen["front"], "POST", "/lineplan/00000000000000ee",
+               {"Host": "jobs.example"}, None)
+    await asyncio.sleep(seconds)
+    world.store.put("keyed.servers", 0, [(b"odd-deep", None)])
+
+
+# connections
+
+
+async def store_links(world, random, seconds):
+    await harm(world, random, seconds, [node.store_link for node in some(random, world.nodes, 3)])
+
+
+async def peer_links(world, random, seconds):
+    relays = [relay for node in world.nodes for relay in node.peer_links.values()]
+    await harm(world, random, seconds, random.sample(relays, len(relays) // 3))
+
+
+async def worker_links(world, random, seconds):
+    await harm(world, random, seconds, [worker.relay for worker in some(random, world.workers, 6)])
+
+
+async def harm(world, random, seconds, relays):
+    touch(world, None, seconds)
+    how = random.choice(["delay", "forth", "back", "both", "reset", "mute"])
+    if how == "mute":
+        for relay in relays:
+            relay.mute_open()
+        return
+    end = world.now() + seconds
+    while world.now() < end:
+        for relay in relays:
+            if how == "delay":
+                relay.delay_s = random.choice([0.02, 0.2, 1.0])
+            elif how == "reset":
+                relay.reset()
+            else:
+                relay.silent = how
+        await asyncio.sleep(min(0.5, max(0.01, end - world.now())))
+    for relay in relays:
+        relay.delay_s, relay.silent = 0.0, ""
+        if how != "delay":
+            relay.reset()
+
+
+# workers
+
+
+async def workers_crash(world, random, seconds):
+    """Single workers, or a whole rack; they return under their ids."""
+    workers = some(random, world.workers, 3)
+    if random.random() < 0.3:
+        workers = [worker for worker in world.workers if worker.labels == workers[0].labels]
+    touch(world, None, seconds)
+    await asyncio.gather(*[worker.crash(seconds) for worker in workers])
+
+
+async def workers_leave(world, random, seconds):
+    workers = [worker for worker in some(random, world.workers, 4) if worker.alive and worker.state == "ready"]
+    touch(world, None, 7)
+    await asyncio.gather(*[worker.drain() for worker in workers])
+
+
+async def workers_slow(world, random, seconds):
+    await with_workers(some(random, world.workers, 5), seconds, "slowness", 6.0, 1.0)
+
+
+async def workers_fail(world, random, seconds):
+    """Workers fail all that they start."""
+    await with_workers(some(random, world.workers, 2), seconds, "fails_all", True, False)
+
+
+async def with_workers(workers, seconds, name, value, usual):
+    for worker in workers:
+        setattr(worker, name, value)
+    await asyncio.sleep(seconds)
+    for worker in workers:
+        setattr(worker, name, usual)
+
+
+async def wave(world, random, seconds):
+    """A fifth of the machines are due for maintenance."""
+    touch(world, None, 20)
+    machines = [world.machine(worker) for worker in random.sample(world.workers, len(world.workers) // 5)]
+    number = random.randrange(1, 1000)
+    world.store.put("keyed.op", 0, [(b"wave/%d" % number, dump(
+        {"wave": number, "machines": machines, "finishByS": 20, "maxCount": 3}))])
+
+
+async def odd_hosts(world, random, seconds):
+    """The host service lists rows that cannot be read."""
+    rows = [7, "x", None, [], {}, {"machine": 1}, {"machine": "m-x", "capacity": 5, "labels": 5, "id": None}]
+    world.hosts.odd = random.sample(rows, 2)
+    await asyncio.sleep(seconds)
+    world.hosts.odd = []
