Let the soak vary owners, late calls, addresses, nodes, services, deployments and jobs

A task that ran twice for users was not seen by the soak, which added services only behind all others, had no late orders, no late writes, no owners that change before they learn of it, no new nodes and no reused addresses, and ran with stops of 0.05 s only.

- Disturbances: store_deals_at_once, store_revokes, store_parts_away, store_writes_late, orders_late, orders_unanswered, addresses_reused, nodes_join, node_replaced, services_change.
The last one adds and removes services before, between and behind the others, which configurations does not do; it is one of its own so that it can be left out by name.
Clocks of workers are up to 2 % slow.
Steps have copies, limits per worker or checkpoints.
- The checker knows ROUTE (service, maxPerServer), checkpoints of other tasks, copies, and starts long after an end was noted or the job was shown as completed.
A breach of TWICE says which nodes ordered the runs and with which tokens: each node reaches the workers at an address of its own, from which the relay passes its calls on.
- The stand-in of the workers takes the rate of its clock and the checkpoint of a task, and re-arms the timer of a lease that its clock has not reached.

--- a/tests/soak/caller_faults.py
+++ b/tests/soak/caller_faults.py
@@ -10,12 +10,22 @@
 
 
 async def configurations(world, random, seconds):
-    """Versions in quick succession, some with one more service."""
+    """Versions in quick succession, some with one more service behind all others, so that theirs keep their rank."""
     for _ in range(random.choice([3, 15, 60])):
-        world.publish(random.randint(0, 40), random.choice([1000, 3000, 5000]), random.random() < 0.5)
+        world.extra_services.discard("zz-extra")
+        world.extra_services.update(["zz-extra"] * (random.random() < 0.5))
+        world.publish(random.randint(0, 40), random.choice([1000, 3000, 5000]))
         await asyncio.sleep(random.uniform(0.02, 0.2))
 
 
+async def services_change(world, random, seconds):
+    """Services come before, between and behind the others, and go again; they have no routes and no jobs."""
+    for _ in range(random.choice([1, 3, 8])):
+        world.extra_services ^= {random.choice(["aa-extra", "ee-extra", "mm-extra", "zz-extra"])}
+        world.publish()
+        await asyncio.sleep(random.uniform(0.05, seconds / 3))
+
+
 async def routes_move(world, random, seconds):
     """Prefixes lead to other services, back again, or nowhere for a moment; accepted requests arrive once more."""
     services = list(world.leads)
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -3,11 +3,15 @@
 
     fault     until                                a disturbance that lasts from `at` to `until`
     calm                                           the last disturbance is over
-    submit    job, steps [{count, after, lasting}], doomed     `doomed`: it cannot be completed
+    submit    job, prefix, steps [{count, after, lasting, copies, most}], doomed
+              `copies`: copies of a task may run, `most` tasks on one worker (0: any), `doomed`: it cannot be completed
+    route     prefix, service                      a configuration sends the jobs of a prefix to a service
     answer    call (submit, get, cancel), job, sent, status, state, node
     unanswered job                                 nobody answers for this job at the end
     cut       node, sent                           a connection ended without an answer to a whole request
     start, end (how), ack    task, run, worker     `worker` names one life of a worker
+    start     service, node, token, known          the worker's service, who ordered it with which fencing token, and
+                                                   whether its checkpoint, if it has one, is one of the task
     lapse, crash             worker
     node_start, node_stop (status, seconds), node_end (status, lines)      node
     sample    node, pid, memory, descriptors, processor, log, ready, disturbed
@@ -17,7 +21,7 @@
 MAX_ATTEMPTS = 4
 CONTACT_S = 3.0  # contactMs
 CANCEL_S = 3.0  # cancel_ms
-STOP_S = 0.2  # stopMs
+COPY_S = 1.0  # a copy may still start for so long after an end was noted
 GRACE_S = 6.0
 LOSS_SLACK_S = 0.2  # lossSlackMs
 READY_S = 10.0  # traffic starts that long after the machines
@@ -30,8 +34,9 @@
 
 
 class Job:
-    def __init__(self, name, steps, doomed):
+    def __init__(self, name, steps, doomed, prefix):
         self.steps = steps
+        self.prefix = prefix
         self.by_step = [[f"{name}.0.{step}.{index}" for index in range(row["count"])]
                         for step, row in enumerate(steps)]
         self.tasks = {task for tasks in self.by_step for task in tasks}
@@ -43,6 +48,7 @@
         self.cancel_sent = None
         self.cancelled = None
         self.finished = None  # time of the last `done`
+        self.shown_completed = None
         self.crashed = False  # a worker crashed under one of its tasks
         self.given_up = False  # shown as failed, with a cause
 
@@ -50,10 +56,15 @@
 class Task:
     def __init__(self):
         self.running = {}  # (worker, run): since
-        self.done = []  # [worker, run, at, noted]
+        self.done = []  # [worker, run, at, noted]; `noted` is None for an end that is void
         self.starts = []
+        self.orders = {}  # (worker, run): who ordered it
         self.failed = 0
 
+    def told(self, worker, run):
+        """@return the run with who ordered it, for a message"""
+        return f"run {run} on {worker} ({self.orders.get((worker, run), 'order unknown')})"
+
 
 class Checker:
     def __init__(self):
@@ -67,6 +78,8 @@
         self.busy = collections.defaultdict(list)  # (node, pid): samples (at, processor, log)
         self.peaks = collections.defaultdict(float)
         self.reported = set()
+        self.routes = collections.defaultdict(set)  # by prefix: services to which any configuration has led
+        self.on_worker = collections.defaultdict(set)  # by life: tasks that run
 
     def breach(self, at, promise, what, once=None):
         """@param once reports a promise for this subject only once"""
@@ -90,9 +103,13 @@
     # callers
 
     def see_submit(self, record):
-        job = self.jobs.setdefault(record["job"], Job(record["job"], record["steps"], record["doomed"]))
+        job = self.jobs.setdefault(record["job"], Job(record["job"], record["steps"], record["doomed"],
+                                                       record["prefix"]))
         job.sends += 1
 
+    def see_route(self, record):
+        self.routes[record["prefix"]].add(record["service"])
+
     def see_answer(self, record):
         job, status = self.jobs[record["job"]], record["status"]
         getattr(self, "answered_" + record["call"])(record, job, status)
@@ -122,6 +139,7 @@
             return
         state = record.get("state")
         if state == "completed":
+            job.shown_completed = job.shown_completed or at
             if job.undone:
                 self.breach(at, "COMPLETED", f"{name} is shown as completed, {min(job.undone)} is not done", name)
         if state == "failed" and not job.crashed:
@@ -145,28 +163,54 @@
 
     def see_start(self, record):
         at, name = record["at"], record["task"]
-        where = f"{name} run {record['run']} starts on {record['worker']}"
+        order = f"ordered by {record['node']}, token {record['token']}"
+        where = f"{name} run {record['run']} starts on {record['worker']} ({order})"
         job = self.jobs.get(name.split(".")[0])
         if job is None or name not in job.tasks:
             self.breach(at, "UNASKED", f"{where}, nobody has sent it")
             return
-        task = self.tasks[name]
-        if task.running:
-            self.breach(at, "TWICE", f"{where} beside {sorted(task.running)}")
+        task, step = self.tasks[name], job.steps[int(name.split(".")[2])]
+        task.orders[record["worker"], record["run"]] = order
+        if not record["known"]:
+            self.breach(at, "UNASKED", f"{where} with a checkpoint that is none of the task")
+        if task.running and not step.get("copies"):
+            self.breach(at, "TWICE", f"{where} beside {', '.join(task.told(*run) for run in sorted(task.running))}")
         for worker, run, done_at, noted in task.done:
-            if noted:
-                self.breach(at, "TWICE", f"{where}, run {run} was done on {worker} at {done_at:.3f} and noted")
-        for earlier in job.steps[int(name.split(".")[2])]["after"]:
+            if noted and (not step.get("copies") or self.late(noted, at)):
+                self.breach(at, "TWICE", f"{where}, {task.told(worker, run)} was done at {done_at:.3f} and noted at "
+                            f"{noted:.3f}")
+        if job.shown_completed and self.late(job.shown_completed, at):
+            self.breach(at, "TWICE", f"{where}, its job was shown as completed at {job.shown_completed:.3f}")
+        self.check_place(record, step, job, where)
+        for earlier in step["after"]:
             for needed in job.undone.intersection(job.by_step[earlier]):
                 self.breach(at, "ORDER", f"{where} before {needed} is done")
         if job.cancelled and at > job.cancelled + CANCEL_S and self.undisturbed(at - CANCEL_S - CONTACT_S, at):
             self.breach(at, "CANCEL", f"{where}, its job was cancelled at {job.cancelled:.3f}")
         task.running[record["worker"], record["run"]] = at
+        self.on_worker[record["worker"]].add(name)
         task.starts.append((at, record["run"], record["worker"]))
 
+    def late(self, since, at):
+        """@return whether a start comes too late after `since` even for a copy, with all nodes in touch"""
+        return at > since + COPY_S and self.undisturbed(since - CONTACT_S, at)
+
+    def check_place(self, record, step, job, where):
+        if record["service"] not in self.routes[job.prefix]:
+            self.breach(record["at"], "ROUTE", f"{where}, a worker of {record['service']}; no configuration sends "
+                        f"{job.prefix} there")
+        group = record["task"].rsplit(".", 1)[0]
+        beside = [task for task in self.on_worker[record["worker"]]
+                  if task.rsplit(".", 1)[0] == group and task != record["task"]]
+        if step.get("most") and len(beside) >= step["most"]:
+            self.breach(record["at"], "ROUTE", f"{where} beside {', '.join(sorted(beside))}; {step['most']} may run on "
+                        "one worker")
+
     def see_end(self, record):
         task, job = self.tasks[record["task"]], self.jobs.get(record["task"].split(".")[0])
         task.running.pop((record["worker"], record["run"]), None)
+        if not any(worker == record["worker"] for worker, _ in task.running):
+            self.on_worker[record["worker"]].discard(record["task"])
         if record["how"] == "failed":
             task.failed += 1
         if record["how"] == "done":
@@ -176,15 +220,16 @@
                 job.finished = job.finished if job.undone else record["at"]
 
     def see_ack(self, record):
-        task = self.tasks[record["task"]]
+        task, job = self.tasks[record["task"]], self.jobs.get(record["task"].split(".")[0])
+        copies = job and job.steps[int(record["task"].split(".")[2])].get("copies")
         for end in task.done:
             if end[:2] != [record["worker"], record["run"]] or end[3] is None:
                 continue
-            end[3] = True
+            end[3] = end[3] or record["at"]
             for at, run, worker in task.starts:
-                if at > end[2]:
-                    self.breach(record["at"], "TWICE", f"{record['task']} run {run} started on {worker} at {at:.3f}, "
-                                f"run {end[1]} was done on {end[0]} at {end[2]:.3f} and is noted now")
+                if at > end[2] and not copies:
+                    self.breach(record["at"], "TWICE", f"{record['task']} {task.told(worker, run)} started at "
+                                f"{at:.3f}, {task.told(end[0], end[1])} was done at {end[2]:.3f} and is noted now")
 
     def see_lapse(self, record):
         """A lapsed lease before the acknowledgement makes an end void."""
@@ -197,6 +242,7 @@
         for name, task in self.tasks.items():
             for worker, run in list(task.running):
                 if worker == record["worker"]:
+                    self.on_worker.pop(worker, None)
                     del task.running[worker, run]
                     self.jobs[name.split(".")[0]].crashed = True
 
--- a/tests/soak/faulty_platform.py
+++ b/tests/soak/faulty_platform.py
@@ -1,6 +1,7 @@
 """The users' platform with faults: the stand-ins of review/standin, a store that misbehaves for some or all nodes,
 workers that crash and return, and a relay that harms connections."""
 import asyncio
+import base64
 import json
 import os
 import sys
@@ -12,14 +13,18 @@
 BEAT_S = 1.5
 SILENCE_S = 10.0
 LAPSE_S = 3 * BEAT_S  # a worker that sends nothing for this long loses its entry
+CHECKPOINT_S = 2.0  # checkpointS
+SALT = os.getpid() % 250 + 1  # keeps the addresses of soaks that run at the same time apart
+WORKER_IP = f"127.128.{SALT}.1"
 
 
 class Pipe(asyncio.Protocol):
     """One side of a relayed connection."""
 
-    def __init__(self, relay, other=None):
+    def __init__(self, relay, other=None, source=None):
         self.relay = relay
         self.other = other
+        self.source = source
         self.transport = None
         self.waiting = []  # bytes that arrived before the other side was connected
         self.direction = "back" if other else "forth"
@@ -36,7 +41,7 @@
         ip, port = self.relay.target.rsplit(":", 1)
         try:
             _, self.other = await asyncio.get_running_loop().create_connection(
-                lambda: Pipe(self.relay, self), ip, int(port))
+                lambda: Pipe(self.relay, self), ip, int(port), local_addr=self.source and (self.source, 0))
         except OSError:
             self.transport.abort()
             return
@@ -81,12 +86,15 @@
         self.delay_s = 0.0
         self.silent = ""  # "forth", "back" or "both"
         self.pipes = set()
-        self.server = None
+        self.servers = []
         self.address = ""
 
-    async def listen(self, ip, port=0):
-        self.server = await asyncio.get_running_loop().create_server(lambda: Pipe(self), ip, port)
-        self.address = f"{ip}:{self.server.sockets[0].getsockname()[1]}"
+    async def listen(self, ip, port=0, source=None):
+        """Listens on one more address; may be called several times.
+        @param source the address from which the target sees connections to this one come"""
+        server = await asyncio.get_running_loop().create_server(lambda: Pipe(self, source=source), ip, port)
+        self.servers.append(server)
+        self.address = self.address or f"{ip}:{server.sockets[0].getsockname()[1]}"
         return self.address
 
     def reset(self):
@@ -116,6 +124,8 @@
         self.delay_s = 0.0
         self.lost_share = 0.0  # share of the calls whose answers are lost
         self.treatment = {}  # node number: "503", "429", "reset" or "silent"
+        self.parts_away = {}  # partition: "503", "reset" or "silent", for all nodes
+        self.late_share = 0.0  # share of the writes that get no answer and are carried out 1 to 6 s later
         self.random = None
         self.fronts = []
 
@@ -123,18 +133,28 @@
         async def serve(method, path, query, headers, body):
             return await self.serve(number, method, path, query, headers, rewrite_in(body))
 
-        async def handler(*call):
-            answer = await serve(*call)
+        async def handler(method, path, *call):
+            answer = await serve(method, path, *call)
+            if answer and path.endswith("log-newest") and answer[0] == 200:
+                answer = 200, rewrite_items(answer[1], rewrite_out)
             return answer and (answer[0], rewrite_out(answer[1]))
 
         front = HttpServer(handler)
         self.fronts.append(front)
         return await front.listen("127.0.0.1")
 
+    def treatment_of(self, number, query):
+        """@return how a call of a node is treated now, None for as usual"""
+        if self.down:
+            return "silent"
+        # The operator's topic stays, as its writes go past the fronts.
+        part = int(query["part"]) if query.get("topic", "keyed.op") != "keyed.op" else None
+        return self.treatment.get(number) or self.parts_away.get(part)
+
     async def serve(self, number, method, path, query, headers, body):
-        treatment = "silent" if self.down else self.treatment.get(number)
+        treatment = self.treatment_of(number, query)
         if treatment == "silent":
-            while self.down or self.treatment.get(number) == "silent":
+            while self.treatment_of(number, query) == "silent":
                 await asyncio.sleep(0.1)
             return None
         if treatment == "reset":
@@ -143,6 +163,10 @@
             return int(treatment), b"{}"
         if self.delay_s:
             await asyncio.sleep(self.delay_s * self.random.uniform(0.5, 1.5))
+        if method == "POST" and self.random.random() < self.late_share:
+            asyncio.get_running_loop().call_later(self.random.uniform(1, 6), lambda: asyncio.ensure_future(
+                self.handle(method, path, {"group": "", **query}, headers, body)))
+            return None
         lost = self.random.random() < self.lost_share
         answer = await self.handle(method, path, {"group": "", **query}, headers, body)
         return None if lost else answer
@@ -181,20 +205,47 @@
             group.target = {part: members[(part + shift) % len(members)] for part in range(group.parts)} \
                 if members else {}
 
+    def deal_at_once(self):
+        """All partitions change hands before their holders have joined and learned of it."""
+        self.deal_anew()
+        for group in self.groups.values():
+            group.held = dict(group.target)
+
+    def revoke(self, addresses):
+        """Ends memberships, as the store does for members whose time has passed; no answer tells them."""
+        for group in self.groups.values():
+            for member in [member for member in group.members if member.split("/")[0] in addresses]:
+                group.remove(member)
+
+
+def rewrite_items(content, rewrite):
+    """As `rewrite` for a page of newest records, whose values are in base64."""
+    page = json.loads(content)
+    for item in page["items"]:
+        item["value"] = base64.b64encode(rewrite(base64.b64decode(item["value"]))).decode()
+    return dump(page)
+
 
 class SoakWorker(Worker):
     """A worker behind a relay that can crash and return under its id. `notice(event, **fields)` records what it
     sees; `tasks` knows how each task behaves."""
 
-    def __init__(self, quiet, worker_id, service, store, tasks, notice, rack):
-        super().__init__(quiet, worker_id, service, store, self.run_time, rack=rack, stop_s=0.05, hold_max_ms=10_000)
+    def __init__(self, quiet, worker_id, service, store, tasks, notice, rack, **options):
+        super().__init__(quiet, worker_id, service, store, self.run_time, rack=rack, **options)
         self.tasks = tasks
         self.notice = notice
         self.relay = Relay()
+        self.sources = {}  # IP address on which a node reaches this worker: address of the node
         self.slowness = 1.0
+        self.late_share = 0.0  # share of the orders that get no answer and are carried out 2 to 12 s later
+        self.lost_share = 0.0  # share of the orders that are carried out without an answer
         self.fails_all = False
         self.alive = False
+        self.order = {}  # the one that is being carried out
+        self.sender = ""  # IP address of its sender
+        self.progress = {}  # task: (time of start, seconds of work that its checkpoint had)
         self.needs = tasks.needs
+        self.saved_of = self.checkpoint
         self.on_start = self.started
         self.on_end = lambda worker, task, run, how: notice("end", task=task, run=run, worker=self.life, how=how)
         self.on_acknowledged = lambda worker, task, run, how: notice("ack", task=task, run=run, worker=self.life)
@@ -205,7 +256,11 @@
 
     async def start(self, ip="127.0.0.1"):
         self.relay.target = await self.http.listen(ip)
-        self.address = self.relay.address or await self.relay.listen(ip)
+        if not self.relay.address:
+            port = int((await self.relay.listen(WORKER_IP)).rsplit(":", 1)[1])
+            for seen_as, source in self.sources.items():
+                await self.relay.listen(seen_as, port, source)
+        self.address = self.relay.address
         self.alive = True
         self.beat = asyncio.create_task(self.heartbeat())
 
@@ -213,12 +268,54 @@
         if not self.store.down:
             super().register()
 
+    async def handle(self, method, path, query, headers, body):
+        async def carry_out():
+            # Nothing else runs between here and the start or stop.
+            self.order, self.sender = json.loads(body) if body else {}, headers[":peer"]
+            return await super(SoakWorker, self).handle(method, path, query, headers, body)
+
+        if not path.endswith(("run-start", "run-stop")):
+            return await carry_out()
+        if self.store.random.random() < self.late_share:
+            self.later(self.store.random.uniform(2, 12), carry_out)
+            return None
+        lost = self.store.random.random() < self.lost_share
+        answer = await carry_out()
+        return None if lost else answer
+
+    def later(self, seconds, carry_out):
+        life = self.life
+
+        async def one():
+            if self.alive and self.life == life:
+                await carry_out()
+
+        asyncio.get_running_loop().call_later(seconds, lambda: asyncio.ensure_future(one()))
+
     def run_time(self, task):
         seconds = self.tasks.run_time(task)
-        return seconds if seconds is None else seconds * self.slowness
+        if seconds is None:
+            return None
+        saved_s = self.tasks.checkpoints.get(self.order.get("checkpoint", ""), (task, 0.0))[1]
+        self.progress[task] = now_ms() / 1000, saved_s
+        return max(0.0, seconds - saved_s) * self.slowness
+
+    def checkpoint(self, task):
+        """The newest checkpoint of a running task, one each CHECKPOINT_S of work."""
+        if task not in self.progress or not self.tasks.has_checkpoints(task):
+            return ""
+        begin, saved_s = self.progress[task]
+        steps = int((now_ms() / 1000 - begin) / self.slowness / CHECKPOINT_S)
+        if not steps:
+            return self.tasks.checkpoint_at(task, saved_s) if saved_s else ""
+        return self.tasks.checkpoint_at(task, saved_s + steps * CHECKPOINT_S)
 
     def started(self, _, task, run):
-        self.notice("start", task=task, run=run, worker=self.life)
+        checkpoint = self.order.get("checkpoint", "")
+        self.notice("start", task=task, run=run, worker=self.life, service=self.service,
+                    node=self.tasks.node_names.get(self.sender, self.sender), token=self.order.get("fencingToken", 0),
+                    checkpoint=checkpoint, known=not checkpoint or checkpoint in self.tasks.checkpoints and
+                    self.tasks.checkpoints[checkpoint][0] == task)
         if self.tasks.crashes(task):
             asyncio.get_running_loop().call_later(0.05, lambda: asyncio.ensure_future(self.crash(2.0)))
 
@@ -232,8 +329,8 @@
             self.notice("lapse", worker=self.life)
         super().check_lease()
 
-    async def crash(self, away_s, leaves=False):
-        """Ends at once; returns under the same id with a new life after `away_s`."""
+    async def crash(self, away_s, leaves=False, reborn=lambda: None):
+        """Ends at once; returns with a new life after `away_s`, under the same id or as `reborn` makes it."""
         if not self.alive:
             return
         self.alive = False
@@ -246,17 +343,28 @@
         if self.lease_timer:
             self.lease_timer.cancel()
         await self.http.close()
+        old = self.id, self.born
+
+        def drop_entry():
+            if self.id != old[0] or (not self.alive and self.born == old[1]):
+                self.store.put("keyed.servers", 0, [(old[0].encode(), None)])
+
         if leaves:
-            self.store.put("keyed.servers", 0, [(self.id.encode(), None)])
-        elif away_s > LAPSE_S:
-            asyncio.get_running_loop().call_later(
-                LAPSE_S, lambda: self.alive or self.store.put("keyed.servers", 0, [(self.id.encode(), None)]))
+            drop_entry()
+        else:
+            asyncio.get_running_loop().call_later(LAPSE_S, drop_entry)
         await asyncio.sleep(away_s)
+        reborn()
         self.token = self.lease_until = self.number = self.acknowledged = self.sequence = 0
-        self.highest_ended, self.ends, self.running = {}, [], {}
+        self.highest_ended, self.ends, self.running, self.progress = {}, [], {}, {}
         self.born, self.clock_start, self.state = wall_ms(), now_ms(), "ready"
         await self.start()
 
+    def next_id(self):
+        """Makes the next life a worker of another id on the same machine."""
+        base, _, number = self.id.partition("+")
+        self.id = f"{base}+{int(number or 0) + 1}"
+
     async def drain(self):
         """Reports that it is draining, works on for a while, leaves, and returns later."""
         self.state = "draining"
--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -51,6 +51,30 @@
         await asyncio.sleep(random.uniform(0, 0.05))
 
 
+async def nodes_join(world, random, seconds):
+    """Nodes at new addresses join."""
+    for _ in range(random.randint(1, 2)):
+        world.add_node()
+        touch(world, world.nodes[-1:], 5)
+        await asyncio.sleep(random.uniform(0, seconds))
+
+
+async def node_replaced(world, random, seconds):
+    """A node is gone for good, by a planned stop or by a crash, and an empty one comes at another address."""
+    with taken([random.choice(world.nodes)]) as nodes:
+        for node in nodes[:len(world.spares)]:
+            world.nodes.remove(node)
+            if random.random() < 0.5:
+                touch(world, [node], 8)
+                await node.stop()
+            else:
+                touch(world, None, seconds + 3)
+                node.kill()
+            await asyncio.sleep(random.uniform(0, seconds))
+            world.add_node()
+            touch(world, world.nodes[-1:], 5)
+
+
 async def node_pause(world, random, seconds):
     with taken(some(random, world.nodes, 3)) as nodes:
         touch(world, None, seconds)
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -1,6 +1,7 @@
-"""Entry nodes as processes with the settings of the deployment tkc-sapporo, and the samples that are taken of them."""
+"""Entry nodes as processes with the settings of a deployment, and the samples that are taken of them."""
 import asyncio
 import ctypes
+import dataclasses
 import json
 import os
 import resource
@@ -8,7 +9,7 @@
 import subprocess
 import time
 
-from faulty_platform import ROOT, Relay
+from faulty_platform import ROOT, SALT, WORKER_IP, Relay
 from users_platform import call, free_port
 
 PROGRAM = os.path.join(os.environ.get("BUILD_DIR", os.path.join(ROOT, "build")), "waxwingnotch")
@@ -17,10 +18,9 @@
 ZONES = ["obihiro", "otaru", "chitose", "asahikawa"]
 GRACE_S = 6
 MEMORY_MB, DESCRIPTORS = 260, 4_100
-SALT = os.getpid() % 250 + 1  # keeps the addresses of soaks that run at the same time apart
 DATA_LIMIT = 1 << 30  # a process that grows without bound ends before it harms the machine
 SMALL_FILE = 20_000  # bytes
-SEEN_THROUGH_RELAYS = 9  # at most this many nodes see one another through relays, which need n x n ports
+SEEN_THROUGH_RELAYS = 10  # at most this many nodes see one another through relays, which need n x n ports
 BOUNDS = {"seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000,
           "graceS": GRACE_S, "lossSlackMs": 200, "configApplyMs": 2000, "rollbackSlackMs": 250,
           "maxStretchMs": 5000, "recoveryS": 12, "holdMaxMs": 10000, "stopMs": 200, "gangMs": 3000,
@@ -30,6 +30,25 @@
           "violationMs": 4000}
 
 
+@dataclasses.dataclass
+class Deployment:
+    """Where the sites differ in what concerns the soak."""
+
+    name: str
+    stop_s: float  # how long a worker takes for a stop
+    nodes: int
+    bounds: dict  # where they differ from BOUNDS, which are those of tkc-sapporo
+
+    def all_bounds(self):
+        return {**BOUNDS, **self.bounds}
+
+
+DEPLOYMENTS = [
+    Deployment("tkc-sapporo with quick stops", 0.05, 7, {}),
+    Deployment("tkc-sapporo", 0.2, 7, {}),
+    Deployment("farsa-kano", 0.9, 8, {"holdMaxMs": 6000, "stopMs": 900, "remoteSlowdown": 1.5, "restoreMs": 100})]
+
+
 def limit_process():
     """Runs in the new process: limits its resources, and lets it end with the soak."""
     LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
@@ -46,13 +65,15 @@
 
 class Node:
     """One entry node. Its address as others see it is that of a relay: 127.1NN.S.1MM stands for node MM as seen by
-    node NN (NN from 1), of the same length as 127.100.S.1MM, the address on which node MM listens."""
+    node NN (NN from 1), of the same length as 127.100.S.1MM, the address on which node MM listens. In the same way
+    each node reaches the workers at an address of its own, `worker_ip`, by which they know who calls."""
 
     def __init__(self, world, number):
         self.world = world
         self.number = number
         self.name = f"front-{ZONES[number % 4]}-{number}"
         self.ip = f"127.100.{SALT}.{100 + number}"
+        self.worker_ip = f"127.{129 + number}.{SALT}.1"
         self.listen = {name: f"{self.ip}:{free_port(self.ip)}" for name in ("front", "ready", "control")}
         self.store_link = Relay()  # between this node and the store
         self.peer_links = {}  # number of another node: relay to it
@@ -69,21 +90,22 @@
     async def connect(self):
         self.store_link.target = await self.world.store.add_front(self.number, self.rewrite_out, self.rewrite_in)
         await self.store_link.listen("127.0.0.1")
-        if len(self.world.nodes) <= SEEN_THROUGH_RELAYS:
-            for other in self.world.nodes:
+        if len(self.world.all_nodes) <= SEEN_THROUGH_RELAYS:
+            for other in self.world.all_nodes:
                 if other is not self:
                     relay = self.peer_links[other.number] = Relay(other.listen["control"])
                     await relay.listen(f"127.{101 + self.number}.{SALT}.{100 + other.number}",
                                        int(other.listen["control"].rsplit(":", 1)[1]))
 
     def rewrite_out(self, content):
-        """What the store tells this node, with the addresses of the relays to the others."""
+        """What the store tells this node, with the addresses of the relays to the others and to the workers."""
         for number in self.peer_links:
             content = content.replace(b"127.100.%d.%d:" % (SALT, 100 + number),
                                       b"127.%d.%d.%d:" % (101 + self.number, SALT, 100 + number))
-        return content
+        return content.replace(WORKER_IP.encode() + b":", self.worker_ip.encode() + b":")
 
     def rewrite_in(self, content):
+        content = content.replace(self.worker_ip.encode() + b":", WORKER_IP.encode() + b":")
         return content.replace(b"127.%d.%d." % (101 + self.number, SALT), b"127.100.%d." % SALT)
 
     def settings(self):
@@ -99,7 +121,8 @@
             "dataDir": None, "discovery": "platform", "entry": "vip", "heartbeatMs": 1500,
             "contracts": ["base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep",
                           "sharing"],
-            "faultTolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": BOUNDS, "orders": "call",
+            "faultTolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": self.world.deployment.all_bounds(),
+            "orders": "call",
             "advice": self.world.advice_address,
             "platform": {"address": self.store_link.address, "form": "log", "writesPerS": 600, "readsPerS": 2000,
                          "parts": 8, "appendMs": 4.0, "partMbPerS": 20.0, "readMbPerS": 80.0,
--- a/tests/soak/platform_faults.py
+++ b/tests/soak/platform_faults.py
@@ -5,6 +5,8 @@
 from faulty_platform import LAPSE_S, odd_values
 from users_platform import call, dump
 
+REUSE_S = 2.0  # reuseAfterS
+
 
 # the store
 
@@ -60,6 +62,44 @@
         await asyncio.sleep(seconds / 3)
 
 
+async def store_deals_at_once(world, random, seconds):
+    """All partitions go to other members before their holders have given them back."""
+    for _ in range(random.randint(1, 6)):
+        touch(world, None, 0)
+        world.store.deal_at_once()
+        await asyncio.sleep(random.uniform(0.02, seconds / 2))
+
+
+async def store_parts_away(world, random, seconds):
+    """Some partitions of all topics but the operator's cannot be reached; the group can."""
+    touch(world, None, seconds)
+    how = random.choice(["503", "reset", "silent"])
+    parts = some(random, range(world.store.parts), 4)
+    world.store.parts_away.update(dict.fromkeys(parts, how))
+    await asyncio.sleep(seconds)
+    for part in parts:
+        world.store.parts_away.pop(part, None)
+
+
+async def store_writes_late(world, random, seconds):
+    """Writes get no answer and are carried out up to 6 s later, after newer ones."""
+    touch(world, None, seconds + 6)
+    await with_store(world, seconds, "late_share", random.choice([0.05, 0.3]))
+
+
+async def store_revokes(world, random, seconds):
+    """The store turns some nodes away and ends their memberships at once, several times."""
+    nodes = some(random, world.nodes, len(world.nodes) // 2)
+    touch(world, None, seconds)
+    how = random.choice(["503", "reset", "silent"])
+    world.store.treatment.update({node.number: how for node in nodes})
+    for _ in range(random.randint(1, 4)):
+        world.store.revoke([node.listen["control"] for node in nodes])
+        await asyncio.sleep(seconds / 4)
+    for node in nodes:
+        world.store.treatment.pop(node.number, None)
+
+
 async def odd_entries(world, random, seconds):
     """Other writers leave what cannot be read."""
     for number in range(25):
@@ -148,6 +188,35 @@
     await with_workers(some(random, world.workers, 2), seconds, "fails_all", True, False)
 
 
+async def orders_late(world, random, seconds):
+    """Workers leave starts and stops unanswered and carry them out up to 12 s later, after newer ones."""
+    touch(world, None, seconds + 12)
+    await with_workers(some(random, world.workers, 12), seconds, "late_share", random.choice([0.1, 0.5]), 0.0)
+
+
+async def orders_unanswered(world, random, seconds):
+    """Workers carry starts and stops out, and their answers are lost."""
+    touch(world, None, seconds)
+    await with_workers(some(random, world.workers, 12), seconds, "lost_share", random.choice([0.1, 0.5]), 0.0)
+
+
+async def addresses_reused(world, random, seconds):
+    """Workers of two services end, and each address goes to a new worker of the other service; their old entries go
+    at once or when they lapse."""
+    touch(world, None, seconds + 5)
+    for _ in range(random.randint(1, 3)):
+        ready = [worker for worker in world.workers if worker.alive and worker.state == "ready"]
+        pair = random.sample(ready, 2) if len(ready) > 1 else []
+        if len({worker.service for worker in pair}) < 2:
+            continue
+        leaves = random.random() < 0.5
+        ends = [world.spawn(worker.crash(random.uniform(REUSE_S, REUSE_S + 3), leaves, worker.next_id))
+                for worker in pair]
+        await asyncio.sleep(0.2)
+        pair[0].relay, pair[1].relay = pair[1].relay, pair[0].relay
+        await asyncio.wait(ends)
+
+
 async def with_workers(workers, seconds, name, value, usual):
     for worker in workers:
         setattr(worker, name, value)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,8 +1,10 @@
 """One run: platform, nodes and clients, and what all of them see. See tests/soak/run."""
 import asyncio
+import dataclasses
 import json
 import random
 import time
+import zlib
 
 from checker import FINISH_S, Checker
 from faulty_platform import SoakStore, SoakWorker, dump, host_rows
@@ -13,10 +15,23 @@
 STANDBY = "backoffice"
 MAX_LAG_S = 2.0  # a soak that was this late has not seen enough to judge
 HOST = "jobs.example"
+SPARE_NODES = 2
 SHOWN = 5  # breaches of each promise that are printed; the record has all
 FINAL = ("completed", "failed", "cancelled")
 
 
+# What a step of a job may have besides, and how often. A step with checkpoints lasts long enough to have one.
+EXTRAS = [{}, {"speculative": True}, {"maxPerServer": 1}, {"maxPerServer": 2},
+          {"checkpointing": True, "estimateMs": 3500}]
+EXTRA_WEIGHTS = [78, 6, 6, 5, 5]
+
+
+@dataclasses.dataclass
+class Load:
+    jobs_per_s: float
+    turn_s: float = 0.0  # all jobs go to one service for so long, then to the next; 0: to any
+
+
 class Quiet:
     """The stand-ins write their own lines here; the soak records what they see by itself."""
 
@@ -29,6 +44,8 @@
 
     def __init__(self):
         self.jobs = {}
+        self.node_names = {}  # by IP address
+        self.checkpoints = {}  # value: (task, seconds of work)
 
     def step(self, task):
         name, _, step, _ = task.split(".")
@@ -45,6 +62,14 @@
         row = self.step(task)[0]
         return None if row.get("longRunning") else row.get("estimateMs", 100) / 1000
 
+    def has_checkpoints(self, task):
+        return self.step(task)[0].get("checkpointing", False)
+
+    def checkpoint_at(self, task, work_s):
+        value = f"{zlib.crc32(task.encode()):08x}{int(work_s * 1000):08x}"
+        self.checkpoints[value] = task, work_s
+        return value
+
     def fails(self, task):
         return self.kind(task) == "failing"
 
@@ -53,7 +78,8 @@
 
 
 class World:
-    def __init__(self, folder, seed, node_count):
+    def __init__(self, folder, seed, deployment, node_count, load):
+        """@param load how many jobs come, and to which services"""
         self.folder = folder
         self.random = random.Random(seed)
         self.start_time = time.monotonic()
@@ -66,10 +92,15 @@
         self.hosts.odd = []
         self.policy = PolicyService(Quiet(), lambda worker: True, {"validityMs": 60_000})
         self.workers = []
-        self.nodes = [None] * node_count
-        self.nodes = [Node(self, number) for number in range(node_count)]
+        self.deployment = deployment
+        self.load = load
+        self.all_nodes = [Node(self, number) for number in range(node_count + SPARE_NODES)]
+        self.nodes = self.all_nodes[:node_count]  # those that are part of the system
+        self.spares = self.all_nodes[node_count:]  # those that join later
+        self.tasks.node_names = {node.ip: node.name for node in self.all_nodes}
         self.version = 0
         self.extra_routes = 0
+        self.extra_services = set()
         self.leads = {name: name for name in SERVICES if name != STANDBY}  # by prefix: service, or None
         self.disturbed_until = 0.0  # of what concerns all nodes
         self.traffic = True
@@ -86,7 +117,8 @@
         if event == "start":
             # A lease that has run out ends its runs before anything else is seen, even if this loop is late.
             for worker in self.workers:
-                if f"{worker.life}" != fields["worker"] and worker.alive and worker.running:
+                if worker.life != fields["worker"] and worker.alive and worker.running and \
+                        worker.clock() >= worker.lease_until:
                     worker.check_lease()
         known = len(self.checker.broken)
         self.checker.see(record)
@@ -116,8 +148,7 @@
 
     # platform
 
-    def publish(self, extra_routes=None, timeout_ms=3000, extra_service=False):
-        """@param extra_service adds a service after all others, so that theirs keep their order"""
+    def publish(self, extra_routes=None, timeout_ms=3000):
         self.version += self.random.randint(1, 5)
         self.extra_routes = self.extra_routes if extra_routes is None else extra_routes
         names = [(f"q-{name}" if service == name else f"q-{name}-{service}", f"/{name}/", service)
@@ -128,7 +159,10 @@
                    "maxAttempts": 4, "stretch": 1.6} for name, prefix, service in names]
         services = [{"name": name, "healthPath": "/healthz", "maxConns": 64, "protocol": "h1", "tls": False,
                      "enforcesCapacity": True, "standby": name == STANDBY}
-                    for name in [*SERVICES, *["zz-extra"] * extra_service]]
+                    for name in [*SERVICES, *sorted(self.extra_services)]]
+        for prefix, service in self.leads.items():
+            if service:
+                self.notice("route", prefix=prefix, service=service)
         self.store.put("keyed.op", 0, [(b"config", dump({
             "version": self.version, "routes": routes, "services": services,
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
@@ -149,12 +183,11 @@
 
     async def replace(self, worker, pool):
         """A new worker of another id joins the pool after a move or maintenance."""
-        old = worker.id
-        self.store.put("keyed.servers", 0, [(old.encode(), None)])
+        self.store.put("keyed.servers", 0, [(worker.id.encode(), None)])
         crash = asyncio.ensure_future(worker.crash(1.7, leaves=True))
         await asyncio.sleep(0.2)
-        base, _, number = old.partition("+")
-        worker.id, worker.service = f"{base}+{int(number or 0) + 1}", pool
+        worker.next_id()
+        worker.service = pool
         await crash
 
     async def start_platform(self):
@@ -171,14 +204,26 @@
         for service, count in SERVICES.items():
             for _ in range(count):
                 worker = SoakWorker(Quiet(), f"i-{number:03d}", service, self.store, self.tasks, self.notice,
-                                    f"r{number // 4}")
+                                    f"r{number // 4}", stop_s=self.deployment.stop_s,
+                                    hold_max_ms=self.deployment.all_bounds()["holdMaxMs"])
+                worker.clock_rate = self.random.uniform(0.98, 1.0)
+                worker.sources = {node.worker_ip: node.ip for node in self.all_nodes}
                 await worker.start()
                 self.workers.append(worker)
                 number += 1
-        for node in self.nodes:
+        for node in self.all_nodes:
             await node.connect()
         self.spawn(self.watch_lag())
 
+    def add_node(self):
+        """Starts a node at an address that is new to the system, if one is left."""
+        if self.spares:
+            node = self.spares.pop(0)
+            self.nodes.append(node)
+            node.start()
+            self.spawn(node.watch())
+            self.spawn(self.keep_using(node, pipelined=False))
+
     async def watch_lag(self):
         while True:
             begin = time.monotonic()
@@ -199,11 +244,16 @@
                         "memMb": 256, "estimateMs": self.random.randint(50, 900)}
                 if number:
                     step["dependsOn"] = sorted(self.random.sample(range(number), self.random.randint(1, number)))
-                steps.append(step)
-        self.tasks.jobs[name] = {"kind": kind, "steps": steps, "service": self.random.choice(
-            [service for service in SERVICES if service != STANDBY]), "final": False}
+                steps.append({**step, **self.random.choices(EXTRAS, EXTRA_WEIGHTS)[0]})
+        self.tasks.jobs[name] = {"kind": kind, "steps": steps, "service": self.next_service(), "final": False}
         return name
 
+    def next_service(self):
+        services = [service for service in SERVICES if service != STANDBY]
+        if self.load.turn_s:
+            return services[int(self.now() / self.load.turn_s) % len(services)]
+        return self.random.choice(services)
+
     async def ask(self, method, name, body=None, deadline_ms=3000, event=None):
         """One call at any node; what it answers goes to the checker."""
         node = self.random.choice(self.nodes)
@@ -221,17 +271,19 @@
     async def submit(self, name, tries=5):
         job = self.tasks.jobs[name]
         body = {"spec": "lot " + name, "steps": job["steps"]}
-        steps = [{"count": row["count"], "after": row.get("dependsOn", []), "lasting": row.get("longRunning", False)}
+        steps = [{"count": row["count"], "after": row.get("dependsOn", []), "lasting": row.get("longRunning", False),
+                  "copies": row.get("speculative", False), "most": row.get("maxPerServer", 0)}
                  for row in job["steps"]]
+        send = {"job": name, "steps": steps, "doomed": job["kind"] in ("doomed", "deadly"), "prefix": job["service"]}
         self.counts["jobs"] += 1
         for _ in range(tries):
-            self.notice("submit", job=name, steps=steps, doomed=job["kind"] in ("doomed", "deadly"))
+            self.notice("submit", **send)
             status, _ = await self.ask("POST", name, body, event="submit")
             if 200 <= status < 300:
                 self.counts["accepted"] += 1
                 if self.random.random() < 0.05:
                     await asyncio.sleep(self.random.uniform(0, 3))
-                    self.notice("submit", job=name, steps=steps, doomed=job["kind"] in ("doomed", "deadly"))
+                    self.notice("submit", **send)
                     await self.ask("POST", name, body, event="submit")
                 return True
             if status in (400, 404, 413):
@@ -258,10 +310,11 @@
             await self.ask("GET", name, event="get")
 
     async def keep_using(self, node, pipelined):
-        """Sends requests over one connection for as long as it is open, then opens another one."""
+        """Sends requests over one connection for as long as it is open, then opens another one, until the node has
+        left for good."""
         job = f"/lineplan/{self.random.getrandbits(64):016x}"
         request = f"GET {job} HTTP/1.1\r\nHost: {HOST}\r\nDeadline-Ms: 3000\r\n\r\n".encode()
-        while self.traffic:
+        while self.traffic and node in self.nodes:
             writer, sent = None, None
             try:
                 reader, writer = await asyncio.open_connection(*node.listen["front"].rsplit(":", 1))
@@ -281,12 +334,12 @@
                 writer.close()
             await asyncio.sleep(0.3)
 
-    async def steady_traffic(self, per_s):
+    async def steady_traffic(self):
         while self.traffic:
             name = self.new_job(self.random.choices(["plain", "failing"], [30, 1])[0])
             cancel = self.random.uniform(0, 2) if self.random.random() < 0.08 else None
             self.spawn(self.client(name, cancel))
-            await asyncio.sleep(self.random.expovariate(per_s))
+            await asyncio.sleep(self.random.expovariate(self.load.jobs_per_s))
 
     # end
 
@@ -313,7 +366,7 @@
         self.traffic = False
 
     async def close(self):
-        for node in self.nodes:
+        for node in self.all_nodes:
             node.kill()
         for task in [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]:
             task.cancel()
