Count disturbances that still last in the soak's checker

A planned stop is judged only without other disruption, but the checker learned of a disturbance at its end, when the cut had been judged. It now learns of the begin as well; what it excuses is the same span as before.

Checked: the new case of tests/soak/checker_selftest fails with the checker before; a second forged record shows that a cut after the end of a disturbance is still found.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -1,7 +1,8 @@
 """Checks the promises of the platform's pages on what callers, workers and the system saw. Shares no code with the
 product or with the soak; the records are dictionaries with `at` in seconds and `event`:
 
-    fault     until                                a disturbance that lasts from `at` to `until`
+    begin     number                               a disturbance begins
+    fault     number, until                        and has lasted from `at` to `until`
     calm                                           the last disturbance is over
     submit    job, prefix, steps [{count, after, lasting, copies, most}], doomed
               `copies`: copies of a task may run, `most` tasks on one worker (0: any), `doomed`: it cannot be completed
@@ -71,6 +72,7 @@
         self.jobs = {}
         self.tasks = collections.defaultdict(Task)
         self.faults = []
+        self.lasting = {}  # number of a disturbance that is under way: since
         self.broken = []  # (at, promise, what)
         self.calm = None
         self.stops = []  # (node, at) of planned stops in undisturbed times
@@ -89,12 +91,18 @@
         self.broken.append((at, promise, what))
 
     def undisturbed(self, begin, end):
-        return not any(since <= end and until >= begin for since, until in self.faults)
+        return not any(since <= end and until >= begin for since, until in self.faults) and \
+            not any(since <= end for since in self.lasting.values())
 
     def see(self, record):
         getattr(self, "see_" + record["event"], lambda _: None)(record)
 
+    def see_begin(self, record):
+        if "number" in record:
+            self.lasting[record["number"]] = record["at"]
+
     def see_fault(self, record):
+        self.lasting.pop(record["number"], None)
         self.faults.append((record["at"], record["until"]))
 
     def see_calm(self, record):
