Let holds be carried out late in the soak, and lost answers leave connections silent

PROTOCOL.md lets any call without an answer be carried out seconds later; the soak did so with starts and stops only, and closed the connection of every lost answer at once. Half of these connections now stay silent for 4 s, longer than the nodes wait. Timers of leases are cancelled at the end of a run, when the record is closed.

--- a/tests/soak/faulty_platform.py
+++ b/tests/soak/faulty_platform.py
@@ -13,6 +13,7 @@
 BEAT_S = 1.5
 SILENCE_S = 10.0
 LAPSE_S = 3 * BEAT_S  # a worker that sends nothing for this long loses its entry
+UNANSWERED_S = 4.0  # a connection without an answer stays open for this long
 CHECKPOINT_S = 2.0  # checkpointS
 SALT = os.getpid() % 250 + 1  # keeps the addresses of soaks that run at the same time apart
 WORKER_IP = f"127.128.{SALT}.1"
@@ -107,6 +108,11 @@
             pipe.mute = True
 
 
+async def no_answer(random):
+    """The connection ends at once or stays silent for longer than the nodes wait."""
+    await asyncio.sleep(random.choice([0.0, UNANSWERED_S]))
+
+
 def is_text(key):
     try:
         return bool(key.decode())
@@ -166,10 +172,10 @@
         if method == "POST" and self.random.random() < self.late_share:
             asyncio.get_running_loop().call_later(self.random.uniform(1, 6), lambda: asyncio.ensure_future(
                 self.handle(method, path, {"group": "", **query}, headers, body)))
-            return None
+            return await no_answer(self.random)
         lost = self.random.random() < self.lost_share
         answer = await self.handle(method, path, {"group": "", **query}, headers, body)
-        return None if lost else answer
+        return await no_answer(self.random) if lost else answer
 
     def append(self, topic, part, query, body):
         end = self.partition(topic, part).end
@@ -237,8 +243,8 @@
         self.relay = Relay()
         self.sources = {}  # IP address on which a node reaches this worker: address of the node
         self.slowness = 1.0
-        self.late_share = 0.0  # share of the orders that get no answer and are carried out 2 to 12 s later
-        self.lost_share = 0.0  # share of the orders that are carried out without an answer
+        self.late_share = 0.0  # share of starts, stops and holds without an answer, carried out 2 to 12 s later
+        self.lost_share = 0.0  # share of them that are carried out without an answer
         self.fails_all = False
         self.alive = False
         self.order = {}  # the one that is being carried out
@@ -274,14 +280,14 @@
             self.order, self.sender = json.loads(body) if body else {}, headers[":peer"]
             return await super(SoakWorker, self).handle(method, path, query, headers, body)
 
-        if not path.endswith(("run-start", "run-stop")):
+        if not path.endswith(("run-start", "run-stop", "hold")):
             return await carry_out()
         if self.store.random.random() < self.late_share:
             self.later(self.store.random.uniform(2, 12), carry_out)
-            return None
+            return await no_answer(self.store.random)
         lost = self.store.random.random() < self.lost_share
         answer = await carry_out()
-        return None if lost else answer
+        return await no_answer(self.store.random) if lost else answer
 
     def later(self, seconds, carry_out):
         life = self.life
--- a/tests/soak/platform_faults.py
+++ b/tests/soak/platform_faults.py
@@ -189,13 +189,13 @@
 
 
 async def orders_late(world, random, seconds):
-    """Workers leave starts and stops unanswered and carry them out up to 12 s later, after newer ones."""
+    """Workers leave starts, stops and holds unanswered and carry them out up to 12 s later, after newer ones."""
     touch(world, None, seconds + 12)
     await with_workers(some(random, world.workers, 12), seconds, "late_share", random.choice([0.1, 0.5]), 0.0)
 
 
 async def orders_unanswered(world, random, seconds):
-    """Workers carry starts and stops out, and their answers are lost."""
+    """Workers carry starts, stops and holds out, and their answers are lost."""
     touch(world, None, seconds)
     await with_workers(some(random, world.workers, 12), seconds, "lost_share", random.choice([0.1, 0.5]), 0.0)
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -368,6 +368,9 @@
     async def close(self):
         for node in self.all_nodes:
             node.kill()
+        for worker in self.workers:
+            if worker.lease_timer:
+                worker.lease_timer.cancel()
         for task in [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]:
             task.cancel()
         await asyncio.sleep(0)
