--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -10,7 +10,7 @@
     answer    call (submit, get, cancel), job, sent, status, state, node
     unanswered job                                 nobody answers for this job at the end
     cut       node, sent                           a connection ended without an answer to a whole request
-    start, end (how), ack    task, run, worker     `worker` names one life of a worker
+    start, end (how), ack (node)    task, run, worker     `worker` names one life of a worker
     start     service, node, token, known          the worker's service, who ordered it with which fencing token, and
                                                    whether its checkpoint, if it has one, is one of the task
     lapse, crash             worker
@@ -57,7 +57,7 @@
 class Task:
     def __init__(self):
         self.running = {}  # (worker, run): since
-        self.done = []  # [worker, run, at, noted]; `noted` is None for an end that is void
+        self.done = []  # [worker, run, at, noted, who noted it]; `noted` is None for an end that is void
         self.starts = []
         self.orders = {}  # (worker, run): who ordered it
         self.failed = 0
@@ -183,10 +183,10 @@
             self.breach(at, "UNASKED", f"{where} with a checkpoint that is none of the task")
         if task.running and not step.get("copies"):
             self.breach(at, "TWICE", f"{where} beside {', '.join(task.told(*run) for run in sorted(task.running))}")
-        for worker, run, done_at, noted in task.done:
+        for worker, run, done_at, noted, noted_by in task.done:
             if noted and (not step.get("copies") or self.late(noted, at)):
                 self.breach(at, "TWICE", f"{where}, {task.told(worker, run)} was done at {done_at:.3f} and noted at "
-                            f"{noted:.3f}")
+                            f"{noted:.3f} by {noted_by}")
         if job.shown_completed and self.late(job.shown_completed, at):
             self.breach(at, "TWICE", f"{where}, its job was shown as completed at {job.shown_completed:.3f}")
         self.check_place(record, step, job, where)
@@ -222,7 +222,7 @@
         if record["how"] == "failed":
             task.failed += 1
         if record["how"] == "done":
-            task.done.append([record["worker"], record["run"], record["at"], False])
+            task.done.append([record["worker"], record["run"], record["at"], False, ""])
             if job:
                 job.undone.discard(record["task"])
                 job.finished = job.finished if job.undone else record["at"]
@@ -233,11 +233,12 @@
         for end in task.done:
             if end[:2] != [record["worker"], record["run"]] or end[3] is None:
                 continue
-            end[3] = end[3] or record["at"]
+            end[3], end[4] = end[3] or record["at"], end[4] or record["node"]
             for at, run, worker in task.starts:
                 if at > end[2] and not copies:
                     self.breach(record["at"], "TWICE", f"{record['task']} {task.told(worker, run)} started at "
-                                f"{at:.3f}, {task.told(end[0], end[1])} was done at {end[2]:.3f} and is noted now")
+                                f"{at:.3f}, {task.told(end[0], end[1])} was done at {end[2]:.3f} and is noted now by "
+                                f"{record['node']}")
 
     def see_lapse(self, record):
         """A lapsed lease before the acknowledgement makes an end void."""
--- a/tests/soak/faulty_platform.py
+++ b/tests/soak/faulty_platform.py
@@ -254,7 +254,8 @@
         self.saved_of = self.checkpoint
         self.on_start = self.started
         self.on_end = lambda worker, task, run, how: notice("end", task=task, run=run, worker=self.life, how=how)
-        self.on_acknowledged = lambda worker, task, run, how: notice("ack", task=task, run=run, worker=self.life)
+        self.on_acknowledged = lambda worker, task, run, how: notice("ack", task=task, run=run, worker=self.life,
+                                                                     node=self.caller())
 
     @property
     def life(self):
@@ -289,6 +290,9 @@
         answer = await carry_out()
         return await no_answer(self.store.random) if lost else answer
 
+    def caller(self):
+        return self.tasks.node_names.get(self.sender, self.sender)
+
     def later(self, seconds, carry_out):
         life = self.life
 
@@ -319,7 +323,7 @@
     def started(self, _, task, run):
         checkpoint = self.order.get("checkpoint", "")
         self.notice("start", task=task, run=run, worker=self.life, service=self.service,
-                    node=self.tasks.node_names.get(self.sender, self.sender), token=self.order.get("fencingToken", 0),
+                    node=self.caller(), token=self.order.get("fencingToken", 0),
                     checkpoint=checkpoint, known=not checkpoint or checkpoint in self.tasks.checkpoints and
                     self.tasks.checkpoints[checkpoint][0] == task)
         if self.tasks.crashes(task):
