Fence the deletions while the jobs of a take-over are read

The take-over made the call that fences the deletions of earlier owners before it read the jobs, so it took one call longer, about 0.3 s while the store is slow. Now the reads of the jobs begin once the owner is fenced in keyed.runs, and the take-over waits until they have handled every record before the end that the call answers: an older page is made up for by the reads that follow it, which continue at its end. A deletion that an earlier owner gets through before the call lies before that end, and is handled in the order of the log.

--- a/include/waxwingnotch/shard/shard_owner.hpp
+++ b/include/waxwingnotch/shard/shard_owner.hpp
@@ -75,6 +75,7 @@
 private:
     void load_jobs();
     void load_runs();
+    void check_jobs_loaded();
     void request_release();
     void on_job_record(const keyed_record& record);
     void on_job_deleted(const keyed_record& record);
@@ -98,6 +99,7 @@
     std::unordered_map<std::string, std::int64_t> job_offsets_;  // of the newest record of each job
     std::unique_ptr<keyed_follower> jobs_follower_;
     std::unique_ptr<keyed_follower> runs_follower_;
+    std::int64_t jobs_read_offset_ = -1;  // the next offset after the latest complete read of the jobs
     bool jobs_loaded_ = false;
     bool runs_loaded_ = false;
     bool pump_pending_ = false;
--- a/include/waxwingnotch/store/keyed_follower.hpp
+++ b/include/waxwingnotch/store/keyed_follower.hpp
@@ -40,6 +40,8 @@
     void start();
     /// @return monotonic time in ms; all records that the store held then have been handled. 0: none yet
     std::int64_t complete_until_ms() const { return complete_until_ms_; }
+    /// @return the offset of the next read; after a load, all records before it have been handled
+    std::int64_t next_offset() const { return next_offset_; }
     /// @return the offset that the partition is known to reach: the highest end of an answer so far
     std::int64_t end_offset() const { return end_offset_; }
 
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -48,31 +48,42 @@
 {
     started_ms_ = monotonic_ms();
     // Both topics are read after fencing previous owners, so that the job of each progress record is read
-    // too. The answers tell what the store held then, and so which pages are too old.
+    // too. The answers tell what the store held then, and so how far the reads must reach. The deletions are
+    // fenced while the jobs are read, so that the call does not make the takeover longer.
     journal_.open([this] {
+        deletions_.open([this] { check_jobs_loaded(); });
+        load_jobs();
         load_runs();
-        deletions_.open([this] { load_jobs(); });
     });
 }
 
 void shard_owner::load_jobs()
 {
-    const follow_options follow{.topic = jobs_topic,
-                                .partition = partition_,
-                                .long_poll_ms = read_wait_ms,
-                                .read_interval_ms = 0,
-                                .min_end_offset = deletions_.end_offset()};
+    const follow_options follow{
+        .topic = jobs_topic, .partition = partition_, .long_poll_ms = read_wait_ms, .read_interval_ms = 0};
     jobs_follower_ = std::make_unique<keyed_follower>(
         *parts_.loop, *parts_.store, follow,
         keyed_follower::handlers{.record = [this](const keyed_record& record) { on_job_record(record); },
                                  .after_read =
                                      [this] {
-                                         jobs_loaded_ = true;
-                                         finish_load();
+                                         jobs_read_offset_ = jobs_follower_->next_offset();
+                                         check_jobs_loaded();
                                      }});
     jobs_follower_->start();
 }
 
+/// The jobs are loaded once all records that the store held when it fenced earlier deletions are handled.
+/// Pages that are older are made up for by the reads that follow them.
+void shard_owner::check_jobs_loaded()
+{
+    const std::int64_t fenced_offset = deletions_.end_offset();
+    if (!jobs_loaded_ && (fenced_offset < 0 || jobs_read_offset_ < fenced_offset)) {
+        return;
+    }
+    jobs_loaded_ = true;
+    finish_load();
+}
+
 /// Reads the progress once; from then on this owner is the only writer.
 void shard_owner::load_runs()
 {
--- a/tests/fakes/fake_store.hpp
+++ b/tests/fakes/fake_store.hpp
@@ -27,6 +27,7 @@
     std::size_t page_size = 500;               // maximum of records in a page of read_newest()
     // Number of calls of read_newest() for a partition that are answered as if it held no records.
     std::map<std::pair<std::string, int>, int> empty_pages;
+    std::map<std::pair<std::string, int>, int> refused_reads;  // number of calls of read() to refuse
 
     struct partition {
         std::vector<keyed_record> records;
@@ -86,7 +87,9 @@
 
     void read(const read_request& request, handler<read_result> done) override
     {
-        if (refuse) {
+        int& refusals = refused_reads[{request.topic, request.partition}];
+        if (refuse || refusals > 0) {
+            refusals -= refusals > 0 ? 1 : 0;
             answer(std::move(done), read_result{.status = store_status::refused});
             return;
         }
--- a/tests/shard/shard_owner_test.cpp
+++ b/tests/shard/shard_owner_test.cpp
@@ -185,6 +185,24 @@
     EXPECT_EQ(owner->core().jobs(), jobs);
 }
 
+// The same when the read that follows such a page fails at first, while the progress is read.
+TEST_F(shard_owner_test, a_takeover_waits_for_the_reads_that_follow_an_older_page)
+{
+    constexpr int jobs = 3;
+    take_over();
+    submit(jobs);
+    run_until([&] { return workers.started.size() == jobs && workers.worker.running.empty(); });
+    store.empty_pages[{jobs_topic, 0}] = 2;
+    store.refused_reads[{jobs_topic, 0}] = 2;
+    take_over();
+    run_until([&] { return owner->loaded(); });
+    EXPECT_EQ(owner->core().jobs(), jobs);
+    run_for(1'000);
+    for (const auto& [task, starts] : workers.started) {
+        EXPECT_EQ(starts, 1) << task;
+    }
+}
+
 // The same for a page of the progress: the tasks of a job without progress are waiting.
 TEST_F(shard_owner_test, a_page_of_progress_from_before_the_takeover_starts_no_job_anew)
 {
