Keep a worker closed while an order to its host may still be carried out

Found while the loss of ends was traced to orders that meet runs: an order without an answer may be carried out seconds later. The host duty closes a worker for 1.5 s and asked no more once the order was sent, so new runs started there and would end with the host; and it sent the order again without asking the owner whether the worker had runs, for example from a new owner that did not know of the closing.

The worker is closed for 13 s (the platform carries orders out up to 12 s late) when its maintenance is ordered, so also if this node loses the host duty before the outcome is known, and after a move without an answer. A maintenance without an answer is ordered again only after the owner was asked, as the first time, while the host is up with the same worker.

--- a/src/node/host_keeper.cpp
+++ b/src/node/host_keeper.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr std::int64_t drain_request_ms = 1'500;  // a drain request keeps new work off a worker for this long
 constexpr std::int64_t owner_timeout_ms = 400;
 constexpr std::int64_t move_cooldown_ms = 4'000;  // minimum time between two attempts to move a host
 constexpr std::int64_t pool_log_interval_ms = 1'000;
@@ -287,7 +286,7 @@
         order_move(planned);
         return;
     }
-    request_drain(planned.from, worker, leftover_runs::keep,
+    request_drain(planned.from, worker, drain_request_ms, leftover_runs::keep,
                   [this, planned](const std::optional<drain_state>& state) {
                       if (state && state->empty()) {
                           order_move(planned);
@@ -295,14 +294,15 @@
                   });
 }
 
-/// Asks the owner of @p pool to place no new work on @p worker for drain_request_ms, and to move
+/// Asks the owner of @p pool to place no new work on @p worker for @p for_ms, and to move
 /// long-running tasks off it.
 /// @param leftover what becomes of its short runs
 /// @param done receives what is left on the worker; nothing if no owner answered
-void host_manager::request_drain(const std::string& pool, const std::string& worker, leftover_runs leftover,
+void host_manager::request_drain(const std::string& pool, const std::string& worker, std::int64_t for_ms,
+                                 leftover_runs leftover,
                                  std::function<void(const std::optional<drain_state>&)> done)
 {
-    const std::string path = "/shard/close?worker=" + worker + "&ms=" + std::to_string(drain_request_ms) +
+    const std::string path = "/shard/close?worker=" + worker + "&ms=" + std::to_string(for_ms) +
                              (leftover == leftover_runs::stop ? "&stop=1" : "");
     query_owner(node_, "POST", node_.shard_of(pool), path, owner_timeout_ms,
                 [done = std::move(done), alive = alive_](const owner_reply& answer) {
@@ -315,21 +315,33 @@
 void host_manager::order_move(const pool_move& planned)
 {
     move_target_[planned.host] = planned.to;
-    node_.hosts->move(authority_, planned.host, planned.to,
-                      [this, planned, alive = alive_](host_result outcome) {
-                          if (!*alive) {
-                              return;
-                          }
-                          fenced_ = fenced_ || outcome == host_result::fenced;
-                          log_event(log_level::info, "move",
-                                    {{"host", planned.host},
-                                     {"from", planned.from},
-                                     {"to", planned.to},
-                                     {"wanted", planned.wanted},
-                                     {"had", planned.had},
-                                     {"token", authority_.fencing_token},
-                                     {"outcome", to_string(outcome)}});
-                      });
+    node_.hosts->move(
+        authority_, planned.host, planned.to,
+        [this, planned, worker = host_workers_[planned.host], alive = alive_](host_result outcome) {
+            if (!*alive) {
+                return;
+            }
+            fenced_ = fenced_ || outcome == host_result::fenced;
+            log_event(log_level::info, "move",
+                      {{"host", planned.host},
+                       {"from", planned.from},
+                       {"to", planned.to},
+                       {"wanted", planned.wanted},
+                       {"had", planned.had},
+                       {"token", authority_.fencing_token},
+                       {"outcome", to_string(outcome)}});
+            if (outcome == host_result::no_answer) {
+                keep_closed(planned.from, worker);
+            }
+        });
+}
+
+/// Keeps new work off a worker whose host has got an order that may be carried out late.
+void host_manager::keep_closed(const std::string& pool, const std::string& worker)
+{
+    if (!worker.empty() && node_.config->service(pool) != nullptr) {
+        request_drain(pool, worker, late_order_ms, leftover_runs::keep, [](const auto&) {});
+    }
 }
 
 }  // namespace waxwingnotch
--- a/src/node/host_parts.hpp
+++ b/src/node/host_parts.hpp
@@ -7,6 +7,10 @@
 namespace waxwingnotch {
 
 constexpr std::int64_t poll_interval_ms = 250;  // between polls of the host list
+// A drain request keeps new work off a worker for this long, also if no further one follows.
+constexpr std::int64_t drain_request_ms = 1'500;
+// An order without an answer may be carried out up to 12 s later; new work would be lost with the worker.
+constexpr std::int64_t late_order_ms = 13'000;
 
 /// Progress of the maintenance of one host in a wave.
 struct host_manager::host_maintenance {
@@ -14,6 +18,7 @@
     bool confirmed = false;  // the host service has accepted the order
     bool excluded = false;   // not in the host list any more, or refused as invalid or not in the wave
     bool request_in_flight = false;      // a drain request or an order has not been answered
+    std::string worker_id;               // of the host when the order was sent
     std::int64_t draining_since_ms = 0;  // monotonic; 0: draining has not begun
     std::int64_t confirmed_ms = 0;       // monotonic
 };
--- a/src/node/host_waves.cpp
+++ b/src/node/host_waves.cpp
@@ -70,8 +70,16 @@
     // Orders with an unknown outcome are sent again first; the answer resolves them.
     for (const std::string& name : wave.hosts) {
         host_maintenance& work = *maintenance_[{wave.number, name}];
-        if (work.ordered && !work.confirmed && !work.excluded && !work.request_in_flight) {
-            order_maintenance(name, wave.number);
+        if (!work.ordered || work.confirmed || work.excluded || work.request_in_flight) {
+            continue;
+        }
+        const host_row& row = *rows.at(name);
+        // The worker may have got runs meanwhile from an owner that did not know of the order.
+        if (row.state == host_row_state::up && row.worker_id == work.worker_id) {
+            drain_host(row, wave, remaining_ms);
+        }
+        else {
+            order_maintenance(row, wave.number);
         }
     }
     std::size_t draining = 0;
@@ -120,29 +128,29 @@
     host_maintenance& work = *maintenance_[{wave.number, host.name}];
     const service_config* pool = node_.config->service(host.pool);
     if (host.worker_id.empty() || (pool != nullptr && pool->standby)) {
-        order_if_room(host.name, wave);
+        order_if_room(host, wave);
         return;
     }
     work.request_in_flight = true;
     const leftover_runs leftover = choose_leftover(monotonic_ms() - work.draining_since_ms, remaining_ms);
-    request_drain(host.pool, host.worker_id, leftover,
-                  [this, name = host.name, wave](const std::optional<drain_state>& state) {
-                      maintenance_[{wave.number, name}]->request_in_flight = false;
+    request_drain(host.pool, host.worker_id, drain_request_ms, leftover,
+                  [this, host, wave](const std::optional<drain_state>& state) {
+                      maintenance_[{wave.number, host.name}]->request_in_flight = false;
                       // Without an answer there is no owner at the moment; the next poll asks again.
                       if (state && may_take_host(*state)) {
-                          order_if_room(name, wave);
+                          order_if_room(host, wave);
                       }
                   });
 }
 
 /// Orders the maintenance unless too many other hosts of the wave are down. Orders may have been sent since
 /// the host list was read.
-void host_manager::order_if_room(const std::string& host, const maintenance_wave& wave)
+void host_manager::order_if_room(const host_row& host, const maintenance_wave& wave)
 {
     const std::int64_t now = monotonic_ms();
     const auto down = std::count_if(maintenance_.begin(), maintenance_.end(), [&](const auto& entry) {
         const host_maintenance& other = *entry.second;
-        return entry.first.first == wave.number && entry.first.second != host && other.ordered &&
+        return entry.first.first == wave.number && entry.first.second != host.name && other.ordered &&
                !other.excluded &&
                (!other.confirmed ||
                 now - other.confirmed_ms < node_.settings.maintenance_ms + poll_interval_ms);
@@ -152,11 +160,15 @@
     }
 }
 
-void host_manager::order_maintenance(const std::string& host, std::int64_t wave)
+void host_manager::order_maintenance(const host_row& row, std::int64_t wave)
 {
+    const std::string host = row.name;
     host_maintenance& work = *maintenance_[{wave, host}];
     work.ordered = true;
+    work.worker_id = row.worker_id;
     work.request_in_flight = true;
+    // Asked for before the outcome is known, as this node may lose the host duty before.
+    keep_closed(row.pool, row.worker_id);
     node_.hosts->maintain(authority_, host, wave, [this, host, wave, alive = alive_](host_result outcome) {
         if (!*alive) {
             return;
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -219,16 +219,17 @@
     void log_pools(const std::vector<balance_pool>& pools, const std::vector<balance_host>& hosts);
     void try_move(const pool_move& planned);
     void order_move(const pool_move& planned);
-    void request_drain(const std::string& pool, const std::string& worker, leftover_runs leftover,
-                       std::function<void(const std::optional<drain_state>&)> done);
+    void keep_closed(const std::string& pool, const std::string& worker);
+    void request_drain(const std::string& pool, const std::string& worker, std::int64_t for_ms,
+                       leftover_runs leftover, std::function<void(const std::optional<drain_state>&)> done);
     std::set<std::string> leaving_hosts() const;
     bool recently_moved(const std::string& host) const;
     std::vector<std::string> idle_hosts_first(const maintenance_wave& wave,
                                               const std::map<std::string, const host_row*>& rows) const;
     void advance_wave(const maintenance_wave& wave, const host_listing& list);
     void drain_host(const host_row& host, const maintenance_wave& wave, std::int64_t remaining_ms);
-    void order_if_room(const std::string& host, const maintenance_wave& wave);
-    void order_maintenance(const std::string& host, std::int64_t wave);
+    void order_if_room(const host_row& host, const maintenance_wave& wave);
+    void order_maintenance(const host_row& row, std::int64_t wave);
     void write_status(std::int64_t wave, bool completed);
     bool wave_unfinished(std::int64_t number) const;
 
--- a/tests/shard/shard_drain_test.cpp
+++ b/tests/shard/shard_drain_test.cpp
@@ -137,6 +137,22 @@
     EXPECT_LE(took_ms, 5'500);
 }
 
+// A request for a shorter time opened a worker whose host had an order that could still be carried out late.
+TEST(shard_drain, a_later_request_does_not_open_a_worker_sooner)
+{
+    shard_world world(8);
+    world.add_worker("a");
+    const auto owner = world.take_over();
+    world.run(60);
+    owner->core->drain_worker("a", world.now + 13'000, world.now);
+    owner->core->drain_worker("a", world.now + 1'500, world.now);
+    world.submit(shard_world::job(id_of(1), 2));
+    world.run(12'900);
+    EXPECT_TRUE(world.started.empty());
+    world.run(2'000);
+    EXPECT_EQ(owner->core->counts().ends_done, 2U);
+}
+
 // Short runs were ended although a long-running task beside them held the host up anyway.
 TEST(shard_drain, short_runs_go_on_while_a_long_running_task_may_not_be_moved)
 {
