Move a long-running task only while an open worker has room for it

It now leaves the task at work until a worker of the pool is open and has the room; AVAIL's count stays as it is.

Evidence: trial without the new condition: shard_drain.a_long_running_task_is_not_moved_while_no_worker_takes_it fails (one task ended, one left on its worker).

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -267,6 +267,7 @@
     std::int64_t renew_lease(worker_state& worker, std::int64_t now_ms);
     void adjust_pace(worker_state& worker, std::int64_t now_ms);
     void evacuate(worker_state& worker, std::int64_t now_ms);
+    bool has_open_worker(const worker_state& leaving, const step_spec& spec, std::int64_t now_ms) const;
     void stop_short_runs(worker_state& worker, std::int64_t now_ms);
 
     // Crashes of workers
--- a/src/shard/core_drain.cpp
+++ b/src/shard/core_drain.cpp
@@ -50,6 +50,18 @@
     }
 }
 
+/// @return whether a worker other than @p leaving takes tasks and has the room for one of @p spec
+bool shard_core::has_open_worker(const worker_state& leaving, const step_spec& spec,
+                                 std::int64_t now_ms) const
+{
+    return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+        const worker_state& worker = *entry.second;
+        return &worker != &leaving && worker.entry.service == leaving.entry.service && worker.registered &&
+               worker.synced && !worker.entry.draining && worker.silent_since_ms == 0 &&
+               worker.closed_until_ms <= now_ms && fits(spec, worker.entry.capacity - worker.used);
+    });
+}
+
 /// Stops the long-running tasks of a worker that is leaving, so that they start elsewhere. Unless it is
 /// draining, at most `max_unavailable` tasks of a step may be out of service.
 void shard_core::evacuate(worker_state& worker, std::int64_t now_ms)
@@ -64,6 +76,9 @@
         if (!spec.long_running || run->stopping || run->stage != run_stage::running) {
             continue;
         }
+        if (!worker.entry.draining && !has_open_worker(worker, spec, now_ms)) {
+            continue;  // several waves may close all workers of a pool, and the task would wait
+        }
         if (!worker.entry.draining) {
             std::uint32_t unavailable = 0;
             for (std::uint32_t index = 0; index < spec.task_count; ++index) {
--- a/tests/shard/shard_drain_test.cpp
+++ b/tests/shard/shard_drain_test.cpp
@@ -153,6 +153,33 @@
     EXPECT_EQ(owner->core->counts().ends_done, 2U);
 }
 
+// Several waves closed all workers of a pool. A long-running task was stopped and had no worker to start on.
+TEST(shard_drain, a_long_running_task_is_not_moved_while_no_worker_takes_it)
+{
+    shard_world world(9);
+    world.add_worker("a");
+    const auto owner = world.take_over();
+    world.submit(shard_world::long_running_job(2, 1));
+    world.run(3'000);
+    ASSERT_EQ(world.workers["a"].running.size(), 2U);
+    world.add_worker("b");
+    world.run(200);
+    const auto close = [&](const char* id) {
+        owner->core->drain_worker(id, world.now + 2'000, world.now);
+    };
+    close("b");
+    close("a");
+    world.run(1'900);
+    EXPECT_EQ(owner->core->counts().ends_other, 0U);
+    EXPECT_EQ(world.workers["a"].running.size(), 2U);
+    world.add_worker("c");
+    world.run(200);
+    close("a");
+    close("b");
+    world.run(1'900);
+    EXPECT_EQ(world.workers["c"].running.size(), 2U);
+}
+
 // Short runs were ended although a long-running task beside them held the host up anyway.
 TEST(shard_drain, short_runs_go_on_while_a_long_running_task_may_not_be_moved)
 {
