--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -184,6 +184,21 @@
                      });
 }
 
+void post_to_peer(node_state& node, const std::string& address, const std::string& path, std::string body,
+                  std::function<void(bool)> done)
+{
+    const http_call call{.method = "POST",
+                         .address = address,
+                         .path = path,
+                         .headers = {},
+                         .body = std::move(body),
+                         .timeout_ms = peer_timeout_ms,
+                         .reuse_connection = true};
+    node.client.send(call, [done = std::move(done)](const http_answer& answer) {
+        done(answer.outcome == call_outcome::answered && answer.status == 200);
+    });
+}
+
 void internal_api::handle(const http_exchange_ptr& exchange)
 {
     const std::string& path = exchange->path();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,6 +4,7 @@
 #include "node/libevent_log.hpp"
 #include "node/listen.hpp"
 #include "node/node_state.hpp"
+#include "node/settings_file.hpp"
 #include "store_client.hpp"
 #include "worker_client.hpp"
 
@@ -17,8 +18,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <fstream>
-#include <sstream>
 
 namespace waxwingnotch {
 
@@ -33,9 +32,7 @@
 constexpr std::int64_t min_drain_ms = 1'500;  // open connections are served for at least this long
 constexpr std::int64_t kill_margin_ms = 700;  // the process ends this long before the platform kills it
 constexpr std::int64_t drain_check_ms = 100;
-constexpr std::int64_t ends_retry_ms = 400;    // between attempts to deliver ends to the next owner
-constexpr std::int64_t ends_keep_ms = 60'000;  // longer than any lease that tasks of the shard may wait for
-constexpr std::int64_t peer_timeout_ms = 500;  // one call to another node
+constexpr std::int64_t ends_retry_ms = 400;             // between attempts to deliver ends to the next owner
 constexpr std::size_t max_metrics_body_bytes = 1'024;   // requests for the metrics page have no body
 constexpr std::size_t max_peer_body_bytes = 4U << 20U;  // twice the store's limit for one call
 constexpr std::int64_t descriptors_check_ms = 100;
@@ -43,30 +40,6 @@
 // longer.
 constexpr std::int64_t listen_margin_ms = 2'000;
 
-/// @param unusable receives the problems of optional fields
-result<node_settings> read_settings(const std::string& file, std::vector<std::string>& unusable)
-{
-    std::ifstream input(file);
-    if (!input) {
-        return fail(error_code::io, "cannot read the settings file '" + file + "'");
-    }
-    std::stringstream content;
-    content << input.rdbuf();
-    return adapter::decode_settings(content.str(), &unusable);
-}
-
-/// Logs one line for all optional fields that are unusable.
-void log_unusable_settings(const std::vector<std::string>& unusable)
-{
-    std::string problems;
-    for (const std::string& problem : unusable) {
-        problems += (problems.empty() ? "" : "; ") + problem;
-    }
-    if (!problems.empty()) {
-        log_event(log_level::warning, "settings", {{"outcome", "defaults used"}, {"reason", problems}});
-    }
-}
-
 /// @return a short hash of the names of all services in order; nodes with different ones may find different
 ///         shards for a service
 std::string hash_services(const cluster_config& config)
@@ -104,11 +77,7 @@
     void take_shard(int shard, std::int64_t epoch);
     void drop_shard(int shard);
     void configure_shard(int shard, shard_owner& owner);
-    void post_to_peer(const std::string& address, const std::string& path, std::string body,
-                      std::function<void(bool)> done);
     void request_peer_joins();
-    void keep_unstored_ends(int shard, const shard_owner& owner);
-    void deliver_ends();
     void ask_for_job(int shard, const std::string& id, std::function<void(std::optional<bool>)> done);
     void request_release(const std::string& address, int shard, std::int64_t epoch,
                          std::function<void(bool)> done);
@@ -423,23 +392,7 @@
 {
     const std::string path =
         "/shard/release?shard=" + std::to_string(shard) + "&epoch=" + std::to_string(epoch);
-    post_to_peer(address, path, {}, std::move(done));
-}
-
-/// @param done receives true if the peer answered with status 200
-void node::post_to_peer(const std::string& address, const std::string& path, std::string body,
-                        std::function<void(bool)> done)
-{
-    const http_call call{.method = "POST",
-                         .address = address,
-                         .path = path,
-                         .headers = {},
-                         .body = std::move(body),
-                         .timeout_ms = peer_timeout_ms,
-                         .reuse_connection = true};
-    state_.client.send(call, [done = std::move(done)](const http_answer& answer) {
-        done(answer.outcome == call_outcome::answered && answer.status == 200);
-    });
+    post_to_peer(state_, address, path, {}, std::move(done));
 }
 
 /// Asks all peers to join the group now, so that they take over this node's shards without waiting for
@@ -447,7 +400,7 @@
 void node::request_peer_joins()
 {
     for (const std::string& peer : state_.transport.peers()) {
-        post_to_peer(peer, "/group/join", {}, [](bool) {});
+        post_to_peer(state_, peer, "/group/join", {}, [](bool) {});
     }
 }
 
@@ -455,7 +408,7 @@
 {
     const auto found = state_.shards.find(shard);
     if (found != state_.shards.end()) {
-        keep_unstored_ends(shard, *found->second);
+        keep_unstored_ends(state_, shard, *found->second);
     }
     state_.shards.erase(shard);
     if (shard == state_.settings.partitions - 1) {
@@ -463,31 +416,6 @@
     }
 }
 
-/// Keeps the ends that the owner of a shard has read and not stored, for the next owner.
-void node::keep_unstored_ends(int shard, const shard_owner& owner)
-{
-    const std::vector<ended_row> ends = owner.core().unstored_ends();
-    if (ends.empty()) {
-        return;
-    }
-    const std::int64_t now = monotonic_ms();
-    const std::int64_t stalled_since_ms = owner.stalled_since_ms();
-    node_state::undelivered_ends& backlog = state_.undelivered[shard];
-    if (backlog.ends.empty()) {
-        backlog.oldest_ms = owner.core().oldest_unstored_end_ms();
-    }
-    backlog.ends.insert(backlog.ends.end(), ends.begin(), ends.end());
-    backlog.since_ms = now;
-    backlog.epoch = owner.epoch();
-    backlog.stalled_ms = stalled_since_ms == 0 ? 0 : now - stalled_since_ms;
-    log_event(log_level::warning, "ends_left",
-              {{"shard", shard},
-               {"epoch", backlog.epoch},
-               {"ends", backlog.ends.size()},
-               {"age_ms", now - backlog.oldest_ms},
-               {"stalled_ms", backlog.stalled_ms}});
-}
-
 void node::update_peers()
 {
     std::vector<std::string> peers = state_.group ? state_.group->peers() : std::vector<std::string>();
@@ -505,47 +433,6 @@
     state_.transport.set_peers(std::move(peers));
 }
 
-/// Delivers ends that this node could not store to the current owners of the shards. Without them, a task
-/// that is done would run again if its worker has stopped too.
-void node::deliver_ends()
-{
-    for (auto at = state_.undelivered.begin(); at != state_.undelivered.end();) {
-        const int shard = at->first;
-        const node_state::undelivered_ends& kept = at->second;
-        const std::int64_t age_ms = monotonic_ms() - kept.oldest_ms;
-        if (shard_owner* owner = state_.loaded_shard(shard)) {
-            apply_reported_ends(*owner, kept.ends, kept.epoch, age_ms, kept.stalled_ms);
-            at = state_.undelivered.erase(at);
-            continue;
-        }
-        if (monotonic_ms() - kept.since_ms > ends_keep_ms) {
-            log_event(log_level::error, "ends_dropped",
-                      {{"shard", shard},
-                       {"epoch", kept.epoch},
-                       {"ends", kept.ends.size()},
-                       {"age_ms", age_ms},
-                       {"stalled_ms", kept.stalled_ms}});
-            at = state_.undelivered.erase(at);
-            continue;
-        }
-        const std::string address = state_.group ? state_.group->owner_of(shard) : std::string();
-        if (!address.empty() && address != state_.settings.internal_address) {
-            const std::string path =
-                "/shard/ends?shard=" + std::to_string(shard) + "&epoch=" + std::to_string(kept.epoch) +
-                "&age_ms=" + std::to_string(age_ms) + "&stalled_ms=" + std::to_string(kept.stalled_ms);
-            post_to_peer(address, path, encode_ends(kept.ends),
-                         [this, shard, count = kept.ends.size()](bool accepted) {
-                             const auto backlog = state_.undelivered.find(shard);
-                             if (accepted && backlog != state_.undelivered.end() &&
-                                 backlog->second.ends.size() == count) {
-                                 state_.undelivered.erase(backlog);
-                             }
-                         });
-        }
-        ++at;
-    }
-}
-
 void node::reload()
 {
     std::vector<std::string> unusable;
@@ -608,7 +495,7 @@
     release_control_signals();
     follow_operator_topic();
     join_group();
-    ends_timer_ = state_.loop.every(ends_retry_ms, [this] { deliver_ends(); });
+    ends_timer_ = state_.loop.every(ends_retry_ms, [this] { deliver_ends(state_); });
     descriptors_timer_ = state_.loop.every(descriptors_check_ms, [this] { guard_descriptors(); });
     state_.watch.start();
     state_.loop.run();
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -115,6 +115,20 @@
 /// not the owner.
 void call_owner(node_state& node, const http_call& call, answer_handler done);
 
+constexpr std::int64_t peer_timeout_ms = 500;  // one call to another node
+
+/// Sends a call without an answer of interest to another node.
+/// @param done receives true if the peer answered with status 200
+void post_to_peer(node_state& node, const std::string& address, const std::string& path, std::string body,
+                  std::function<void(bool)> done);
+
+/// Keeps the ends that the owner of a shard has read and not stored, for the next owner.
+void keep_unstored_ends(node_state& node, int shard, const shard_owner& owner);
+
+/// Delivers the ends that this node has kept to the current owners of their shards. Without them, a task that
+/// is done would run again if its worker has stopped too.
+void deliver_ends(node_state& node);
+
 /// Sends a query to the owner of a shard: this node or a peer.
 /// @param path path of the internal interface with its query, without the shard
 /// @param timeout_ms of the call to a peer; the call is not retried
