--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -18,6 +18,9 @@
 
 // Same as the limit of http_server; longer headers fail the call.
 constexpr ev_ssize_t max_header_bytes = 64L << 10U;
+// Per address. A burst of parallel calls, as at the takeover of several shards, would leave its connections
+// open for good, and with them the descriptors that callers need.
+constexpr std::size_t max_idle_connections = 8;
 
 evhttp_cmd_type to_command(std::string_view method)
 {
@@ -262,7 +265,7 @@
         evhttp_cancel_request(item->request);
         item->request = nullptr;
     }
-    if (keep_alive) {
+    if (keep_alive && idle_.count(item->link->address) < max_idle_connections) {
         connection* link = item->link.get();
         evhttp_connection_set_closecb(
             link->handle,
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -196,6 +196,31 @@
     EXPECT_EQ(server.connections(), 2);
 }
 
+// Guards against connections that stay open for good after a burst of calls, and take the descriptors of
+// callers.
+TEST_F(http_client_test, a_burst_of_calls_leaves_few_idle_connections)
+{
+    constexpr int burst = 20;
+    const raw_server server(loop_, [](int) { return raw_server::reaction::answer; });
+    int answers = 0;
+    for (int number = 0; number < burst; ++number) {
+        http_call request;
+        request.address = server.address();
+        request.reuse_connection = true;
+        client_.send(request, [&](const http_answer& answer) {
+            EXPECT_EQ(answer.status, 200);
+            if (++answers == burst) {
+                loop_.stop();
+            }
+        });
+    }
+    loop_.run();
+    EXPECT_EQ(server.connections(), burst);
+    EXPECT_EQ(client_.open_connections(server.address()), 8U);
+    EXPECT_EQ(call(server.address(), true).status, 200);
+    EXPECT_EQ(server.connections(), burst);
+}
+
 // Guards against reusing a connection for a call that does not allow it.
 TEST_F(http_client_test, a_call_without_reuse_opens_a_new_connection)
 {
