Send ends that are not stored as soon as the next owner asks for the shard

An end that an owner has read and could not store waited up to 400 ms for a timer before it was sent to the next owner, which meanwhile started the task again if its worker had gone too. The next owner now says its address when it asks for the shard, after it has read it, and gets the ends at once.

The age with the change was not measured.

--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -328,6 +328,8 @@
     if (exchange->path() == "/shard/release") {
         node_.release_shard(shard, parse_integer(exchange->query("epoch").value_or(""), 0));
         exchange->reply(200, {}, "");
+        // The next owner has read the shard. Each run whose end it does not know may start again.
+        send_ends(node_, shard, exchange->query("owner").value_or(""));
         return;
     }
     const owner_reply answer = answer_shard_query(node_, shard, exchange->path(), [&](std::string_view name) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -390,8 +390,8 @@
 void node::request_release(const std::string& address, int shard, std::int64_t epoch,
                            std::function<void(bool)> done)
 {
-    const std::string path =
-        "/shard/release?shard=" + std::to_string(shard) + "&epoch=" + std::to_string(epoch);
+    const std::string path = "/shard/release?shard=" + std::to_string(shard) +
+                             "&epoch=" + std::to_string(epoch) + "&owner=" + state_.settings.internal_address;
     post_to_peer(state_, address, path, {}, std::move(done));
 }
 
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -125,6 +125,9 @@
 /// Keeps the ends that the owner of a shard has read and not stored, for the next owner.
 void keep_unstored_ends(node_state& node, int shard, const shard_owner& owner);
 
+/// Sends the ends that this node has kept of @p shard to its owner at @p address, if there are any.
+void send_ends(node_state& node, int shard, const std::string& address);
+
 /// Delivers the ends that this node has kept to the current owners of their shards. Without them, a task that
 /// is done would run again if its worker has stopped too.
 void deliver_ends(node_state& node);
--- a/src/node/unstored_ends.cpp
+++ b/src/node/unstored_ends.cpp
@@ -36,6 +36,26 @@
                {"stalled_ms", backlog.stalled_ms}});
 }
 
+void send_ends(node_state& node, int shard, const std::string& address)
+{
+    const auto found = node.undelivered.find(shard);
+    if (found == node.undelivered.end() || address.empty() || address == node.settings.internal_address) {
+        return;
+    }
+    const node_state::undelivered_ends& kept = found->second;
+    const std::string path = "/shard/ends?shard=" + std::to_string(shard) +
+                             "&epoch=" + std::to_string(kept.epoch) +
+                             "&age_ms=" + std::to_string(monotonic_ms() - kept.oldest_ms) +
+                             "&stalled_ms=" + std::to_string(kept.stalled_ms);
+    post_to_peer(
+        node, address, path, encode_ends(kept.ends), [&node, shard, count = kept.ends.size()](bool accepted) {
+            const auto backlog = node.undelivered.find(shard);
+            if (accepted && backlog != node.undelivered.end() && backlog->second.ends.size() == count) {
+                node.undelivered.erase(backlog);
+            }
+        });
+}
+
 void deliver_ends(node_state& node)
 {
     for (auto at = node.undelivered.begin(); at != node.undelivered.end();) {
@@ -57,20 +77,7 @@
             at = node.undelivered.erase(at);
             continue;
         }
-        const std::string address = node.group ? node.group->owner_of(shard) : std::string();
-        if (!address.empty() && address != node.settings.internal_address) {
-            const std::string path =
-                "/shard/ends?shard=" + std::to_string(shard) + "&epoch=" + std::to_string(kept.epoch) +
-                "&age_ms=" + std::to_string(age_ms) + "&stalled_ms=" + std::to_string(kept.stalled_ms);
-            post_to_peer(node, address, path, encode_ends(kept.ends),
-                         [&node, shard, count = kept.ends.size()](bool accepted) {
-                             const auto backlog = node.undelivered.find(shard);
-                             if (accepted && backlog != node.undelivered.end() &&
-                                 backlog->second.ends.size() == count) {
-                                 node.undelivered.erase(backlog);
-                             }
-                         });
-        }
+        send_ends(node, shard, node.group ? node.group->owner_of(shard) : std::string());
         ++at;
     }
 }
