Repeat open reads at once when the store is back

Cause: a store answers only calls that are sent after its return; a read that waits for records was repeated 0.8 s after it was sent, and later still if its next route failed.

Now the first call that gets through directly after half a second or more of failures repeats all open reads. Shorter failures, such as lost answers, repeat nothing.

Test: store_test.transport_repeats_open_reads_when_the_store_is_back, which fails without the change (20 s); store_test 30 of 30.

--- a/include/waxwingnotch/store/transport.hpp
+++ b/include/waxwingnotch/store/transport.hpp
@@ -35,7 +35,8 @@
     const std::vector<std::string>& peers() const { return routes_.peers(); }
 
     /// Sends a call over the best route, and over up to two others if it fails or is not answered soon. A
-    /// read is sent again and again until it is answered, up to its timeout.
+    /// read is sent again and again until it is answered, up to its timeout, and at once when the direct path
+    /// works again after an outage.
     /// @param done receives the first answer that is no refusal. If there is none, it receives the outcome of
     ///        an attempt that may have been carried out, or else a refusal.
     void send(const store_call& call, answer_handler done);
@@ -64,15 +65,17 @@
     void note_result(const store_route& route, const std::string& address, std::int64_t earliest_ms,
                      const http_answer& answer);
     void note_direct_result(const http_answer& answer);
+    void repeat_open_reads();
     static bool failed(const http_answer& answer);
 
     http_client& client_;
     std::string address_;
     store_routes routes_;
     std::int64_t last_peer_answer_ms_ = 0;
-    bool loss_logged_ = false;                  // the loss of the direct path has been logged
-    std::int64_t direct_failing_since_ms_ = 0;  // monotonic; 0: the latest direct call succeeded
-    std::int64_t direct_working_since_ms_ = 0;  // monotonic; 0: the latest direct call failed
+    std::vector<std::weak_ptr<pending_send>> reads_;  // that may be open
+    bool loss_logged_ = false;                        // the loss of the direct path has been logged
+    std::int64_t direct_failing_since_ms_ = 0;        // monotonic; 0: the latest direct call succeeded
+    std::int64_t direct_working_since_ms_ = 0;        // monotonic; 0: the latest direct call failed
 };
 
 }  // namespace waxwingnotch
--- a/src/store/transport.cpp
+++ b/src/store/transport.cpp
@@ -4,6 +4,7 @@
 #include "waxwingnotch/base/log.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace waxwingnotch {
 
@@ -12,6 +13,9 @@
 constexpr std::int64_t relay_margin_ms = 100;  // added for the hop through the peer
 constexpr std::int64_t log_delay_ms = 300;     // shorter losses and recoveries are not logged
 constexpr std::size_t max_attempts = 3;        // per call; a read that nobody answers gets more
+// A store that was away for this long answers no read that was sent before; shorter failures, such as lost
+// answers, cost no repeats of all reads.
+constexpr std::int64_t outage_ms = 500;
 // A timer that fires this late shows that this process is short of processor time. Answers may wait unread.
 constexpr std::int64_t late_timer_ms = 50;
 constexpr int status_throttled = 429;
@@ -59,7 +63,10 @@
 {
     const std::int64_t now = monotonic_ms();
     if (!failed(answer)) {
-        direct_failing_since_ms_ = 0;
+        const std::int64_t failing_since_ms = std::exchange(direct_failing_since_ms_, 0);
+        if (failing_since_ms != 0 && now - failing_since_ms >= outage_ms) {
+            repeat_open_reads();
+        }
         direct_working_since_ms_ = direct_working_since_ms_ == 0 ? now : direct_working_since_ms_;
         if (loss_logged_ && now - direct_working_since_ms_ >= log_delay_ms) {
             loss_logged_ = false;
@@ -110,11 +117,29 @@
     routes_.on_answer(route, std::max<std::int64_t>(now - earliest_ms, 0));
 }
 
+/// A silent store answers only calls that are sent after its return.
+void store_transport::repeat_open_reads()
+{
+    for (const std::weak_ptr<pending_send>& weak : std::exchange(reads_, {})) {
+        const pending_ptr read = weak.lock();
+        if (!read || read->finished) {
+            continue;
+        }
+        reads_.push_back(read);
+        ++read->open;
+        send_direct(read->call, [this, read](const http_answer& answer) { on_attempt_answer(read, answer); });
+    }
+}
+
 void store_transport::send(const store_call& call, answer_handler done)
 {
     auto pending = std::make_shared<pending_send>();
     pending->call = call;
     pending->done = std::move(done);
+    if (pending->is_read()) {
+        std::erase_if(reads_, [](const auto& read) { return read.expired(); });
+        reads_.push_back(pending);
+    }
     if (pending->is_read() && !routes_.peers().empty()) {
         pending->expiry = client_.loop().after(call.timeout_ms, [this, weak = std::weak_ptr(pending)] {
             if (const pending_ptr kept = weak.lock(); kept && !kept->finished) {
--- a/tests/store/store_test.cpp
+++ b/tests/store/store_test.cpp
@@ -408,6 +408,31 @@
     EXPECT_EQ(got.status, 200);
 }
 
+// A read that waits was not repeated before its wait was over: after a silence of the store a node saw a new
+// configuration up to 2.6 s late.
+TEST_F(store_test, transport_repeats_open_reads_when_the_store_is_back)
+{
+    recovering_server direct(loop, 2);
+    http_client client(loop);
+    store_transport transport(client);
+    transport.set_address(direct.address);
+    http_answer got;
+    transport.send(
+        {.method = "GET", .path = "/read", .timeout_ms = test_timeout_ms, .wait_ms = test_timeout_ms},
+        [&](const http_answer& answer) {
+            got = answer;
+            loop.stop();
+        });
+    transport.send({.method = "POST", .path = "/silent", .timeout_ms = 100},
+                   [](const http_answer& answer) { EXPECT_EQ(answer.outcome, call_outcome::timed_out); });
+    const timer later = loop.after(1'000, [&] {
+        transport.send({.method = "POST", .path = "/back", .timeout_ms = 5'000},
+                       [](const http_answer& answer) { EXPECT_EQ(answer.status, 200); });
+    });
+    run();
+    EXPECT_EQ(got.status, 200);
+}
+
 TEST_F(store_test, transport_ends_a_read_at_its_timeout)
 {
     silent_server direct(loop);
