--- a/src/node/host_waves.cpp
+++ b/src/node/host_waves.cpp
@@ -168,39 +168,39 @@
     work.ordered = true;
     work.worker_id = row.worker_id;
     work.request_in_flight = true;
-    // Asked for before the outcome is known, as this node may lose the host duty before.
-    keep_closed(row.pool, row.worker_id);
-    node_.hosts->maintain(authority_, host, wave, [this, host, wave, alive = alive_](host_result outcome) {
-        if (!*alive) {
-            return;
-        }
-        host_maintenance& item = *maintenance_[{wave, host}];
-        item.request_in_flight = false;
-        log_event(log_level::info, "maintain",
-                  {{"host", host},
-                   {"wave", wave},
-                   {"token", authority_.fencing_token},
-                   {"outcome", to_string(outcome)}});
-        switch (outcome) {
-        case host_result::ok:
-            item.confirmed = true;
-            item.confirmed_ms = monotonic_ms();
-            return;
-        case host_result::fenced:
-            fenced_ = true;  // further orders would only alternate with those of the newer holder
-            return;
-        case host_result::not_in_wave:
-        case host_result::invalid:
-            item.excluded = true;
-            return;
-        case host_result::busy:
-        case host_result::refused:
-            item.ordered = false;
-            return;
-        case host_result::no_answer:
-            return;  // outcome unknown; the next poll sends the order again
-        }
-    });
+    node_.hosts->maintain(
+        authority_, host, wave, [this, row, host, wave, alive = alive_](host_result outcome) {
+            if (!*alive) {
+                return;
+            }
+            host_maintenance& item = *maintenance_[{wave, host}];
+            item.request_in_flight = false;
+            log_event(log_level::info, "maintain",
+                      {{"host", host},
+                       {"wave", wave},
+                       {"token", authority_.fencing_token},
+                       {"outcome", to_string(outcome)}});
+            switch (outcome) {
+            case host_result::ok:
+                item.confirmed = true;
+                item.confirmed_ms = monotonic_ms();
+                return;
+            case host_result::fenced:
+                fenced_ = true;  // further orders would only alternate with those of the newer holder
+                return;
+            case host_result::not_in_wave:
+            case host_result::invalid:
+                item.excluded = true;
+                return;
+            case host_result::busy:
+            case host_result::refused:
+                item.ordered = false;
+                return;
+            case host_result::no_answer:
+                keep_closed(row.pool, row.worker_id);
+                return;  // outcome unknown; the next poll sends the order again
+            }
+        });
 }
 
 void host_manager::write_status(std::int64_t wave, bool completed)
