Correct the comment on the hash of the services

Shards no longer follow from the list, so different hashes do not mean different shards. Only the comment changes; format checked, not built again.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -40,8 +40,7 @@
 // longer.
 constexpr std::int64_t listen_margin_ms = 2'000;
 
-/// @return a short hash of the names of all services in order; nodes with different ones may find different
-///         shards for a service
+/// @return a short hash of the names of all services in order, by which versions with other lists are told
 std::string hash_services(const cluster_config& config)
 {
     std::string names;
