--- a/include/waxwingnotch/base/counters.hpp
+++ b/include/waxwingnotch/base/counters.hpp
@@ -5,8 +5,12 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace waxwingnotch {
 
@@ -57,6 +61,16 @@
     gauge& make_gauge(std::string_view name, std::string_view help);
     histogram& make_histogram(std::string_view name, std::string_view help);
 
+    /// Adds a metric whose labels tell something about the process; its value is always 1.
+    /// @param labels names with values; values must contain no quotation mark, backslash or line break
+    void add_info(std::string_view name, std::string_view help,
+                  std::span<const std::pair<std::string_view, std::string_view>> labels);
+    void add_info(std::string_view name, std::string_view help,
+                  std::initializer_list<std::pair<std::string_view, std::string_view>> labels)
+    {
+        add_info(name, help, std::span(labels.begin(), labels.size()));
+    }
+
     /// Renders every metric as `# HELP`, `# TYPE` and value lines.
     std::string render() const;
 
@@ -70,6 +84,13 @@
     template <class Metric>
     static Metric& find_or_add(std::deque<entry<Metric>>& list, std::string_view name, std::string_view help);
 
+    struct info {
+        std::string name;
+        std::string help;
+        std::string labels;  // as they stand between braces
+    };
+
+    std::vector<info> infos_;
     std::deque<entry<counter>> counters_;
     std::deque<entry<gauge>> gauges_;
     std::deque<entry<histogram>> histograms_;
--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -1,6 +1,7 @@
 #include "waxwingnotch/base/counters.hpp"
 
 #include <algorithm>
+#include <cassert>
 #include <cmath>
 
 namespace waxwingnotch {
@@ -72,9 +73,24 @@
     return find_or_add(histograms_, name, help);
 }
 
+void metrics::add_info(std::string_view name, std::string_view help,
+                       std::span<const std::pair<std::string_view, std::string_view>> labels)
+{
+    std::string text;
+    for (const auto& [label, value] : labels) {
+        assert(value.find_first_of("\"\\\n") == std::string_view::npos && "add_info(): value needs escaping");
+        text += (text.empty() ? "" : ",") + std::string(label) + "=\"" + std::string(value) + "\"";
+    }
+    infos_.push_back({std::string(name), std::string(help), std::move(text)});
+}
+
 std::string metrics::render() const
 {
     std::string page;
+    for (const info& item : infos_) {
+        write_header(page, item.name, item.help, "gauge");
+        page += item.name + "{" + item.labels + "} 1\n";
+    }
     for (const auto& item : counters_) {
         write_header(page, item.name, item.help, "counter");
         page += item.name + " " + std::to_string(item.metric.value()) + "\n";
--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -3,6 +3,8 @@
 #include "cli/commands.hpp"
 #include "cli/usage.hpp"
 
+#include "waxwingnotch/base/build_info.hpp"
+
 #include <iostream>
 #include <stdexcept>
 
@@ -77,7 +79,8 @@
         return command_line.empty() ? exit_usage : exit_ok;
     }
     if (name == "--version") {
-        std::cout << "waxwingnotch " << version << "\n";
+        const build_info build = program_build();
+        std::cout << "waxwingnotch " << build.version << ", sources " << build.sources << "\n";
         return exit_ok;
     }
     for (const subcommand& command : commands) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -9,6 +9,7 @@
 #include "worker_client.hpp"
 
 #include "waxwingnotch/base/address.hpp"
+#include "waxwingnotch/base/build_info.hpp"
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/crash_report.hpp"
 #include "waxwingnotch/base/hash.hpp"
@@ -135,6 +136,9 @@
             state_.group->release(shard);
         }
     };
+    const build_info build = program_build();
+    state_.counters.add_info("waxwingnotch_build_info", "What the program was built from",
+                             {{"version", build.version}, {"sources", build.sources}});
     caller_server_.limit_body(cluster_config().max_body_bytes);  // until a configuration is read
     internal_server_.limit_body(max_peer_body_bytes);
     ready_server_.limit_body(0);
@@ -474,8 +478,12 @@
 
 node_end node::run()
 {
+    const build_info build = program_build();
     log_event(log_level::info, "start",
-              {{"data_centre", state_.settings.data_centre}, {"store", state_.settings.store_address}});
+              {{"version", build.version},
+               {"sources", build.sources},
+               {"data_centre", state_.settings.data_centre},
+               {"store", state_.settings.store_address}});
     const auto listening = listen();
     if (!listening) {
         return {.reason = "cannot listen", .detail = listening.error().message, .status = 1};
--- a/tests/base/base_test.cpp
+++ b/tests/base/base_test.cpp
@@ -41,6 +41,15 @@
     EXPECT_NE(all.render().find("waxwingnotch_tries_total 5\n"), std::string::npos);
 }
 
+// Guards against an info metric that a reader of the usual text format cannot parse.
+TEST(metrics, info_has_labels_and_the_value_1)
+{
+    metrics all;
+    all.add_info("waxwingnotch_build_info", "Build.", {{"version", "0.1.0"}, {"sources", "00ff"}});
+    EXPECT_EQ(all.render(), "# HELP waxwingnotch_build_info Build.\n# TYPE waxwingnotch_build_info gauge\n"
+                            "waxwingnotch_build_info{version=\"0.1.0\",sources=\"00ff\"} 1\n");
+}
+
 // Guards against a finding that does not state its location.
 TEST(findings, text_contains_the_location)
 {
--- a/tests/cli/cli_test.cpp
+++ b/tests/cli/cli_test.cpp
@@ -5,6 +5,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <regex>
 
 namespace waxwingnotch {
 
@@ -62,6 +63,13 @@
     EXPECT_EQ(run({"--version"}).code, exit_ok);
 }
 
+// Guards against programs of different sources that cannot be told apart: `--version` named the release only.
+TEST(command_line, version_names_the_sources)
+{
+    const std::string text = run({"--version"}).out;
+    EXPECT_TRUE(std::regex_match(text, std::regex("waxwingnotch [0-9.]+, sources [0-9a-f]{16}\n"))) << text;
+}
+
 // Guards against a check that misses an error or stops at the first one. Each of the two examples gets
 // five errors, spread over its three files.
 TEST(command_line, check_lists_every_injected_error)
