Name the sources in the serve command's first line as well

The line listening of waxwingnotch serve gets the field sources, for the same reason as the line start of a node.

--- a/include/waxwingnotch/base/build_info.hpp
+++ b/include/waxwingnotch/base/build_info.hpp
@@ -1,7 +1,7 @@
 /// @file
 /// What the program was built from. `waxwingnotch --version`, the `start` line and the metric
-/// `waxwingnotch_build_info` name it; `cmake -DSOURCE_DIR=. -P cmake/sources_id.cmake` prints the identity of a source
-/// tree to compare it with.
+/// `waxwingnotch_build_info` name it; `cmake -DSOURCE_DIR=. -P cmake/sources_id.cmake` prints the identity of
+/// a source tree to compare it with.
 #pragma once
 
 #include <string_view>
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -3,6 +3,7 @@
 #include "entry/entry_parts.hpp"
 
 #include "waxwingnotch/base/address.hpp"
+#include "waxwingnotch/base/build_info.hpp"
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/log.hpp"
 
@@ -169,7 +170,10 @@
         return fail(error_code::io, "cannot write " + options.port_file);
     }
     log_event(log_level::info, "listening",
-              {{"port", port.value()}, {"peer_port", peer_port.value()}, {"incarnation", incarnation}});
+              {{"port", port.value()},
+               {"peer_port", peer_port.value()},
+               {"incarnation", incarnation},
+               {"sources", program_build().sources}});
     return boost::outcome_v2::success();
 }
 
