Give the tests a stand-in of the users' platform of their own

The soak, routes, services, ends and inputs imported review/standin, which changed for the soak. Whoever puts the review's copy back breaks them: with review/ of the soak stops with KeyError ':peer'.

--- a/tests/soak/faulty_platform.py
+++ b/tests/soak/faulty_platform.py
@@ -1,4 +1,4 @@
-"""The users' platform with faults: the stand-ins of review/standin, a store that misbehaves for some or all nodes,
+"""The users' platform with faults: the stand-ins of tests/standin, a store that misbehaves for some or all nodes,
 workers that crash and return, and a relay that harms connections."""
 import asyncio
 import base64
@@ -7,7 +7,7 @@
 import sys
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-sys.path.insert(0, os.path.join(ROOT, "review", "standin"))
+sys.path.insert(0, os.path.join(ROOT, "tests", "standin"))
 from users_platform import HttpServer, Store, Worker, dump, now_ms, wall_ms  # noqa: E402
 
 BEAT_S = 1.5
