--- a/review/standin/users_platform.py
+++ b/review/standin/users_platform.py
@@ -38,8 +38,7 @@
 
 class HttpServer:
     """HTTP/1.1 with Content-Length bodies. `handler(method, path, query, headers, body)` is a coroutine that
-    returns (status, bytes), or None to close the connection without an answer. The key `:peer` of `headers` holds the
-    IP address of the caller."""
+    returns (status, bytes), or None to close the connection without an answer."""
 
     def __init__(self, handler):
         self.handler = handler
@@ -59,13 +58,12 @@
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
-        peer = (writer.get_extra_info("peername") or ("",))[0]
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 lines = head.decode("latin-1").split("\r\n")
                 method, target, _ = lines[0].split(" ", 2)
-                headers = {":peer": peer}
+                headers = {}
                 for line in lines[1:]:
                     if ":" in line:
                         name, value = line.split(":", 1)
@@ -316,7 +314,6 @@
         self.hold_max_ms = hold_max_ms
         self.born = wall_ms()
         self.clock_start = now_ms()
-        self.clock_rate = 1.0  # below 1 for a clock that is slow
         self.token = 0
         self.lease_until = 0
         self.running = {}  # task: [run, end handle, started, cpu, memory]
@@ -332,14 +329,13 @@
         self.healing = None
         self.needs = lambda task: (1, 1)
         self.ticket_of = lambda task: None
-        self.saved_of = lambda task: ""  # checkpoint of a running task
         self.on_start = lambda worker, task, run: None
         self.on_end = lambda worker, task, run, how: None
         self.on_acknowledged = lambda worker, task, run, how: None
         self.http = HttpServer(self.handle)
 
     def clock(self):
-        return int((now_ms() - self.clock_start) * self.clock_rate)
+        return now_ms() - self.clock_start
 
     async def start(self, ip="127.0.0.1"):
         self.address = await self.http.listen(ip)
@@ -381,14 +377,13 @@
 
     def end(self, task, how, report=True):
         run, handle = self.running[task][:2]
-        saved = "" if how == "done" else self.saved_of(task)
         if handle:
             handle.cancel()
         del self.running[task]
         self.highest_ended[task] = max(self.highest_ended.get(task, 0), run)
         if report:
             self.number += 1
-            self.ends.append([self.number, task, run, how, saved])
+            self.ends.append([self.number, task, run, how, ""])
             changed, self.changed = self.changed, asyncio.Event()
             changed.set()
         self.record.write(f"worker {self.id}: {task} run {run} ended {how}")
@@ -398,20 +393,15 @@
         if until is None:
             return
         self.lease_until = max(self.lease_until, min(until, self.clock() + self.hold_max_ms))
-        self.arm_lease()
-
-    def arm_lease(self):
         if self.lease_timer:
             self.lease_timer.cancel()
         self.lease_timer = asyncio.get_running_loop().call_later(
-            max(self.lease_until - self.clock(), 1) / 1000 / self.clock_rate, self.check_lease)
+            max(self.lease_until - self.clock(), 1) / 1000, self.check_lease)
 
     def check_lease(self):
-        if self.clock() < self.lease_until:
-            self.arm_lease()
-            return
-        for task in list(self.running):
-            self.end(task, "lapsed")
+        if self.clock() >= self.lease_until:
+            for task in list(self.running):
+                self.end(task, "lapsed")
 
     async def handle(self, method, path, query, headers, body):
         order = json.loads(body) if body else {}
@@ -485,7 +475,7 @@
                 await asyncio.wait_for(self.changed.wait(), order["waitMs"] / 1000)
             except asyncio.TimeoutError:
                 pass
-        running = [[task, item[0], self.saved_of(task), 100 if item[1] is None else 50, 1]
+        running = [[task, item[0], "", 100 if item[1] is None else 50, 1]
                    for task, item in self.running.items()]
         return 200, dump({"clockMs": self.clock(), "born": self.born, "running": running,
                           "finished": self.ends[:500]})
