Hand jobs over to the shard of their service, with their runs

Cause: such a job lies in the shard that the place of its service in the list gave when it was accepted. The owner of that shard gets no workers of the service any more, and the owner of the workers does not know the job: it stops its runs, and acknowledges their ends, which are lost then.

Change: an owner that knows the shards of the services hands over each job of another shard: it stores that decision, as for rerouted jobs, and appends the record to the other shard together with the progress of all occurrences. The other owner takes the runs on as it does at a take-over. Until the job is there, for at most a minute, it leaves expected runs alone and holds their ends back, and infers nothing about runs that such an answer does not list. A home that had forwarded the job takes it back.

--- a/include/waxwingnotch/job/route.hpp
+++ b/include/waxwingnotch/job/route.hpp
@@ -24,6 +24,9 @@
     std::uint32_t max_attempts = 1;
     bool forwarded = false;         // the shard has the job's record
     bool cancel_forwarded = false;  // the shard has the record of its cancel
+    // The job lay here because an earlier version had stored it here, and is forwarded with its progress. Its
+    // record has the key ID then, with or without one under ID*.
+    bool handed_over = false;
 };
 
 std::string encode_route(const job_route& route);
--- a/include/waxwingnotch/job/spec.hpp
+++ b/include/waxwingnotch/job/spec.hpp
@@ -5,6 +5,7 @@
 #include "waxwingnotch/base/result.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -59,6 +60,11 @@
     std::int64_t accepted_ms = 0;    // wall clock of the accepting node
     // Limit of the queue when it accepted the job; applies once the queue is removed.
     std::uint32_t max_attempts = 1;
+    // Whether the version that stored the job knew the home of its path; else it may lie in another shard.
+    bool has_home = false;
+    // Whether another shard has handed the job over, in which an earlier version had stored it.
+    bool handed_over = false;
+    std::map<std::uint32_t, std::string> progress;  // of such a job: encoded, by number of the occurrence
     // Shard that runs the job, where another one stores the jobs of its path; -1: the shard that stores it.
     int shard = -1;
 
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -173,6 +173,14 @@
     /// without progress would be a new job to the next owner, and its tasks would run again.
     void remove_job(const std::string& id);
     void set_config(std::shared_ptr<const cluster_config> config);
+    /// Hands jobs over that lie here and whose service another shard runs: each with its progress, so that
+    /// runs go on. An earlier version has stored them here. To be called before any worker is put.
+    /// @param shards by service, of all services that have one
+    void set_service_shards(std::map<std::string, int> shards, std::int64_t now_ms);
+    /// Leaves the runs of jobs alone that other shards will hand over, for at most a minute from the
+    /// takeover.
+    /// @param ids of the jobs
+    void expect_jobs(std::set<std::string> ids);
 
     // Registrations and answers of workers.
     void put_worker(const worker_entry& entry, std::int64_t now_ms);
@@ -248,7 +256,8 @@
 
     // Jobs
     void open_occurrences(job_entry& job, std::int64_t now_ms);
-    occurrence_entry& make_occurrence_entry(job_entry& job, std::uint32_t number, std::int64_t due_ms);
+    occurrence_entry& make_occurrence_entry(job_entry& job, std::uint32_t number, std::int64_t due_ms,
+                                            std::int64_t now_ms);
     void finish_occurrence(occurrence_entry& occurrence, std::int64_t now_ms);
     void discard_advice(const occurrence_entry& occurrence);
     void stop_job(job_entry& job, std::int64_t now_ms);
@@ -257,6 +266,14 @@
     void drop_job(job_entry& job);
     job_entry* insert_job(const job_spec& spec, std::int64_t age_ms, std::int64_t now_ms);
 
+    // Jobs of services that another shard runs, stored here by an earlier version
+    void hand_over_jobs(std::int64_t now_ms);
+    void hand_over(job_entry& job, int shard, std::int64_t now_ms);
+    void release_job(job_entry& job);
+    void take_back(const job_spec& spec, std::int64_t age_ms, std::int64_t now_ms);
+    void keep_here(job_entry& job);
+    bool expected(std::string_view task, std::int64_t now_ms) const;
+
     // Jobs of paths whose route leads to another service than before
     void load_rerouted_jobs(std::int64_t now_ms);
     void load_rerouted_job(const job_spec& spec, std::int64_t age_ms, std::int64_t now_ms);
@@ -294,9 +311,9 @@
     worker_state& find_or_add_worker(const std::string& id);
     std::int64_t token_of(const worker_state& worker) const;
     void handle_restart(worker_state& worker, std::int64_t started_ms, std::int64_t now_ms);
-    void apply_running(worker_state& worker, std::int64_t sent_ms, const poll_answer& answer,
+    void apply_running(worker_state& worker, std::int64_t sent_ms, const poll_answer& answer, bool all_ends,
                        std::int64_t now_ms);
-    void apply_ended(worker_state& worker, const poll_answer& answer, std::int64_t now_ms);
+    bool apply_ended(worker_state& worker, const poll_answer& answer, std::int64_t now_ms);
     void expire_lease(worker_state& worker, std::int64_t now_ms);
     std::int64_t latest_lease_end(std::int64_t now_ms) const;
     void plan_polls(std::int64_t now_ms, shard_effects& out);
@@ -372,8 +389,11 @@
         job_spec spec;
         std::int64_t age_ms = 0;
     };
-    std::vector<rerouted_job> rerouted_jobs_;                         // until finish_load()
-    std::map<std::string, job_route> loaded_routes_;                  // by job, until finish_load()
+    std::map<std::string, std::string> handed_progress_;  // by key, of jobs that are being inserted
+    std::map<std::string, int> service_shards_;           // empty: not known yet
+    std::set<std::string> expected_jobs_;                 // that other shards will hand over
+    std::vector<rerouted_job> rerouted_jobs_;             // until finish_load()
+    std::map<std::string, job_route> loaded_routes_;      // by job, until finish_load()
     std::map<std::string, std::unique_ptr<forward_entry>> forwards_;  // by job
     std::set<std::string> open_forwards_;   // whose job or cancel is not in the other shard yet
     std::set<std::string> changed_routes_;  // jobs whose decisions are to be written
--- a/src/job/codec.cpp
+++ b/src/job/codec.cpp
@@ -128,9 +128,16 @@
     }
     json row = json::array({job.id, job.queue, job.service, job.payload, steps, job.repeat_count,
                             job.first_ms, job.interval_ms, job.accepted_ms, job.max_attempts});
-    if (job.shard >= 0) {
+    if (job.has_home || job.shard >= 0 || job.handed_over) {
         row.push_back(job.shard);
     }
+    if (job.handed_over) {
+        json progress = json::array();
+        for (const auto& [occurrence, bytes] : job.progress) {
+            progress.push_back(json::array({occurrence, bytes}));
+        }
+        row.push_back(std::move(progress));
+    }
     return to_bytes(row);
 }
 
@@ -151,7 +158,14 @@
         job.interval_ms = row.at(7).get<std::int64_t>();
         job.accepted_ms = row.at(8).get<std::int64_t>();
         job.max_attempts = row.at(9).get<std::uint32_t>();
-        job.shard = row.size() > 10 ? row.at(10).get<int>() : -1;
+        job.has_home = row.size() > 10;
+        job.shard = job.has_home ? row.at(10).get<int>() : -1;
+        job.handed_over = row.size() > 11;
+        if (job.handed_over) {
+            for (const json& entry : row.at(11)) {
+                job.progress[entry.at(0).get<std::uint32_t>()] = entry.at(1).get<std::string>();
+            }
+        }
         if (!is_job_id(job.id)) {
             return fail(error_code::malformed, "job record: the id is not a job id");
         }
@@ -198,8 +212,12 @@
 
 std::string encode_route(const job_route& route)
 {
-    return to_bytes(json::array({route.shard, route.service, route.queue, route.max_attempts, route.forwarded,
-                                 route.cancel_forwarded}));
+    json row = json::array({route.shard, route.service, route.queue, route.max_attempts, route.forwarded,
+                            route.cancel_forwarded});
+    if (route.handed_over) {
+        row.push_back(true);
+    }
+    return to_bytes(row);
 }
 
 result<job_route> decode_route(std::string_view bytes)
@@ -211,7 +229,8 @@
                          .queue = row.at(2).get<std::string>(),
                          .max_attempts = row.at(3).get<std::uint32_t>(),
                          .forwarded = row.at(4).get<bool>(),
-                         .cancel_forwarded = row.at(5).get<bool>()};
+                         .cancel_forwarded = row.at(5).get<bool>(),
+                         .handed_over = row.size() > 6 && row.at(6).get<bool>()};
     }
     catch (const json::exception& problem) {
         return fail(error_code::malformed, std::string("route record: ") + problem.what());
--- a/src/shard/core_forwards.cpp
+++ b/src/shard/core_forwards.cpp
@@ -13,6 +13,9 @@
 constexpr std::int64_t forward_retry_ms = 150;          // after an append that failed
 constexpr std::int64_t forward_check_ms = 60'000;       // between questions about a job that is still known
 constexpr std::int64_t forward_check_retry_ms = 5'000;  // after a question without an answer
+// From a takeover until the runs of a job that another shard was to hand over count as unknown: longer than
+// the takeover of that shard.
+constexpr std::int64_t handover_wait_ms = 60'000;
 constexpr std::size_t max_checks_per_round = 200;  // of some seconds; a question is a call to another node
 
 /// The job as the shard that runs it reads it.
@@ -49,6 +52,10 @@
         load_rerouted_job(job.spec, job.age_ms, now_ms);
     }
     for (const auto& [id, route] : std::exchange(loaded_routes_, {})) {
+        if (const auto job = jobs_.find(id); route.handed_over && job != jobs_.end()) {
+            job->second->route = route;
+            continue;
+        }
         // The records of this job were being deleted. What is left of them goes before the decision: a record
         // without one would be a new job to the next owner.
         drop_repeat(id);
@@ -62,6 +69,23 @@
 void shard_core::load_rerouted_job(const job_spec& spec, std::int64_t age_ms, std::int64_t now_ms)
 {
     const auto decided = loaded_routes_.find(spec.id);
+    if (decided != loaded_routes_.end() && jobs_.contains(spec.id) && jobs_.at(spec.id)->spec.handed_over) {
+        job_entry& job = *jobs_.at(spec.id);
+        job.route = std::exchange(decided->second, {});
+        loaded_routes_.erase(decided);
+        keep_here(job);
+        return;
+    }
+    if (decided != loaded_routes_.end() && decided->second.handed_over) {
+        // The runs of the job are known from its progress, so it is opened before it goes on to the other
+        // shard.
+        if (!jobs_.contains(spec.id)) {
+            insert_job(routed(spec, decided->second), age_ms, now_ms);
+        }
+        jobs_.at(spec.id)->route = decided->second;
+        loaded_routes_.erase(decided);
+        return;
+    }
     if (decided == loaded_routes_.end()) {
         // Of two without a decision, the one of the home's own service may have started, the other one has
         // not.
@@ -230,6 +254,7 @@
         log_event(log_level::error, "job_deleted", {{"job", id}, {"reason", "its record was deleted early"}});
         return;
     }
+    deleted_progress_.insert(found->second->progress_keys.begin(), found->second->progress_keys.end());
     forwards_.erase(found);
     open_forwards_.erase(id);
     changed_routes_.erase(id);
@@ -237,4 +262,148 @@
     batch_needed_ = true;
 }
 
+void shard_core::set_service_shards(std::map<std::string, int> shards, std::int64_t now_ms)
+{
+    service_shards_ = std::move(shards);
+    if (loaded_) {
+        hand_over_jobs(now_ms);
+    }
+}
+
+void shard_core::expect_jobs(std::set<std::string> ids)
+{
+    expected_jobs_ = std::move(ids);
+    std::erase_if(expected_jobs_, [this](const std::string& id) { return jobs_.contains(id); });
+}
+
+/// Takes a job back that this shard, the home of its path, had forwarded: the shard that ran it has handed it
+/// over.
+void shard_core::take_back(const job_spec& spec, std::int64_t age_ms, std::int64_t now_ms)
+{
+    const auto found = forwards_.find(spec.id);
+    const job_route route = found->second->route;
+    if (found->second->cancelled) {
+        cancels_without_job_.insert(spec.id);
+    }
+    forwards_.erase(found);
+    open_forwards_.erase(spec.id);
+    job_entry& job = *insert_job(spec, age_ms, now_ms);
+    job.route = route;
+    keep_here(job);
+}
+
+/// Changes the decision about a job so that it runs here.
+void shard_core::keep_here(job_entry& job)
+{
+    if (job.route->shard == options_.shard) {
+        return;
+    }
+    job.route->shard = options_.shard;
+    changed_routes_.insert(job.spec.id);
+    batch_needed_ = true;
+}
+
+/// @return whether the job of @p task is on its way from the shard in which an earlier version has stored it
+bool shard_core::expected(std::string_view task, std::int64_t now_ms) const
+{
+    if (now_ms - loaded_ms_ >= handover_wait_ms) {
+        return false;
+    }
+    const std::string id(task.substr(0, task.find('.')));
+    if (jobs_.contains(id)) {
+        return false;
+    }
+    if (expected_jobs_.contains(id)) {
+        return true;
+    }
+    const auto forward = forwards_.find(id);
+    const auto shard = forward == forwards_.end() ? service_shards_.end()
+                                                  : service_shards_.find(forward->second->route.service);
+    return shard != service_shards_.end() && shard->second == options_.shard;
+}
+
+/// Hands over each job that is to run in another shard by the shards of the services, or by a decision
+/// before.
+void shard_core::hand_over_jobs(std::int64_t now_ms)
+{
+    std::vector<std::pair<std::string, int>> leaving;
+    for (const auto& [id, job] : jobs_) {
+        if (job->route && job->route->handed_over) {
+            leaving.emplace_back(id, job->route->shard);
+            continue;
+        }
+        const auto shard = service_shards_.find(job->spec.service);
+        const bool elsewhere = shard != service_shards_.end() && shard->second != options_.shard;
+        // Ended ones too: a worker may still list their ends, which only the other owner can acknowledge.
+        if (elsewhere && !job->deleting && !job->deleted) {
+            leaving.emplace_back(id, shard->second);
+        }
+    }
+    for (const auto& [id, shard] : leaving) {
+        hand_over(*jobs_.at(id), shard, now_ms);
+    }
+}
+
+/// Turns a job into one that runs in another shard. The decision is stored first, as for rerouted jobs; the
+/// progress goes along with the record, so that the other owner knows the runs that are at work.
+void shard_core::hand_over(job_entry& job, int shard, std::int64_t now_ms)
+{
+    const bool decided = job.route && job.route->handed_over;
+    job_route route = decided ? *job.route
+                              : job_route{.shard = shard,
+                                          .service = job.spec.service,
+                                          .queue = job.spec.queue,
+                                          .max_attempts = job.spec.max_attempts,
+                                          .handed_over = true};
+    job_spec spec = routed(job.spec, route);
+    spec.has_home = true;
+    spec.handed_over = true;
+    std::vector<std::string> keys;
+    for (const auto& [number, occurrence] : job.occurrences) {
+        if (occurrence->progress != make_occurrence(job.spec)) {
+            spec.progress[number] = encode_progress(occurrence->progress);
+        }
+        keys.push_back(occurrence->key());
+    }
+    const std::string id = job.spec.id;
+    const bool cancelled = job.cancelled;
+    log_event(log_level::info, "job_handed_over",
+              {{"job", id}, {"service", route.service}, {"shard", route.shard}, {"runs", job.runs}});
+    release_job(job);
+    jobs_.erase(id);
+    add_forward(spec, route, cancelled, now_ms, id);
+    forward_entry& forward = *forwards_[id];
+    forward.progress_keys = std::move(keys);
+    if (!decided) {
+        forward.route_batch = batch_ + 1;
+        changed_routes_.insert(id);
+        batch_needed_ = true;
+    }
+}
+
+/// Forgets the occurrences and runs of a job, and leaves its records as they are.
+void shard_core::release_job(job_entry& job)
+{
+    for (auto& [number, occurrence] : job.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence->progress.steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < occurrence->progress.steps[step].size(); ++index) {
+                awaiting_proof_.erase(to_string(task_name{job.spec.id, number, step, index}));
+            }
+        }
+        open_.erase(occurrence.get());
+        suspects_.erase(occurrence->key());
+        dirty_.erase(occurrence.get());
+        discard_advice(*occurrence);
+    }
+    std::vector<run_entry*> runs;
+    for (const auto& [key, run] : runs_) {
+        if (run->occurrence->job == &job) {
+            runs.push_back(run.get());
+        }
+    }
+    for (run_entry* run : runs) {
+        remove_run(*run);
+    }
+}
+
 }  // namespace waxwingnotch
--- a/src/shard/core_jobs.cpp
+++ b/src/shard/core_jobs.cpp
@@ -51,12 +51,15 @@
     for (auto& [id, job] : jobs_) {
         open_occurrences(*job, now_ms);
     }
+    hand_over_jobs(now_ms);
     for (const auto& [key, bytes] : loaded_progress_) {
-        if (!jobs_.contains(key.substr(0, key.find('.')))) {
+        const std::string id = key.substr(0, key.find('.'));
+        if (!jobs_.contains(id) && !forwards_.contains(id)) {
             orphaned_progress_.insert(key);
         }
     }
     loaded_progress_.clear();
+    handed_progress_.clear();
     schedule_needed_ = true;
     const auto ended_jobs =
         std::count_if(jobs_.begin(), jobs_.end(), [](const auto& entry) { return entry.second->ended(); });
@@ -89,6 +92,10 @@
         rerouted_jobs_.push_back({spec, age_ms});
         return;
     }
+    if (spec.handed_over && forwards_.contains(spec.id) && !forwards_.at(spec.id)->route.handed_over) {
+        take_back(spec, age_ms, now_ms);
+        return;
+    }
     if (jobs_.contains(spec.id) || forwards_.contains(spec.id)) {
         return;
     }
@@ -97,6 +104,10 @@
         return;
     }
     insert_job(spec, age_ms, now_ms);
+    expected_jobs_.erase(spec.id);
+    if (loaded_ && !spec.has_home) {
+        hand_over_jobs(now_ms);
+    }
 }
 
 shard_core::job_entry* shard_core::insert_job(const job_spec& spec, std::int64_t age_ms, std::int64_t now_ms)
@@ -106,6 +117,9 @@
     slot = std::make_unique<job_entry>();
     job_entry& job = *slot;
     job.spec = spec;
+    for (auto& [number, bytes] : std::exchange(job.spec.progress, {})) {
+        handed_progress_[spec.id + "." + std::to_string(number)] = bytes;
+    }
     job.max_attempts = spec.max_attempts;
     job.arrived_ms = now_ms - std::max<std::int64_t>(age_ms, 0);
     if (const queue_config* queue = config_ ? config_->queue(spec.queue) : nullptr) {
@@ -117,6 +131,7 @@
     }
     if (loaded_) {
         open_occurrences(job, now_ms);
+        handed_progress_.clear();
     }
     return slot.get();
 }
@@ -128,7 +143,8 @@
         std::int64_t due_ms = job.arrived_ms;
         if (job.spec.repeat_count > 0) {
             due_ms = job.spec.first_ms + number * job.spec.interval_ms - wall_offset_ms_;
-            const bool has_progress = loaded_progress_.contains(job.spec.id + "." + std::to_string(number));
+            const std::string key = job.spec.id + "." + std::to_string(number);
+            const bool has_progress = loaded_progress_.contains(key) || handed_progress_.contains(key);
             const std::uint64_t open = job.next_occurrence - job.completed_occurrences;
             const bool full = open > 0 && (open + 1) * job.spec.tasks() > options_.max_open_tasks;
             if (!has_progress && (due_ms > now_ms || full)) {
@@ -136,12 +152,12 @@
             }
         }
         ++job.next_occurrence;
-        make_occurrence_entry(job, number, due_ms);
+        make_occurrence_entry(job, number, due_ms, now_ms);
     }
 }
 
 shard_core::occurrence_entry& shard_core::make_occurrence_entry(job_entry& job, std::uint32_t number,
-                                                                std::int64_t due_ms)
+                                                                std::int64_t due_ms, std::int64_t now_ms)
 {
     auto entry = std::make_unique<occurrence_entry>();
     occurrence_entry& occurrence = *entry;
@@ -150,8 +166,11 @@
     occurrence.due_ms = due_ms;
     occurrence.progress = make_occurrence(job.spec);
     job.occurrences[number] = std::move(entry);
-    const auto saved = loaded_progress_.find(occurrence.key());
-    if (saved != loaded_progress_.end()) {
+    // What this shard has stored itself is newer than what another one has handed over.
+    const bool own = loaded_progress_.contains(occurrence.key());
+    const std::map<std::string, std::string>& source = own ? loaded_progress_ : handed_progress_;
+    const auto saved = source.find(occurrence.key());
+    if (saved != source.end()) {
         auto progress = decode_progress(saved->second);
         if (progress && same_shape(progress.value(), occurrence.progress)) {
             occurrence.progress = std::move(progress.value());
@@ -167,12 +186,16 @@
             const std::vector<active_run> runs = task.runs;
             task.runs.clear();
             for (const active_run& run : runs) {
+                const bool known_worker = workers_.contains(run.worker.id);
                 worker_state& worker = find_or_add_worker(run.worker.id);
+                if (!known_worker) {
+                    worker.lease_end_ms = now_ms + options_.inherited_lease_ms;
+                }
                 run_entry& loaded = add_run(occurrence, step, index, run.number, worker);
                 loaded.stage = run_stage::running;
                 loaded.inherited = true;
-                loaded.confirmed_ms = loaded_ms_;
-                loaded.ordered_ms = loaded_ms_;
+                loaded.confirmed_ms = now_ms;
+                loaded.ordered_ms = now_ms;
                 loaded.in_crash = run.crash_counted;
                 task.runs.back() = run;
             }
@@ -190,9 +213,12 @@
         suspects_[occurrence.key()] = &occurrence;
     }
     schedule_needed_ = true;
-    finish_occurrence(occurrence, loaded_ms_);
+    if (!own && saved != source.end()) {
+        mark_changed(occurrence);
+    }
+    finish_occurrence(occurrence, now_ms);
     if (job.cancelled) {
-        stop_job(job, loaded_ms_);
+        stop_job(job, now_ms);
     }
     return occurrence;
 }
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -44,6 +44,7 @@
     bool sending_cancel = false;
     bool checking = false;
     bool deleting = false;      // the deletion of its record has been requested
+    std::vector<std::string> progress_keys;  // of a job that is handed over; deleted with the decision
     std::int64_t retry_ms = 0;  // no forwarding before
     std::int64_t check_ms = 0;  // no question whether the other shard knows it before
 
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -196,8 +196,8 @@
         schedule_needed_ = true;
     }
     update_clock(worker, answer.clock_ms, now_ms);
-    apply_ended(worker, answer, now_ms);
-    apply_running(worker, sent_ms, answer, now_ms);
+    const bool all_ends = apply_ended(worker, answer, now_ms);
+    apply_running(worker, sent_ms, answer, all_ends, now_ms);
     if (!worker.synced) {
         worker.synced = true;
         // From now on it rejects previous owners, whose last renewal is at most one lease old.
@@ -208,13 +208,19 @@
     adjust_pace(worker, now_ms);
 }
 
-void shard_core::apply_ended(worker_state& worker, const poll_answer& answer, std::int64_t now_ms)
+/// @return whether all ends of the worker are known now
+bool shard_core::apply_ended(worker_state& worker, const poll_answer& answer, std::int64_t now_ms)
 {
+    bool all = answer.ended.size() < max_ends_per_answer;
     bool changed = false;
     for (const ended_row& row : answer.ended) {
         if (row.number <= worker.applied_end) {
             continue;
         }
+        if (expected(row.task, now_ms)) {
+            all = false;  // acknowledged when the job is here; the ends behind it follow
+            break;
+        }
         worker.applied_end = row.number;
         changed = true;
         const auto found = runs_.find(row.task + "#" + std::to_string(row.run));
@@ -229,6 +235,7 @@
         batch_needed_ = true;
         worker.end_batch = batch_ + 1;
     }
+    return all;
 }
 
 std::size_t shard_core::report_ends(const std::vector<ended_row>& ends, std::int64_t now_ms)
@@ -249,14 +256,18 @@
     return applied;
 }
 
+/// @param all_ends whether a run that the answer does not list has ended without a listed end
 void shard_core::apply_running(worker_state& worker, std::int64_t sent_ms, const poll_answer& answer,
-                               std::int64_t now_ms)
+                               bool all_ends, std::int64_t now_ms)
 {
     std::set<std::string> present;
     for (const running_row& row : answer.running) {
         const std::string key = row.task + "#" + std::to_string(row.run);
         present.insert(key);
         const auto found = runs_.find(key);
+        if (found == runs_.end() && expected(row.task, now_ms)) {
+            continue;
+        }
         if (found == runs_.end() || found->second->worker != &worker) {
             // Started by a previous owner or by a late order, and no longer wanted.
             note_unknown_run(worker, row, found != runs_.end(), now_ms);
@@ -282,7 +293,7 @@
             request_stop(run, now_ms);
         }
     }
-    if (answer.ended.size() >= max_ends_per_answer) {
+    if (!all_ends) {
         return;  // more ends follow; runs that are not listed may be among them
     }
     const std::vector<run_entry*> runs(worker.runs.begin(), worker.runs.end());
--- a/tests/job/job_test.cpp
+++ b/tests/job/job_test.cpp
@@ -171,8 +171,16 @@
         step.max_unavailable = *rc::gen::inRange<std::uint32_t>(0, 9);
     }
     job.repeat_count = *rc::gen::inRange<std::uint32_t>(0, 9);
+    job.has_home = *rc::gen::arbitrary<bool>();
+    job.handed_over = job.has_home && *rc::gen::arbitrary<bool>();
+    if (job.handed_over) {
+        job.progress = {{0, encode_progress(make_occurrence(job))}, {3, std::string("\0\xff", 2)}};
+    }
     const auto read = decode_job(encode_job(job));
     RC_ASSERT(read.has_value());
+    RC_ASSERT(read.value().has_home == job.has_home);
+    RC_ASSERT(read.value().handed_over == job.handed_over);
+    RC_ASSERT(read.value().progress == job.progress);
     RC_ASSERT(encode_job(read.value()) == encode_job(job));
     RC_ASSERT(read.value().steps[0].max_unavailable == step.max_unavailable);
     RC_ASSERT(read.value().steps[0].gang == step.gang);
