Find the jobs that earlier versions have stored before a request is answered

Jobs that had stored were answered 410 once their route led to another service, 6 of 6, and each repeat started their tasks again, 12 of 12.

Cause: homes of paths and shards of services are claimed by the first request, or configuration, under the version that knows them. What was stored before has none, so the claim follows from what the route and the list say by then.

Change: the first node of this version reads all jobs once and stores the shards of services by where their jobs lie, the homes of paths, a home for each job that its path does not lead to, and last the format of the store. No node is ready before it has read the format; a higher one than its own ends it with a clear line.

Evidence and result: tests/upgrade keeps what had stored in four states (jobs at work; the route moved; the list of services changed, without and with jobs after it), made by those versions' programs, and runs the case's steps over it.

--- a/include/waxwingnotch/shard/job_homes.hpp
+++ b/include/waxwingnotch/shard/job_homes.hpp
@@ -55,15 +55,26 @@
     static std::string key_of(std::string_view host, std::string_view prefix);
     /// @return the key under which the shard of a service is stored
     static std::string service_key(std::string_view service);
+    /// @return the key under which the home of a single job is stored. Only jobs that requests for their path
+    ///         would not find have one: they were accepted by a version that did not store homes
+    static std::string job_key(std::string_view id);
+    /// @return the key under which the format of the store is stored, as the shard of no service
+    static std::string format_key();
     /// @return the home, or null if this node knows none; valid until the next call
     const job_home* find(const std::string& key) const;
     /// @return shards by service, of all services that this node knows one of
     std::map<std::string, int> services() const;
+    /// @return homes of single jobs, by id
+    std::vector<std::pair<std::string, job_home>> jobs() const;
+    /// @return whether a home of a path or of a service names @p service
+    bool names(std::string_view service) const;
     /// Reads the home of @p key. A path without one had no jobs at @p since_ms (monotonic time).
     void look_up(const std::string& key, std::int64_t since_ms, handler done);
     /// Reads the home of @p key, and stores @p home as such if it has none. Of several claims for one path
     /// the first in the store wins.
     void claim(const std::string& key, job_home home, handler done);
+    /// Claims several keys, as claim() does. @p done receives `ok` if all of them have a home now.
+    void claim_all(std::vector<std::pair<std::string, job_home>> claims, handler done);
     /// Stores a shard for each of @p services that has none, with one append. That is the shard of a path
     /// whose first job ran under the service, if there is one, because its jobs are there; else the shard
     /// with the fewest services. @p done receives `ok` if all of them have a shard now.
--- a/include/waxwingnotch/shard/shard_owner.hpp
+++ b/include/waxwingnotch/shard/shard_owner.hpp
@@ -3,6 +3,7 @@
 /// to the workers.
 #pragma once
 
+#include "waxwingnotch/decision/stored_jobs.hpp"
 #include "waxwingnotch/net/event_loop.hpp"
 #include "waxwingnotch/shard/shard_core.hpp"
 #include "waxwingnotch/store/journal.hpp"
@@ -41,6 +42,9 @@
         /// without a certain answer.
         std::function<void(int shard, const std::string& id, std::function<void(std::optional<bool>)> done)>
             ask;
+        /// Receives each job that an earlier version has stored, which did not know the homes of paths.
+        /// Empty: not of interest.
+        std::function<void(const stored_job& job)> found_without_home;
     };
 
     /// @param lost called once, when another owner has replaced this one
@@ -61,6 +65,9 @@
     /// @return monotonic time; all jobs that were stored by then are known here
     std::int64_t complete_until_ms() const;
 
+    /// See shard_core.
+    void set_service_shards(std::map<std::string, int> shards);
+    void expect_jobs(std::set<std::string> ids);
     void set_config(std::shared_ptr<const cluster_config> config);
     void put_worker(const worker_entry& entry);
     void remove_worker(const std::string& id);
--- a/src/node/callers.cpp
+++ b/src/node/callers.cpp
@@ -19,6 +19,7 @@
 constexpr std::int64_t response_margin_ms = 250;     // for sending the answer back to the caller
 constexpr std::int64_t retry_ms = 60;                // between attempts to reach the store or the owner
 constexpr std::int64_t owner_timeout_ms = 500;       // of one query to the owner
+constexpr std::int64_t homes_age_ms = 1'000;         // of the homes when a job is said to be unknown
 constexpr std::int64_t count_age_ms = 1'000;         // of the home of a path whose jobs are counted
 constexpr std::int64_t cancel_check_ms = 600;  // then a cancel is stored even if no owner confirms the job
 // A store that refuses for this long is likely to go on refusing. The caller is refused then, so that it
@@ -48,6 +49,7 @@
     std::string service;    // that the route leads to
     int service_shard = 0;  // of that service
     std::string home_key;   // of the path
+    std::string job_key;    // of the job's own home, which few jobs have
     bool home_known = false;
     std::string id;
     job_spec job;        // of a submission
@@ -121,6 +123,7 @@
     request->service_shard = node_.shard_of(queue.service);
     request->shard = request->service_shard;
     request->home_key = job_homes::key_of(queue.host, queue.path_prefix);
+    request->job_key = job_homes::job_key(id);
     request->received_ms = monotonic_ms();
     request->asked_ms = request->received_ms;
     const std::int64_t caller_timeout_ms = std::clamp<std::int64_t>(
@@ -229,6 +232,11 @@
 /// Finds the shard that stores the jobs of the path, and appends the job there.
 void caller_api::find_home(const std::shared_ptr<pending_request>& request)
 {
+    if (node_.homes->find(request->job_key) != nullptr) {
+        encode_record(*request);
+        append_job(request);
+        return;
+    }
     const job_home proposed{request->service, request->service_shard};
     node_.homes->claim(request->home_key, proposed, [this, request](store_status outcome) {
         if (request->answered) {
@@ -257,10 +265,11 @@
 /// does not replace the record of an earlier submission with the same id.
 void caller_api::encode_record(pending_request& request)
 {
-    const job_home& home = *node_.homes->find(request.home_key);
+    const job_home& home = *home_of(request);
     const bool rerouted = home != job_home{request.service, request.service_shard};
     request.home_known = true;
     request.shard = home.shard;
+    request.job.has_home = true;
     request.job.shard = rerouted ? request.service_shard : -1;
     request.key = rerouted ? rerouted_key(request.id) : request.id;
     request.record = encode_job(request.job);
@@ -334,21 +343,36 @@
 {
     query_job(node_, request->shard, request->id, owner_timeout_ms,
               [this, request, done = std::move(done)](const job_answer& answer) {
-                  if (!answer.moved_to || *answer.moved_to == request->shard) {
+                  if (!answer.moved_to) {
                       done(answer);
                       return;
                   }
+                  if (*answer.moved_to == request->shard) {
+                      done({});
+                      return;
+                  }
                   // The other shard has had the record at least since this answer.
                   request->shard = *answer.moved_to;
                   request->home_known = true;
                   request->asked_ms = monotonic_ms();
-                  query_job(node_, request->shard, request->id, owner_timeout_ms, done);
+                  query_job(node_, request->shard, request->id, owner_timeout_ms,
+                            [done](const job_answer& second) {
+                                // A job that is being handed over back and forth has no state for a moment.
+                                done(second.moved_to ? job_answer{} : second);
+                            });
               });
 }
 
-/// Asks for a job at the home of its path. If this node does not know the home yet, it asks the shard of the
-/// path's service first: a job that is known there is the one, but one that is unknown there may have another
-/// home.
+/// @return the home of the job, else that of its path, else null
+const job_home* caller_api::home_of(const pending_request& request) const
+{
+    const job_home* own = node_.homes->find(request.job_key);
+    return own != nullptr ? own : node_.homes->find(request.home_key);
+}
+
+/// Asks for a job at its home. If this node does not know the home yet, it asks the shard of the path's
+/// service first: a job that is known there is the one, but one that is unknown there may have another home.
+/// A job of an earlier version may have got a home of its own since the homes were read.
 void caller_api::find_job(const std::shared_ptr<pending_request>& request,
                           std::function<void(const job_answer&)> done)
 {
@@ -356,29 +380,32 @@
     if (!request->home_known) {
         use_home(*request);
     }
-    ask_owner(request, [this, request, done = std::move(done)](const job_answer& answer) {
-        if (answer.known || request->home_known) {
-            done(answer);
-            return;
-        }
-        node_.homes->look_up(request->home_key, request->received_ms,
-                             [this, request, done, answer](store_status outcome) {
-                                 const int asked = request->shard;
-                                 use_home(*request);
-                                 request->home_known = outcome == store_status::ok;
-                                 if (request->shard == asked) {
-                                     done(answer);
-                                     return;
-                                 }
-                                 ask_owner(request, done);
-                             });
-    });
+    ask_owner(
+        request, [this, request, home = request->shard, done = std::move(done)](const job_answer& answer) {
+            if (answer.known || (request->home_known && !answer.answered)) {
+                done(answer);
+                return;
+            }
+            const std::int64_t since_ms = request->received_ms - (request->home_known ? homes_age_ms : 0);
+            node_.homes->look_up(request->job_key, since_ms,
+                                 [this, request, home, done, answer](store_status outcome) {
+                                     const int asked = request->shard;
+                                     use_home(*request);
+                                     request->home_known = outcome == store_status::ok;
+                                     if (request->shard == home) {
+                                         request->shard = asked;
+                                         done(answer);
+                                         return;
+                                     }
+                                     ask_owner(request, done);
+                                 });
+        });
 }
 
-/// Sends a request to the home of its path, if this node knows it.
+/// Sends a request to the home of its job, if this node knows it.
 void caller_api::use_home(pending_request& request) const
 {
-    if (const job_home* home = node_.homes->find(request.home_key)) {
+    if (const job_home* home = home_of(request)) {
         request.shard = home->shard;
         request.home_known = true;
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -99,6 +99,7 @@
     std::unique_ptr<keyed_follower> operator_follower_;
     std::unique_ptr<keyed_follower> registry_follower_;
     std::unique_ptr<host_manager> host_manager_;
+    node_end end_{.reason = "stopped", .detail = {}};
     std::int64_t stop_started_ms_ = 0;
     timer sigterm_;
     timer sigint_;
@@ -118,6 +119,8 @@
     state_.homes = std::make_unique<job_homes>(*state_.store, state_.settings.partitions);
     state_.shards_of_services =
         std::make_unique<service_shards>(state_.loop, *state_.homes, state_.settings.partitions);
+    state_.upgrade = std::make_unique<store_upgrade>(state_.loop, *state_.store, *state_.homes,
+                                                     *state_.shards_of_services, state_.settings.partitions);
     state_.workers = std::make_unique<adapter::worker_client>(state_.client);
     if (!state_.settings.policy_address.empty()) {
         state_.advice =
@@ -164,7 +167,7 @@
 
 bool node::ready() const
 {
-    return state_.config != nullptr && !state_.stopping && !descriptors_short_;
+    return state_.config != nullptr && state_.upgrade->complete() && !state_.stopping && !descriptors_short_;
 }
 
 /// Accepts no callers while descriptors are short, so that enough are left for calls to the store, the
@@ -263,11 +266,22 @@
         return state_.shard_of(service) != service_shards::no_shard;
     });
     configure_shards();
-    state_.shards_of_services->ensure(services, [this, known_before] {
-        if (!known_before) {
-            configure_shards();  // with the workers of the new services
-        }
-    });
+    const auto ensure_services = [this, services, known_before] {
+        state_.shards_of_services->ensure(services, [this, known_before] {
+            if (!known_before) {
+                configure_shards();  // with the workers of the new services
+            }
+        });
+    };
+    state_.upgrade->run(state_.config, {.done = ensure_services, .unsupported = [this](int format) {
+                                            end_ = {.reason = "store format",
+                                                    .detail = "the store has format " +
+                                                              std::to_string(format) +
+                                                              ", this version reads formats up to " +
+                                                              std::to_string(store_format),
+                                                    .status = 1};
+                                            state_.loop.stop();
+                                        }});
 }
 
 void node::configure_shards()
@@ -281,6 +295,10 @@
 void node::configure_shard(int shard, shard_owner& owner)
 {
     owner.set_config(state_.config);
+    if (state_.upgrade->complete()) {
+        owner.expect_jobs(state_.upgrade->jobs_to_hand_over(shard));
+        owner.set_service_shards(state_.homes->services());
+    }
     for (const auto& [id, entry] : state_.registry) {
         if (state_.shard_of(entry.service) == shard) {
             owner.put_worker(entry);
@@ -365,6 +383,9 @@
             },
             [this](int other, const std::string& id, std::function<void(std::optional<bool>)> done) {
                 ask_for_job(other, id, std::move(done));
+            },
+            [this](const stored_job& job) {
+                state_.upgrade->add_late(job);
             }},
         shard, options, [this, shard, epoch] { state_.release_shard(shard, epoch + 1); });
     if (state_.config) {
@@ -508,7 +529,7 @@
     state_.loop.run();
     host_manager_.reset();
     state_.shards.clear();
-    return {.reason = "stopped", .detail = {}};
+    return end_;
 }
 
 /// Runs a node in a scope of its own, so that its end is reported after its parts are gone.
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -16,6 +16,7 @@
 #include "waxwingnotch/shard/service_shards.hpp"
 #include "waxwingnotch/shard/shard_group.hpp"
 #include "waxwingnotch/shard/shard_owner.hpp"
+#include "waxwingnotch/shard/store_upgrade.hpp"
 #include "waxwingnotch/store/batch_appender.hpp"
 #include "waxwingnotch/store/keyed_follower.hpp"
 #include "waxwingnotch/store/transport.hpp"
@@ -42,6 +43,7 @@
     std::unique_ptr<log_store> store;
     std::unique_ptr<job_homes> homes;  // of the paths under which jobs were accepted
     std::unique_ptr<service_shards> shards_of_services;
+    std::unique_ptr<store_upgrade> upgrade;  // finds the jobs that earlier versions have stored
     std::unique_ptr<worker_api> workers;
     std::unique_ptr<advice_api> advice;
     std::unique_ptr<host_api> hosts;
@@ -74,9 +76,13 @@
     /// Appender of accepted jobs and cancels of a shard; made on first use.
     batch_appender& job_appender(int shard);
     std::map<int, std::unique_ptr<batch_appender>> job_appenders;  // by shard
-    /// @return the shard of the jobs and workers of @p service; service_shards::no_shard if it is not known,
-    ///         shortly after a version has added the service
-    int shard_of(const std::string& service) const { return shards_of_services->find(service); }
+    /// @return the shard of the jobs and workers of @p service; service_shards::no_shard if it is not known:
+    ///         shortly after a version has added the service, and until the homes of all stored jobs are
+    ///         known
+    int shard_of(const std::string& service) const
+    {
+        return upgrade->complete() ? shards_of_services->find(service) : service_shards::no_shard;
+    }
     /// @return the owner if this node owns the shard and has loaded it, else null
     shard_owner* loaded_shard(int partition) const;
 };
@@ -173,6 +179,7 @@
                    std::function<void(const job_answer&)> done);
     void find_job(const std::shared_ptr<pending_request>& request,
                   std::function<void(const job_answer&)> done);
+    const job_home* home_of(const pending_request& request) const;
     void use_home(pending_request& request) const;
     void append_job(const std::shared_ptr<pending_request>& request);
     void finish_unknown(const std::shared_ptr<pending_request>& request);
--- a/src/shard/job_homes.cpp
+++ b/src/shard/job_homes.cpp
@@ -15,8 +15,10 @@
 
 using nlohmann::json;
 
-constexpr std::size_t key_digits = 32;                   // 128 bits; keys of the store have at most 255 bytes
-constexpr std::string_view service_prefix = "service/";  // of the keys of services; those of paths are digits
+constexpr std::size_t key_digits = 32;  // 128 bits; keys of the store have at most 255 bytes
+// Of the keys of services and of single jobs; those of paths are digits.
+constexpr std::string_view service_prefix = "service/";
+constexpr std::string_view job_prefix = "job/";
 
 std::string encode_home(const job_home& home)
 {
@@ -56,6 +58,33 @@
     return std::string(service_prefix) + sha256_hex(std::string(service)).substr(0, key_digits);
 }
 
+std::string job_homes::job_key(std::string_view id)
+{
+    return std::string(job_prefix) + std::string(id);
+}
+
+std::string job_homes::format_key()
+{
+    return "format";
+}
+
+std::vector<std::pair<std::string, job_home>> job_homes::jobs() const
+{
+    std::vector<std::pair<std::string, job_home>> rows;
+    for (auto at = homes_.lower_bound(std::string(job_prefix));
+         at != homes_.end() && at->first.starts_with(job_prefix); ++at) {
+        rows.emplace_back(at->first.substr(job_prefix.size()), at->second);
+    }
+    return rows;
+}
+
+bool job_homes::names(std::string_view service) const
+{
+    return std::ranges::any_of(homes_, [&](const auto& entry) {
+        return entry.second.service == service && !entry.first.starts_with(job_prefix);
+    });
+}
+
 std::map<std::string, int> job_homes::services() const
 {
     std::map<std::string, int> shards;
@@ -94,7 +123,17 @@
 
 void job_homes::claim_services(const std::vector<std::string>& services, handler done)
 {
-    if (services.empty()) {
+    std::vector<std::pair<std::string, job_home>> claims;
+    claims.reserve(services.size());
+    for (const std::string& service : services) {
+        claims.emplace_back(service_key(service), job_home{service, no_shard});
+    }
+    claim_all(std::move(claims), std::move(done));
+}
+
+void job_homes::claim_all(std::vector<std::pair<std::string, job_home>> claims, handler done)
+{
+    if (claims.empty()) {
         done(store_status::ok);
         return;
     }
@@ -103,9 +142,9 @@
         store_status status = store_status::ok;
         handler done;
     };
-    auto all = std::make_shared<outcome>(outcome{.open = services.size(), .done = std::move(done)});
-    for (const std::string& service : services) {
-        waiting_.push_back({service_key(service), job_home{service, no_shard}, [all](store_status status) {
+    auto all = std::make_shared<outcome>(outcome{.open = claims.size(), .done = std::move(done)});
+    for (auto& [key, home] : claims) {
+        waiting_.push_back({key, std::move(home), [all](store_status status) {
                                 all->status = status == store_status::ok ? all->status : status;
                                 if (--all->open == 0) {
                                     all->done(all->status);
@@ -121,7 +160,8 @@
     std::map<std::string, int> known = this->services();
     std::map<std::string, job_home> chosen;
     for (const auto& [key, home] : homes_) {
-        const bool wanted = std::find(services.begin(), services.end(), home.service) != services.end();
+        const bool wanted = !key.starts_with(job_prefix) &&
+                            std::find(services.begin(), services.end(), home.service) != services.end();
         if (wanted && known.try_emplace(home.service, home.shard).second) {
             chosen[service_key(home.service)] = home;
         }
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -195,6 +195,13 @@
                   {{"key", record.key}, {"reason", "the key does not fit the shard that runs the job"}});
         return;
     }
+    if (!job.value().has_home && parts_.found_without_home) {
+        parts_.found_without_home({.id = job.value().id,
+                                   .queue = job.value().queue,
+                                   .service = job.value().service,
+                                   .shard = partition_,
+                                   .accepted_ms = job.value().accepted_ms});
+    }
     core_.add_job(job.value(), wall_ms() - job.value().accepted_ms, now);
     pump_soon();
 }
@@ -240,6 +247,17 @@
     pump_soon();
 }
 
+void shard_owner::set_service_shards(std::map<std::string, int> shards)
+{
+    core_.set_service_shards(std::move(shards), monotonic_ms());
+    pump_soon();
+}
+
+void shard_owner::expect_jobs(std::set<std::string> ids)
+{
+    core_.expect_jobs(std::move(ids));
+}
+
 void shard_owner::put_worker(const worker_entry& entry)
 {
     core_.put_worker(entry, monotonic_ms());
--- a/tests/node/host_manager_test.cpp
+++ b/tests/node/host_manager_test.cpp
@@ -100,7 +100,9 @@
         node.store = std::make_unique<fake_store>(node.loop);
         node.homes = std::make_unique<job_homes>(*node.store);
         node.shards_of_services = std::make_unique<service_shards>(node.loop, *node.homes, 1);
-        node.shards_of_services->ensure({"svc"}, [this] { node.loop.stop(); });
+        node.upgrade =
+            std::make_unique<store_upgrade>(node.loop, *node.store, *node.homes, *node.shards_of_services, 1);
+        node.upgrade->run(node.config, {.done = [this] { node.loop.stop(); }, .unsupported = nullptr});
         node.loop.run();
         node.hosts = std::make_unique<memory_hosts>(node.loop, *workers);
         take_over(1);
--- a/tests/standin/cluster.py
+++ b/tests/standin/cluster.py
@@ -106,9 +106,15 @@
         await self.store.http.listen("127.0.0.1")
         await self.hosts.http.listen("127.0.0.1")
 
-    async def close_platform(self):
+    async def close_servers(self):
+        """Closes the stand-ins and leaves other tasks of the loop alone."""
+        for worker in self.workers:
+            worker.beat.cancel()
         for server in [self.store.http, self.hosts.http, *(worker.http for worker in self.workers)]:
             await server.close()
+
+    async def close_platform(self):
+        await self.close_servers()
         tasks = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
         for task in tasks:
             task.cancel()
--- a/tests/standin/users_platform.py
+++ b/tests/standin/users_platform.py
@@ -177,6 +177,8 @@
         if len(body) > self.call_bytes:
             return 400, b"{}"
         target = self.partition(topic, part)
+        if "at" in query and int(query["at"]) != target.end:
+            return 412, dump({"end": target.end})
         if "producer" in query:
             epoch, sequence = int(query["epoch"]), int(query["sequence"])
             state = target.producers.get(query["producer"])
@@ -233,6 +235,29 @@
         return 200, dump({"generation": group.generation, "parts": [[group.topic, p, 0] for p in parts]})
 
 
+    def save(self):
+        """@return what the store holds as a JSON value, without the registrations of workers"""
+        def text(data):
+            return None if data is None else base64.b64encode(data).decode()
+        return {"parts": self.parts,
+                "topics": [{"topic": topic, "part": part,
+                            "records": [[key.decode(), text(value)] for key, value in partition.records],
+                            "epochs": {name: state[0] for name, state in partition.producers.items()}}
+                           for (topic, part), partition in self.topics.items() if topic != "keyed.servers"],
+                "generations": {name: group.generation for name, group in self.groups.items()}}
+
+    def restore(self, saved):
+        """Holds what another store held when save() was called."""
+        for item in saved["topics"]:
+            self.put(item["topic"], item["part"],
+                     [(key.encode(), None if value is None else base64.b64decode(value))
+                      for key, value in item["records"]])
+            for name, epoch in item["epochs"].items():
+                self.partition(item["topic"], item["part"]).producers[name] = [epoch, 1 << 40, {}]
+        for name, generation in saved["generations"].items():
+            self.groups.setdefault(name, Group(self.parts)).generation = generation
+
+
 class Group:
     """Members of a group and their partitions. A partition changes hands once its holder has joined with the
     generation that takes it away, has left, or has not joined for its time to live."""
@@ -491,6 +516,25 @@
                           "finished": self.ends[:500]})
 
 
+    def save(self):
+        """@return what the worker knows now, as a JSON value"""
+        return {"id": self.id, "service": self.service, "born": self.born, "token": self.token,
+                "running": [[task, item[0]] for task, item in self.running.items()],
+                "highest_ended": dict(self.highest_ended), "ends": list(self.ends), "number": self.number}
+
+    def restore(self, saved):
+        """Goes on with what save() returned; each task runs for its whole time once more, under a new lease."""
+        self.born, self.token, self.number = saved["born"], saved["token"], saved["number"]
+        self.highest_ended, self.ends = saved["highest_ended"], saved["ends"]
+        for task, run in saved["running"]:
+            cpu, memory = self.needs(task)
+            duration = self.duration_s(task)
+            handle = None if duration is None else asyncio.get_running_loop().call_later(duration, self.end, task,
+                                                                                         "done")
+            self.running[task] = [run, handle, now_ms(), cpu, memory]
+        self.extend(self.clock() + self.hold_max_ms)
+
+
 class HostService:
     """The calls for machines. `machines` maps a name to its row; `on_order(call, order, headers)` sees each
     order and returns the answer."""
