--- a/tests/standin/users_platform.py
+++ b/tests/standin/users_platform.py
@@ -4,7 +4,9 @@
 """
 import asyncio
 import base64
+import contextlib
 import json
+import random
 import socket
 import time
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -18,10 +20,17 @@
     return int(time.time() * 1000)
 
 
+FIRST_PORT = 10_000
+EPHEMERAL_PORT = 32_768  # the kernel takes the ports of connections from here on
+
+
 def free_port(ip):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    """A port that no connection from this address gets before somebody listens on it."""
+    while True:
+        port = random.SystemRandom().randrange(FIRST_PORT, EPHEMERAL_PORT)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((ip, port))
+            return port
 
 
 class Record:
