Follow the linter in the new files, and hand no job over to a shard that does not exist

clang-tidy asked for a comparison without <=>, a reserved vector and a span; format of three files. A stored shard beyond the number of partitions, as after these became fewer, is left out of what owners hand jobs over by, as service_shards does. decision_test, node_test, build_info and the tests of homes, shards, hand-over and upgrade pass; clang-tidy finds nothing in the six files.

--- a/include/waxwingnotch/decision/stored_jobs.hpp
+++ b/include/waxwingnotch/decision/stored_jobs.hpp
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace waxwingnotch {
@@ -31,7 +32,11 @@
     std::string service;
     int shard = 0;
 
-    auto operator<=>(const service_place&) const = default;
+    bool operator==(const service_place&) const = default;
+    bool operator<(const service_place& other) const
+    {
+        return std::tie(service, shard) < std::tie(other.service, other.shard);
+    }
 };
 
 /// Chooses a shard for each service of which jobs are stored: the one with most of them, the lowest number
--- a/include/waxwingnotch/shard/job_homes.hpp
+++ b/include/waxwingnotch/shard/job_homes.hpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -74,7 +75,7 @@
     /// the first in the store wins.
     void claim(const std::string& key, job_home home, handler done);
     /// Claims several keys, as claim() does. @p done receives `ok` if all of them have a home now.
-    void claim_all(std::vector<std::pair<std::string, job_home>> claims, handler done);
+    void claim_all(std::span<const std::pair<std::string, job_home>> claims, handler done);
     /// Stores a shard for each of @p services that has none, with one append. That is the shard of a path
     /// whose first job ran under the service, if there is one, because its jobs are there; else the shard
     /// with the fewest services. @p done receives `ok` if all of them have a shard now.
--- a/src/cli/usage.hpp
+++ b/src/cli/usage.hpp
@@ -4,7 +4,6 @@
 
 namespace waxwingnotch {
 
-
 constexpr const char* usage_overview =
     R"(waxwingnotch keeps pools of hosts at the capacity that their budgets promise, and explains every move.
 
--- a/src/decision/stored_jobs.cpp
+++ b/src/decision/stored_jobs.cpp
@@ -64,6 +64,7 @@
         }
     }
     std::vector<stored_job> rows;
+    rows.reserve(away.size());
     for (const auto& [id, job] : away) {
         rows.push_back(*job);
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -297,7 +297,9 @@
     owner.set_config(state_.config);
     if (state_.upgrade->complete()) {
         owner.expect_jobs(state_.upgrade->jobs_to_hand_over(shard));
-        owner.set_service_shards(state_.homes->services());
+        std::map<std::string, int> shards = state_.homes->services();
+        std::erase_if(shards, [&](const auto& entry) { return entry.second >= state_.settings.partitions; });
+        owner.set_service_shards(std::move(shards));
     }
     for (const auto& [id, entry] : state_.registry) {
         if (state_.shard_of(entry.service) == shard) {
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -43,10 +43,10 @@
     bool sending_job = false;
     bool sending_cancel = false;
     bool checking = false;
-    bool deleting = false;      // the deletion of its record has been requested
+    bool deleting = false;                   // the deletion of its record has been requested
     std::vector<std::string> progress_keys;  // of a job that is handed over; deleted with the decision
-    std::int64_t retry_ms = 0;  // no forwarding before
-    std::int64_t check_ms = 0;  // no question whether the other shard knows it before
+    std::int64_t retry_ms = 0;               // no forwarding before
+    std::int64_t check_ms = 0;               // no question whether the other shard knows it before
 
     /// Whether the other shard has all records of the job.
     bool settled() const { return route.forwarded && (!cancelled || route.cancel_forwarded); }
--- a/src/shard/job_homes.cpp
+++ b/src/shard/job_homes.cpp
@@ -128,10 +128,10 @@
     for (const std::string& service : services) {
         claims.emplace_back(service_key(service), job_home{service, no_shard});
     }
-    claim_all(std::move(claims), std::move(done));
+    claim_all(claims, std::move(done));
 }
 
-void job_homes::claim_all(std::vector<std::pair<std::string, job_home>> claims, handler done)
+void job_homes::claim_all(std::span<const std::pair<std::string, job_home>> claims, handler done)
 {
     if (claims.empty()) {
         done(store_status::ok);
@@ -143,8 +143,8 @@
         handler done;
     };
     auto all = std::make_shared<outcome>(outcome{.open = claims.size(), .done = std::move(done)});
-    for (auto& [key, home] : claims) {
-        waiting_.push_back({key, std::move(home), [all](store_status status) {
+    for (const auto& [key, home] : claims) {
+        waiting_.push_back({key, home, [all](store_status status) {
                                 all->status = status == store_status::ok ? all->status : status;
                                 if (--all->open == 0) {
                                     all->done(all->status);
--- a/src/shard/store_upgrade.cpp
+++ b/src/shard/store_upgrade.cpp
@@ -181,16 +181,16 @@
         return;
     }
     const std::size_t end = std::min(from + max_claims_per_call, wanted.size());
-    claims part(wanted.begin() + static_cast<std::ptrdiff_t>(from),
-                wanted.begin() + static_cast<std::ptrdiff_t>(end));
-    homes_.claim_all(std::move(part), guarded([this, wanted = std::move(wanted), end,
-                                               done = std::move(done)](store_status status) {
-                         if (status != store_status::ok) {
-                             retry();
-                             return;
-                         }
-                         store_claims(wanted, end, done);
-                     }));
+    const claims part(wanted.begin() + static_cast<std::ptrdiff_t>(from),
+                      wanted.begin() + static_cast<std::ptrdiff_t>(end));
+    homes_.claim_all(
+        part, guarded([this, wanted = std::move(wanted), end, done = std::move(done)](store_status status) {
+            if (status != store_status::ok) {
+                retry();
+                return;
+            }
+            store_claims(wanted, end, done);
+        }));
 }
 
 void store_upgrade::finish()
