Say once which shards are the homes of the queues, and repair the list in store_upgrade.hpp

The loop stood twice in store_upgrade.cpp, and the formatter had broken the numbered list of the header. expect_jobs() left out jobs that expected() leaves out anyway.

--- a/include/waxwingnotch/shard/store_upgrade.hpp
+++ b/include/waxwingnotch/shard/store_upgrade.hpp
@@ -5,12 +5,10 @@
 /// Until homes were stored, nothing told where the jobs of a path, or of a service, lie. The first node of
 /// this version reads all jobs once and stores, each under the condition that nobody else has,
 ///   1. the shard of each service of which jobs are stored: the one that holds most of them;
-///   2. the home of each path of the configuration, if there are stored jobs at all: where most jobs of its
-///   queue
-///      lie, else the shard of its service;
-///   3. a home of its own for each job that does not lie at the home of its path, or not in the shard of its
-///   service;
-///      the owners hand the latter over (core_forwards.cpp);
+///   2. if there are stored jobs at all, the home of each path of the configuration: where most jobs of its
+///      queue lie, else the shard of its service;
+///   3. a home of its own for each job that does not lie at the home of its path or in the shard of its
+///      service; the owners hand the latter over (core_forwards.cpp);
 ///   4. last, the format of the store, after which no node reads the jobs again.
 /// A node that dies in between leaves claims that the next one keeps; what several nodes claim at once is
 /// decided by the store, as all homes are.
@@ -26,6 +24,7 @@
 #include "waxwingnotch/shard/service_shards.hpp"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -34,8 +33,7 @@
 
 namespace waxwingnotch {
 
-/// Format of what this version stores. 0: up to version 0.2.0 of 5 December 2026, without a record of the
-/// format.
+/// Format of what this version stores; earlier versions have stored none. See section 13 of docs/design.md.
 constexpr int store_format = 1;
 
 class store_upgrade {
@@ -72,6 +70,7 @@
     void keep(const keyed_record& record, int shard);
     void claim_services();
     void claim_homes();
+    std::map<std::string, int> homes_of_queues() const;
     void store_claims(claims wanted, std::size_t from, std::function<void()> done);
     void finish();
     void place_late_jobs();
--- a/src/shard/core_forwards.cpp
+++ b/src/shard/core_forwards.cpp
@@ -273,7 +273,6 @@
 void shard_core::expect_jobs(std::set<std::string> ids)
 {
     expected_jobs_ = std::move(ids);
-    std::erase_if(expected_jobs_, [this](const std::string& id) { return jobs_.contains(id); });
 }
 
 /// Takes a job back that this shard, the home of its path, had forwarded: the shard that ran it has handed it
--- a/src/shard/store_upgrade.cpp
+++ b/src/shard/store_upgrade.cpp
@@ -137,22 +137,30 @@
                  [this] { services_.ensure(config_->service_names(), guarded([this] { claim_homes(); })); });
 }
 
+/// @return the shard that is the home of each queue's path, of those that have one
+std::map<std::string, int> store_upgrade::homes_of_queues() const
+{
+    std::map<std::string, int> shards;
+    for (const queue_config& queue : config_->queues) {
+        if (const job_home* home = homes_.find(job_homes::key_of(queue.host, queue.path_prefix))) {
+            shards[queue.name] = home->shard;
+        }
+    }
+    return shards;
+}
+
 /// Claims homes for all paths of the configuration if there are stored jobs, and for the jobs that lie
 /// elsewhere.
 void store_upgrade::claim_homes()
 {
+    const std::map<std::string, int> homes = homes_of_queues();
     claims paths;
-    std::map<std::string, int> home_of_queue;
     for (const queue_config& queue : config_->queues) {
-        const std::string key = job_homes::key_of(queue.host, queue.path_prefix);
-        if (const job_home* home = homes_.find(key)) {
-            home_of_queue[queue.name] = home->shard;
-            continue;
-        }
         const service_place place =
             place_with_most_jobs(jobs_, queue.name, {queue.service, services_.find(queue.service)});
-        if (!jobs_.empty() && place.shard != service_shards::no_shard) {
-            paths.emplace_back(key, job_home{place.service, place.shard});
+        if (!jobs_.empty() && !homes.contains(queue.name) && place.shard != service_shards::no_shard) {
+            paths.emplace_back(job_homes::key_of(queue.host, queue.path_prefix),
+                               job_home{place.service, place.shard});
         }
     }
     if (!paths.empty()) {
@@ -162,7 +170,7 @@
         return;
     }
     claims wanted;
-    for (const stored_job& job : jobs_away_from_home(jobs_, home_of_queue, homes_.services())) {
+    for (const stored_job& job : jobs_away_from_home(jobs_, homes, homes_.services())) {
         wanted.emplace_back(job_homes::job_key(job.id), job_home{job.service, job.shard});
     }
     const std::size_t away = wanted.size();
@@ -234,15 +242,9 @@
     if (!complete_ || placing_ || late_.empty()) {
         return;
     }
-    std::map<std::string, int> home_of_queue;
-    for (const queue_config& queue : config_->queues) {
-        if (const job_home* home = homes_.find(job_homes::key_of(queue.host, queue.path_prefix))) {
-            home_of_queue[queue.name] = home->shard;
-        }
-    }
     std::vector<stored_job> taken = std::exchange(late_, {});
     claims wanted;
-    for (const stored_job& job : jobs_away_from_home(taken, home_of_queue, homes_.services())) {
+    for (const stored_job& job : jobs_away_from_home(taken, homes_of_queues(), homes_.services())) {
         wanted.emplace_back(job_homes::job_key(job.id), job_home{job.service, job.shard});
     }
     placing_ = true;
