Count a task as done when a given-up run of it is done, and take up one that goes on

Cause: an owner that had given a run up (its lease had lapsed by the owner's count, or a list did not show it) put the task back and forgot the run. When a worker listed its end `done` later, or the earlier owner reported it, the end was logged as unknown, acknowledged, and the task started again. When a worker listed the run as still at work, it was stopped, and another run started beside it, as a stop takes up to a second.

Change: an end `done` of a run without a record ends its task, is stored, and is acknowledged after that; until it is stored it is passed to the next owner. A run that a worker lists while its task waits goes on, also if another one has been assigned and not ordered; a list that a newer one has overtaken brings nothing back. Gangs and suspects of a crash are stopped as before.

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -121,8 +121,11 @@
     std::uint64_t unanswered = 0;      // starts without an answer
     std::uint64_t worker_crashes = 0;  // with runs on the worker, and not by an order to its host
     std::uint64_t given_up = 0;        // tasks that crashed their workers
-    std::uint64_t runs_unknown = 0;    // rows of runs that workers listed and this owner stopped
+    std::uint64_t runs_unknown = 0;    // rows of runs that workers listed and no record assigned to them
     std::uint64_t ends_unknown = 0;    // ends of runs that the states of their tasks do not explain
+    std::uint64_t runs_adopted = 0;    // of runs_unknown: went on, as their tasks were waiting
+    std::uint64_t starts_held = 0;     // times that starts waited until this owner was up to date
+    std::uint64_t ends_adopted = 0;    // ends `done` of runs that had been given up, which ended their tasks
 };
 
 /// What an owner knows of a task.
@@ -297,15 +300,25 @@
     void requeue(run_entry& run, const char* reason, std::int64_t now_ms);
     void request_stop(run_entry& run, std::int64_t now_ms);
     static resources ordered_resources(const worker_state& worker);
+    bool up_to_date(std::int64_t now_ms) const;
+    void order_stored_starts(std::int64_t now_ms);
+    const char* obstacle_to_start(const run_entry& run, std::int64_t now_ms) const;
+    void report_held_starts(std::int64_t now_ms);
     void stop_task(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
                    std::int64_t now_ms);
+    void complete_task(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
+                       std::int64_t now_ms);
     void complete_gang(occurrence_entry& occurrence, std::uint32_t step, std::int64_t now_ms);
     void record_end(occurrence_entry& occurrence, const run_entry& run, end_kind kind, const char* heard,
                     std::int64_t now_ms);
-    void note_unknown_run(const worker_state& worker, const running_row& row, bool known_elsewhere,
-                          std::int64_t now_ms);
-    void note_unknown_end(const std::string& worker, const ended_row& row, const char* heard,
-                          std::int64_t now_ms);
+    bool handle_unknown_run(worker_state& worker, const running_row& row, bool known_elsewhere, bool newest,
+                            std::int64_t now_ms);
+    bool adopt_run(worker_state& worker, const running_row& row, bool newest, std::int64_t now_ms);
+    run_entry* find_unordered_run(const occurrence_entry& occurrence, std::uint32_t step,
+                                  std::uint32_t index);
+    bool adopt_end(const ended_row& row, std::int64_t now_ms);
+    void handle_unknown_end(const std::string& worker, const ended_row& row, const char* heard,
+                            std::int64_t now_ms);
 
     // Workers
     worker_state& find_or_add_worker(const std::string& id);
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -123,6 +123,7 @@
     bool poll_in_flight = false;
     std::int64_t poll_sent_ms = 0;
     std::int64_t next_poll_ms = 0;
+    std::int64_t list_sent_ms = 0;            // when the poll of the newest list that was handled was sent
     std::int64_t silent_since_ms = 0;         // since when it does not answer; 0: it answers
     order_result silence = order_result::ok;  // how the latest poll failed while it does not answer
     int refusals = 0;                         // connections that were refused in a row
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -155,13 +155,7 @@
         return;
     }
     if (kind == end_kind::done && !spec.long_running) {
-        task.phase = task_phase::done;
-        task.checkpoint.clear();
-        stop_task(occurrence, step, index, now_ms);
-        if (spec.gang) {
-            complete_gang(occurrence, step, now_ms);
-        }
-        finish_occurrence(occurrence, now_ms);
+        complete_task(occurrence, step, index, now_ms);
         return;
     }
     if (kind == end_kind::failed && !spec.long_running) {
@@ -187,6 +181,21 @@
     }
 }
 
+/// Ends a task that one of its runs has done, and stops the others. The members of a gang end together.
+void shard_core::complete_task(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
+                               std::int64_t now_ms)
+{
+    task_progress& task = occurrence.task(step, index);
+    occurrence.waiting_tasks -= task.phase == task_phase::waiting ? 1 : 0;
+    task.phase = task_phase::done;
+    task.checkpoint.clear();
+    stop_task(occurrence, step, index, now_ms);
+    if (occurrence.step(step).gang) {
+        complete_gang(occurrence, step, now_ms);
+    }
+    finish_occurrence(occurrence, now_ms);
+}
+
 void shard_core::complete_gang(occurrence_entry& occurrence, std::uint32_t step, std::int64_t now_ms)
 {
     for (std::uint32_t index = 0; index < occurrence.progress.steps[step].size(); ++index) {
--- a/src/shard/core_tasks.cpp
+++ b/src/shard/core_tasks.cpp
@@ -1,4 +1,4 @@
-/// What the owner of a shard knows of a task, and its reports on runs and ends that it does not know.
+/// What the owner of a shard knows of a task, and what it does about runs and ends that it has no record of.
 #include "shard/core_parts.hpp"
 
 #include "waxwingnotch/base/log.hpp"
@@ -111,17 +111,23 @@
     return true;
 }
 
-/// Reports a run that @p worker lists and that is stopped, because this owner has not assigned it to the
-/// worker.
+/// Handles a run that @p worker lists and that this owner has not assigned to the worker: takes it up again,
+/// or stops it.
 /// @param known_elsewhere it is assigned to another worker
-void shard_core::note_unknown_run(const worker_state& worker, const running_row& row, bool known_elsewhere,
-                                  std::int64_t now_ms)
+/// @param newest as in adopt_run()
+/// @return whether the run goes on
+bool shard_core::handle_unknown_run(worker_state& worker, const running_row& row, bool known_elsewhere,
+                                    bool newest, std::int64_t now_ms)
 {
+    const task_report known = report_task(row.task, row.run);
+    const bool adopted = !known_elsewhere && adopt_run(worker, row, newest, now_ms);
+    if (!adopted) {
+        stops_.push_back({worker.target(), {row.task, row.run, token_of(worker)}});
+    }
     ++counts_.runs_unknown;
     if (!unknown_run_lines_.take(now_ms)) {
-        return;
+        return adopted;
     }
-    const task_report known = report_task(row.task, row.run);
     log_event(log_level::warning, "run_unknown",
               {{"shard", options_.shard},
                {"epoch", options_.epoch},
@@ -134,16 +140,111 @@
                {"active_run", known.active_run},
                {"active_worker", known.active_worker},
                {"left_out", std::exchange(unknown_run_lines_.left_out, 0)},
-               {"outcome", "stopped"}});
+               {"outcome", adopted ? "goes on" : "stopped"}});
+    return adopted;
 }
 
-/// Reports an end that is not applied, unless the state of its task explains it.
+/// Takes up a run that @p worker lists and that no record assigns any more, if its task waits: an earlier
+/// owner or this one has given the run up, and another one would start beside it.
+/// @param newest whether the list is newer than all lists of the worker that were handled; an older one may
+///        contain a run that has ended since
+/// @return whether the run goes on
+bool shard_core::adopt_run(worker_state& worker, const running_row& row, bool newest, std::int64_t now_ms)
+{
+    const auto name = parse_task_name(row.task);
+    occurrence_entry* occurrence = name ? find_open(name.value()) : nullptr;
+    if (occurrence == nullptr || !newest || row.run == 0) {
+        return false;
+    }
+    const auto [step, index] = std::pair(name.value().step, name.value().index);
+    std::vector<std::vector<task_progress>>& steps = occurrence->progress.steps;
+    if (step >= steps.size() || index >= steps[step].size()) {
+        return false;
+    }
+    const step_spec& spec = occurrence->step(step);
+    task_progress& task = steps[step][index];
+    // The members of a gang have to start together, and a suspect must run isolated.
+    if (spec.gang || must_isolate(task.crashes) || occurrence->job->spec.service != worker.entry.service ||
+        !occurrence->progress.ready(spec)) {
+        return false;
+    }
+    if (task.phase == task_phase::active) {
+        run_entry* unordered = find_unordered_run(*occurrence, step, index);
+        if (unordered == nullptr) {
+            return false;
+        }
+        requeue(*unordered, "an earlier run of the task goes on", now_ms);
+    }
+    if (task.phase != task_phase::waiting) {
+        return false;
+    }
+    --occurrence->waiting_tasks;
+    task.phase = task_phase::active;
+    task.last_run = std::max(task.last_run, row.run);
+    run_entry& run = add_run(*occurrence, step, index, row.run, worker);
+    run.stage = run_stage::running;
+    run.inherited = true;
+    run.ordered_ms = now_ms;
+    run.confirmed_ms = now_ms;
+    occurrence->job->started = true;
+    mark_changed(*occurrence);
+    ++counts_.runs_adopted;
+    return true;
+}
+
+/// @return the only run of the task if its start has not been ordered yet, else null
+shard_core::run_entry* shard_core::find_unordered_run(const occurrence_entry& occurrence, std::uint32_t step,
+                                                      std::uint32_t index)
+{
+    const std::vector<active_run>& runs = occurrence.progress.steps[step][index].runs;
+    if (runs.size() != 1) {
+        return nullptr;
+    }
+    const std::string name = to_string(task_name{occurrence.job->spec.id, occurrence.number, step, index});
+    const auto found = runs_.find(name + "#" + std::to_string(runs.front().number));
+    const bool unordered = found != runs_.end() && found->second->stage == run_stage::writing;
+    return unordered ? found->second.get() : nullptr;
+}
+
+/// Counts a task as done by an end `done` of a run that no record assigns any more: the run was given up, and
+/// has ended well all the same. Otherwise the task would start again after an end that its worker is told to
+/// forget.
+/// @return whether the task was not done before
+bool shard_core::adopt_end(const ended_row& row, std::int64_t now_ms)
+{
+    const auto name = parse_task_name(row.task);
+    occurrence_entry* occurrence = name && row.kind == end_kind::done ? find_open(name.value()) : nullptr;
+    if (occurrence == nullptr) {
+        return false;
+    }
+    const auto [step, index] = std::pair(name.value().step, name.value().index);
+    std::vector<std::vector<task_progress>>& steps = occurrence->progress.steps;
+    if (step >= steps.size() || index >= steps[step].size() || occurrence->step(step).long_running) {
+        return false;
+    }
+    task_progress& task = steps[step][index];
+    if (task.phase != task_phase::waiting && task.phase != task_phase::active) {
+        return false;
+    }
+    task.last_run = std::max(task.last_run, row.run);
+    mark_changed(*occurrence);
+    complete_task(*occurrence, step, index, now_ms);
+    ++counts_.ends_adopted;
+    return true;
+}
+
+/// Handles the end of a run that no record assigns to its worker, and reports it unless the state of its task
+/// explains it.
 /// @param worker that lists the end; empty if a previous owner has read it
 /// @param heard as in record_end()
-void shard_core::note_unknown_end(const std::string& worker, const ended_row& row, const char* heard,
-                                  std::int64_t now_ms)
+void shard_core::handle_unknown_end(const std::string& worker, const ended_row& row, const char* heard,
+                                    std::int64_t now_ms)
 {
     const task_report known = report_task(row.task, row.run);
+    const bool adopted = adopt_end(row, now_ms);
+    if (adopted) {
+        unstored_ends_.push_back({.batch = batch_ + 1, .read_ms = now_ms, .row = row});
+    }
     if (!unexplained(known, row)) {
         return;
     }
@@ -164,7 +265,8 @@
                {"last_run", known.last_run},
                {"active_run", known.active_run},
                {"active_worker", known.active_worker},
-               {"left_out", std::exchange(bound.left_out, 0)}});
+               {"left_out", std::exchange(bound.left_out, 0)},
+               {"outcome", adopted ? "the task is done" : "ignored"}});
 }
 
 std::vector<ended_row> shard_core::unstored_ends() const
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -225,7 +225,7 @@
         changed = true;
         const auto found = runs_.find(row.task + "#" + std::to_string(row.run));
         if (found == runs_.end() || found->second->worker != &worker) {
-            note_unknown_end(worker.entry.id, row, "worker", now_ms);
+            handle_unknown_end(worker.entry.id, row, "worker", now_ms);
             continue;
         }
         unstored_ends_.push_back({.batch = batch_ + 1, .read_ms = now_ms, .row = row});
@@ -244,7 +244,7 @@
     for (const ended_row& row : ends) {
         const auto found = runs_.find(row.task + "#" + std::to_string(row.run));
         if (found == runs_.end()) {
-            note_unknown_end({}, row, "peer", now_ms);
+            handle_unknown_end({}, row, "peer", now_ms);
             continue;
         }
         if (row.kind == end_kind::done || row.kind == end_kind::failed) {
@@ -261,6 +261,8 @@
                                bool all_ends, std::int64_t now_ms)
 {
     std::set<std::string> present;
+    const bool newest = sent_ms > worker.list_sent_ms;
+    worker.list_sent_ms = std::max(worker.list_sent_ms, sent_ms);
     for (const running_row& row : answer.running) {
         const std::string key = row.task + "#" + std::to_string(row.run);
         present.insert(key);
@@ -269,12 +271,12 @@
             continue;
         }
         if (found == runs_.end() || found->second->worker != &worker) {
-            // Started by a previous owner or by a late order, and no longer wanted.
-            note_unknown_run(worker, row, found != runs_.end(), now_ms);
-            stops_.push_back({worker.target(), {row.task, row.run, token_of(worker)}});
-            continue;
+            // Started by a previous owner or by a late order.
+            if (!handle_unknown_run(worker, row, found != runs_.end(), newest, now_ms)) {
+                continue;
+            }
         }
-        run_entry& run = *found->second;
+        run_entry& run = *runs_.at(key);
         if (run.stage == run_stage::starting || run.stage == run_stage::unconfirmed) {
             run.stage = run_stage::running;
             run.confirmed_ms = now_ms;
--- a/tests/shard/shard_events_test.cpp
+++ b/tests/shard/shard_events_test.cpp
@@ -1,4 +1,5 @@
 /// Tests of the log events from which an operator tells which owner acted on a run, and with what knowledge.
+#include "loaded_core.hpp"
 #include "log_capture.hpp"
 #include "shard_world.hpp"
 
@@ -12,53 +13,6 @@
 namespace waxwingnotch {
 namespace {
 
-constexpr std::int64_t start_ms = 100;
-
-std::string task_of(int job)
-{
-    return id_of(job) + ".0.0.0";
-}
-
-/// A core of epoch 7 that has read one job of one task and its progress.
-class loaded_core {
-public:
-    explicit loaded_core(const task_progress& task) : core({.shard = 3, .epoch = 7})
-    {
-        core.set_config(shard_world::config());
-        for (const char* id : {"a", "b"}) {
-            core.put_worker({.id = id,
-                             .service = "svc",
-                             .address = "x:1",
-                             .rack = "r",
-                             .capacity = {4'000, 9'000, 0},
-                             .started_ms = 5},
-                            start_ms);
-        }
-        const job_spec job = shard_world::job(id_of(1), 1);
-        occurrence_progress progress = make_occurrence(job);
-        progress.steps[0][0] = task;
-        core.load_progress(id_of(1) + ".0", encode_progress(progress));
-        core.tick(start_ms, start_ms);
-        core.add_job(job, 0, start_ms);
-        core.finish_load(start_ms);
-    }
-
-    /// Lets @p worker answer a poll with these lists.
-    void answer(const std::string& worker, std::vector<running_row> running, std::vector<ended_row> ended,
-                std::int64_t now_ms)
-    {
-        core.on_poll(worker, now_ms, false,
-                     {.outcome = order_result::ok,
-                      .clock_ms = now_ms,
-                      .started_ms = 5,
-                      .running = std::move(running),
-                      .ended = std::move(ended)},
-                     now_ms);
-    }
-
-    shard_core core;
-};
-
 // A copy that was still at work when its task was done, and a run whose record is missing, were logged by the
 // same line. Only the second can make a task run twice.
 TEST(shard_events, a_missing_record_and_a_copy_of_a_done_task_are_told_apart)
--- /dev/null
+++ b/tests/shard/shard_given_up_test.cpp
@@ -0,0 +1,118 @@
+/// Tests of runs that an owner has given up, and that have ended or go on all the same.
+#include "loaded_core.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace waxwingnotch {
+namespace {
+
+task_progress given_up()
+{
+    return {.phase = task_phase::waiting, .last_run = 1};
+}
+
+task_progress assigned_to(const std::string& worker)
+{
+    return {.phase = task_phase::active, .last_run = 1, .runs = {{.number = 1, .worker = {worker, 5}}}};
+}
+
+// The owner acknowledged the end to the worker and started the task again.
+TEST(shard_given_up, a_task_does_not_start_again_after_a_worker_lists_its_end)
+{
+    loaded_core owner(given_up());
+    owner.answer("a", {}, {{1, task_of(1), 1, end_kind::done, ""}}, 110);
+    EXPECT_TRUE(owner.step(110).starts.empty());
+    EXPECT_EQ(owner.core.state_of(id_of(1)), job_state::completed);
+}
+
+// An end that the earlier owner had read and could not store was dropped, and the task started again.
+TEST(shard_given_up, a_task_does_not_start_again_after_a_peer_reports_its_end)
+{
+    loaded_core owner(given_up());
+    owner.core.report_ends({{.task = task_of(1), .run = 1, .kind = end_kind::done}}, 105);
+    owner.answer("a", {}, {}, 110);
+    EXPECT_TRUE(owner.step(110).starts.empty());
+    EXPECT_EQ(owner.core.state_of(id_of(1)), job_state::completed);
+}
+
+// The end of the first run was acknowledged while a second run, whose start had not been ordered, went ahead.
+TEST(shard_given_up, a_second_run_is_not_ordered_once_the_first_has_ended)
+{
+    loaded_core owner(given_up());
+    owner.answer("b", {}, {}, 110);
+    const shard_effects assigned = owner.core.take_effects(110);
+    ASSERT_NE(assigned.batch, 0U);
+    owner.answer("a", {}, {{1, task_of(1), 1, end_kind::done, ""}}, 112);
+    owner.core.on_stored(assigned.batch, 114);
+    EXPECT_TRUE(owner.step(114).starts.empty());
+    EXPECT_EQ(owner.core.state_of(id_of(1)), job_state::completed);
+}
+
+// The owner forgot the end with its own failure: it was neither stored nor passed on.
+TEST(shard_given_up, the_end_is_passed_to_the_next_owner_until_it_is_stored)
+{
+    loaded_core owner(given_up());
+    owner.answer("a", {}, {{1, task_of(1), 1, end_kind::done, ""}}, 110);
+    EXPECT_EQ(owner.core.unstored_ends().size(), 1U);
+    owner.step(110);
+    EXPECT_TRUE(owner.core.unstored_ends().empty());
+}
+
+// A run that failed is counted by the record; only one that is done ends the task.
+TEST(shard_given_up, an_end_that_is_not_done_leaves_the_task_waiting)
+{
+    loaded_core owner(given_up());
+    owner.answer("a", {}, {{1, task_of(1), 1, end_kind::stopped, ""}}, 110);
+    EXPECT_EQ(owner.step(110).starts.size(), 1U);
+}
+
+// The owner stopped the run and started the task beside it, as a stop takes up to a second.
+TEST(shard_given_up, a_run_that_goes_on_is_taken_up_again)
+{
+    loaded_core owner(given_up());
+    owner.answer("a", {{.task = task_of(1), .run = 1}}, {}, 110);
+    const shard_effects effects = owner.step(110);
+    EXPECT_TRUE(effects.starts.empty());
+    EXPECT_TRUE(effects.stops.empty());
+    owner.answer("a", {}, {{1, task_of(1), 1, end_kind::done, ""}}, 150);
+    owner.step(150);
+    EXPECT_EQ(owner.core.state_of(id_of(1)), job_state::completed);
+}
+
+// The first list of a worker arrived between the assignment of a second run and the order to start it.
+TEST(shard_given_up, a_run_that_goes_on_replaces_one_that_was_not_ordered_yet)
+{
+    loaded_core owner(given_up());
+    owner.answer("b", {}, {}, 110);
+    const shard_effects assigned = owner.core.take_effects(110);
+    ASSERT_NE(assigned.batch, 0U);
+    owner.answer("a", {{.task = task_of(1), .run = 1}}, {}, 112);
+    owner.core.on_stored(assigned.batch, 114);
+    const shard_effects effects = owner.step(114);
+    EXPECT_TRUE(effects.starts.empty());
+    EXPECT_TRUE(effects.stops.empty());
+}
+
+// A list that a newer one has overtaken still shows runs that have ended since.
+TEST(shard_given_up, an_older_list_brings_no_run_back)
+{
+    loaded_core owner(assigned_to("a"));
+    owner.answer("a", {}, {{1, task_of(1), 1, end_kind::failed, ""}}, 110);
+    owner.answer("a", {{.task = task_of(1), .run = 1}}, {}, 105);
+    EXPECT_EQ(owner.core.runs(), 0U);
+    EXPECT_EQ(owner.core.counts().runs_unknown, 1U);
+}
+
+// A cancelled job would have gone on.
+TEST(shard_given_up, a_run_of_a_cancelled_job_is_stopped)
+{
+    loaded_core owner(given_up());
+    owner.core.cancel_job(id_of(1), 105);
+    owner.answer("a", {{.task = task_of(1), .run = 1}}, {}, 110);
+    EXPECT_EQ(owner.step(110).stops.size(), 1U);
+}
+
+}  // namespace
+}  // namespace waxwingnotch
