Stop an inherited run that its worker does not list before its task starts again

Callers saw a task run on two workers at once, by two nodes.

Cause: a new owner that did not find a run of the earlier owner in a worker's list took it for gone and started the task elsewhere. In the same way a stop that a worker had confirmed for a run without an answer was relied on after the worker had started again and forgotten it.

Evidence: by reading, with the record of the users (two owners, the second run ordered 2.0 to 2.9 s after the first, which fits a take-over); not reproduced with real processes.

Change: the run is stopped first, and its task starts again once a list that was asked for after the confirmed stop does not show it, as for runs whose start got no answer: a worker rejects a run that it was told to stop. The stop is repeated for the next life of a worker. Costs one call and some 20 ms for each inherited run that is not listed.

Result: a_start_that_is_still_under_way_is_stopped_before_the_task_starts_again and a_stop_is_repeated_for_the_next_life_of_the_worker fail before and pass now.

--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -149,7 +149,12 @@
     worker.synced = false;
     worker.next_poll_ms = now_ms;
     // Its runs stay until a list that is requested with this owner's token does not contain them. Before
-    // that, an order of a previous owner may still reach the new incarnation.
+    // that, an order of a previous owner may still reach the new incarnation, which knows nothing of stops
+    // that the old one has confirmed.
+    for (run_entry* run : worker.runs) {
+        run->stop_sent_ms = 0;
+        run->stop_confirmed_ms = 0;
+    }
 }
 
 void shard_core::on_poll(const std::string& worker_id, std::int64_t sent_ms, bool extra,
@@ -304,9 +309,15 @@
             continue;
         }
         // A poll of the same millisecond may have been sent before the confirmation arrived.
-        const bool gone = (run->confirmed_ms > 0 && run->confirmed_ms < sent_ms) ||
-                          (run->stop_confirmed_ms > 0 && run->stop_confirmed_ms < sent_ms);
-        if (gone) {
+        const bool missing = run->confirmed_ms > 0 && run->confirmed_ms < sent_ms;
+        const bool stopped = run->stop_confirmed_ms > 0 && run->stop_confirmed_ms < sent_ms;
+        // The start by an earlier owner may still be under way, and a worker that has started again does not
+        // know the token that would reject it. A worker that has confirmed a stop rejects the run for good.
+        if (missing && !stopped && run->inherited && !run->listed) {
+            request_stop(*run, now_ms);
+            continue;
+        }
+        if (missing || stopped) {
             ++counts_.lost;
             requeue(*run, "the worker does not list the run", now_ms);
         }
--- a/tests/shard/shard_given_up_test.cpp
+++ b/tests/shard/shard_given_up_test.cpp
@@ -114,5 +114,38 @@
     EXPECT_EQ(owner.step(110).stops.size(), 1U);
 }
 
+// The start by the earlier owner was under way while the worker answered the first poll, and the worker had
+// started again and did not know the token that rejects it. The task ran on two workers.
+TEST(shard_given_up, a_start_that_is_still_under_way_is_stopped_before_the_task_starts_again)
+{
+    loaded_core owner(assigned_to("a"));
+    owner.answer("b", {}, {}, 108);
+    owner.answer("a", {}, {}, 110);
+    const shard_effects first = owner.step(110);
+    EXPECT_TRUE(first.starts.empty());
+    ASSERT_EQ(first.stops.size(), 1U);
+    EXPECT_EQ(first.stops[0].order.run, 1U);
+    owner.core.on_stop("a", first.stops[0].order, {.outcome = order_result::ok}, 112);
+    EXPECT_TRUE(owner.step(112).starts.empty());
+    owner.answer("a", {}, {}, 113);
+    EXPECT_EQ(owner.step(113).starts.size(), 1U);
+}
+
+// The stop that the worker had confirmed was forgotten with its process, and the start arrived afterwards.
+TEST(shard_given_up, a_stop_is_repeated_for_the_next_life_of_the_worker)
+{
+    loaded_core owner(assigned_to("a"));
+    owner.answer("a", {}, {}, 110);
+    const shard_effects first = owner.step(110);
+    ASSERT_EQ(first.stops.size(), 1U);
+    owner.core.on_stop("a", first.stops[0].order, {.outcome = order_result::ok}, 112);
+    constexpr std::int64_t next_life_ms = 900;
+    owner.answer("a", {}, {}, 1'000, next_life_ms);
+    owner.core.tick(1'050, 1'050);
+    const shard_effects second = owner.step(1'050);
+    EXPECT_TRUE(second.starts.empty());
+    EXPECT_EQ(second.stops.size(), 1U);
+}
+
 }  // namespace
 }  // namespace waxwingnotch
