Start nothing on a worker that has begun to drain, nor on knowledge that is too old

Cause: an assignment was ordered when its append was answered, however long that had taken, without another look at whether the worker drains or is closed. And nothing bounded the age of the registrations and cancels that a start rests on: a process that was held up handles a stored append before the records that it has missed.

Evidence: by reading; the first two tests of shard_staleness_test fail on the code before. That the users met this is suspected, not shown.

Change: starts wait while the registrations are older than drainMs, or the jobs and cancels older than cancel_ms, less the time after which an unanswered order is stopped. Nothing is assigned meanwhile. While the store itself fails the reads, starts go on as before. A stored start for a worker that drains or is closed is not sent. Log line starts_held; metrics starts_held, registrations_age_ms, jobs_age_ms, runs_adopted, ends_adopted.

--- a/include/waxwingnotch/node/settings.hpp
+++ b/include/waxwingnotch/node/settings.hpp
@@ -26,6 +26,8 @@
     std::int64_t min_ttl_ms = 1'000;         // shortest group membership TTL that the store allows
     std::int64_t max_lease_ms = 10'000;      // longest lease that a worker accepts
     std::int64_t drain_grace_ms = 6'000;     // from SIGTERM to SIGKILL
+    std::int64_t worker_drain_ms = 2'000;    // a worker that leaves gets no work this long after its report
+    std::int64_t cancel_ms = 3'000;          // a cancelled job starts nothing this long after its cancel
     std::int64_t takeover_pause_ms = 3'000;  // between orders of two holders of the host duty for one host
     std::int64_t maintenance_ms = 2'000;     // duration of one host's maintenance
     std::int64_t status_retention_ms = 120'000;  // how long the state of an ended job stays readable
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -49,6 +49,10 @@
     // Tasks of the open occurrences of one job, unless one occurrence alone has more. Without a limit, a
     // short submission whose repeats are all due at once takes the memory of every node that owns its shard.
     std::uint64_t max_open_tasks = 2 * max_tasks;
+    // Starts wait while this owner's knowledge of the workers' registrations, or of the jobs and cancels, is
+    // older than this. 0: no limit.
+    std::int64_t max_registrations_age_ms = 0;
+    std::int64_t max_jobs_age_ms = 0;
 };
 
 /// Orders to workers.
@@ -206,6 +210,9 @@
     void on_forward_checked(const std::string& id, std::optional<bool> known, std::int64_t now_ms);
     /// The writes of @p batch and of all batches before it are in the store.
     void on_stored(std::uint64_t batch, std::int64_t now_ms);
+    /// Tells up to when this owner knows the registrations of the workers, and the jobs and cancels. Until
+    /// the first call it counts as up to date.
+    void set_known_until(std::int64_t registrations_ms, std::int64_t jobs_ms);
     /// Applies ends that a previous owner has read and could not store. Ignores runs that are not active.
     /// @return the number of ends that were applied
     std::size_t report_ends(const std::vector<ended_row>& ends, std::int64_t now_ms);
@@ -459,6 +466,12 @@
     bool fenced_ = false;
     bool schedule_needed_ = false;
     bool copies_needed_ = false;
+    struct known_until {
+        std::int64_t registrations_ms = 0;
+        std::int64_t jobs_ms = 0;
+    };
+    std::optional<known_until> known_until_;
+    std::int64_t last_held_report_ms_ = 0;
     std::int64_t wall_offset_ms_ = 0;  // time of day minus steady time
     std::int64_t loaded_ms_ = 0;
     std::int64_t last_forget_ms_ = 0;
--- a/include/waxwingnotch/shard/shard_owner.hpp
+++ b/include/waxwingnotch/shard/shard_owner.hpp
@@ -45,6 +45,9 @@
         /// Receives each job that an earlier version has stored, which did not know the homes of paths.
         /// Empty: not of interest.
         std::function<void(const stored_job& job)> found_without_home;
+        /// Tells up to when the registrations of the workers are known, in monotonic time; the present while
+        /// the store does not answer. Empty: they count as up to date.
+        std::function<std::int64_t()> registrations_until;
     };
 
     /// @param lost called once, when another owner has replaced this one
@@ -87,6 +90,7 @@
     void on_job_record(const keyed_record& record);
     void on_job_deleted(const keyed_record& record);
     void finish_load();
+    void update_known_until();
     void pump();       // executes the pending effects of the core
     void pump_soon();  // calls pump() from the loop, at most once per 4 ms
     void execute(shard_effects& effects);
--- a/include/waxwingnotch/store/keyed_follower.hpp
+++ b/include/waxwingnotch/store/keyed_follower.hpp
@@ -40,6 +40,10 @@
     void start();
     /// @return monotonic time in ms; all records that the store held then have been handled. 0: none yet
     std::int64_t complete_until_ms() const { return complete_until_ms_; }
+    /// @return whether the store has failed the latest call, so that the age of what is known is not the
+    /// delay of
+    ///         this process
+    bool failing() const { return failing_; }
     /// @return the offset of the next read; after a load, all records before it have been handled
     std::int64_t next_offset() const { return next_offset_; }
     /// @return the offset that the partition is known to reach: the highest end of an answer so far
@@ -62,6 +66,7 @@
     std::int64_t next_offset_ = 0;
     std::int64_t end_offset_;
     bool stale_logged_ = false;
+    bool failing_ = false;
     std::int64_t complete_until_ms_ = 0;
     std::int64_t read_sent_ms_ = 0;      // of the read in flight
     std::set<std::string> live_keys_;    // keys that have a value
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -30,6 +30,9 @@
 constexpr std::int64_t registry_poll_ms = 250;
 // Longer than a takeover, shorter than the time until a silent worker is unregistered.
 constexpr std::int64_t worker_lease_ms = 4'000;
+// An order without an answer is followed by a stop after this time, so a task starts no later than this after
+// its order. What an owner knows must be younger than the bound for starts by that much.
+constexpr std::int64_t order_margin_ms = 400;
 constexpr std::int64_t min_drain_ms = 1'500;  // open connections are served for at least this long
 constexpr std::int64_t kill_margin_ms = 700;  // the process ends this long before the platform kills it
 constexpr std::int64_t drain_check_ms = 100;
@@ -52,6 +55,14 @@
     return sha256_hex(names).substr(0, digits);
 }
 
+/// @return how old an owner's knowledge may be at a start, if something must start nothing @p bound_ms after
+/// it was
+///         stored
+std::int64_t age_limit_ms(std::int64_t bound_ms)
+{
+    return std::max(bound_ms - order_margin_ms, order_margin_ms);
+}
+
 /// Why a node ended.
 struct node_end {
     const char* reason;
@@ -139,6 +150,10 @@
             state_.group->release(shard);
         }
     };
+    state_.registrations_until = [this] {
+        const bool known = registry_follower_ && !registry_follower_->failing();
+        return known ? registry_follower_->complete_until_ms() : monotonic_ms();
+    };
     const build_info build = program_build();
     state_.counters.add_info("waxwingnotch_build_info", "What the program was built from",
                              {{"version", build.version}, {"sources", build.sources}});
@@ -371,7 +386,9 @@
     shard_options options{.shard = shard,
                           .epoch = epoch,
                           .lease_ms = std::min(worker_lease_ms, state_.settings.max_lease_ms),
-                          .ended_job_retention_ms = 2 * state_.settings.status_retention_ms};
+                          .ended_job_retention_ms = 2 * state_.settings.status_retention_ms,
+                          .max_registrations_age_ms = age_limit_ms(state_.settings.worker_drain_ms),
+                          .max_jobs_age_ms = age_limit_ms(state_.settings.cancel_ms)};
     auto owner = std::make_unique<shard_owner>(
         shard_owner::parts{
             &state_.loop, state_.store.get(), state_.workers.get(), state_.advice.get(),
@@ -386,9 +403,7 @@
             [this](int other, const std::string& id, std::function<void(std::optional<bool>)> done) {
                 ask_for_job(other, id, std::move(done));
             },
-            [this](const stored_job& job) {
-                state_.upgrade->add_late(job);
-            }},
+            [this](const stored_job& job) { state_.upgrade->add_late(job); }, state_.registrations_until},
         shard, options, [this, shard, epoch] { state_.release_shard(shard, epoch + 1); });
     if (state_.config) {
         configure_shard(shard, *owner);
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -1,9 +1,11 @@
 /// Gauges of a node; its counters are updated where they count.
 #include "node/node_state.hpp"
 
+#include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/process.hpp"
 #include "waxwingnotch/base/rejected_input.hpp"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -21,6 +23,11 @@
     std::int64_t given_up = 0;
     std::int64_t runs_unknown = 0;
     std::int64_t ends_unknown = 0;
+    std::int64_t runs_adopted = 0;
+    std::int64_t ends_adopted = 0;
+    std::int64_t starts_held = 0;
+    std::int64_t jobs_age_ms = 0;
+    const std::int64_t now = monotonic_ms();
     std::array<std::int64_t, wait_reason_count> waiting{};
     for (const auto& [shard, owner] : node.shards) {
         for (std::size_t reason = 0; reason < waiting.size(); ++reason) {
@@ -33,6 +40,10 @@
         given_up += static_cast<std::int64_t>(owner->core().counts().given_up);
         runs_unknown += static_cast<std::int64_t>(owner->core().counts().runs_unknown);
         ends_unknown += static_cast<std::int64_t>(owner->core().counts().ends_unknown);
+        runs_adopted += static_cast<std::int64_t>(owner->core().counts().runs_adopted);
+        ends_adopted += static_cast<std::int64_t>(owner->core().counts().ends_adopted);
+        starts_held += static_cast<std::int64_t>(owner->core().counts().starts_held);
+        jobs_age_ms = std::max(jobs_age_ms, owner->loaded() ? now - owner->complete_until_ms() : 0);
     }
     set("shards_owned", "Shards that this node owns", static_cast<std::int64_t>(node.shards.size()));
     set("jobs_known", "Jobs in the shards of this node", jobs);
@@ -42,8 +53,17 @@
     set("worker_crashes", "Workers that crashed with runs on them since this node took their shards over",
         worker_crashes);
     set("tasks_given_up", "Tasks given up because they crash their workers, since the same time", given_up);
-    set("runs_unknown", "Runs that workers listed, this node did not know and stopped, since the same time",
+    set("runs_unknown", "Runs that workers listed and no record assigned to them, since the same time",
         runs_unknown);
+    set("runs_adopted", "Of these, runs that went on as their tasks waited, since the same time",
+        runs_adopted);
+    set("ends_adopted", "Ends of given-up runs that ended their tasks, since the same time", ends_adopted);
+    set("starts_held", "Times that starts waited for newer registrations or jobs, since the same time",
+        starts_held);
+    set("registrations_age_ms", "Age of what this node knows of the workers' registrations",
+        now - node.registrations_until());
+    set("jobs_age_ms", "Greatest age of what an owner of this node knows of the jobs of its shard",
+        jobs_age_ms);
     set("ends_unknown",
         "Ends that workers listed of runs that this node has no record of, since the same time",
         ends_unknown);
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -57,6 +57,9 @@
     std::unique_ptr<shard_group> group;
     bool stopping = false;
 
+    /// Tells up to when the registrations of the workers are known, in monotonic time; the present while the
+    /// store does not answer, or if this node does not follow them.
+    std::function<std::int64_t()> registrations_until;
     /// Releases a shard if this node owns it with an epoch below @p epoch.
     std::function<void(int shard, std::int64_t epoch)> release_shard;
     /// Ends of runs that this node received as owner of a shard and could not store before it lost the shard.
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -286,8 +286,72 @@
         }
     }
     std::erase_if(unstored_ends_, [&](const unstored_end& end) { return end.batch <= batch; });
+    order_stored_starts(now_ms);
+}
+
+void shard_core::set_known_until(std::int64_t registrations_ms, std::int64_t jobs_ms)
+{
+    known_until_ = known_until{.registrations_ms = registrations_ms, .jobs_ms = jobs_ms};
+}
+
+/// Whether this owner knows the state of the workers and the cancels well enough to start tasks.
+bool shard_core::up_to_date(std::int64_t now_ms) const
+{
+    const auto within = [now_ms](std::int64_t until_ms, std::int64_t limit_ms) {
+        return limit_ms == 0 || now_ms - until_ms <= limit_ms;
+    };
+    return !known_until_ || (within(known_until_->registrations_ms, options_.max_registrations_age_ms) &&
+                             within(known_until_->jobs_ms, options_.max_jobs_age_ms));
+}
+
+/// Says, once a second at most, that starts wait until this owner is up to date.
+void shard_core::report_held_starts(std::int64_t now_ms)
+{
+    constexpr std::int64_t report_interval_ms = 1'000;
+    ++counts_.starts_held;
+    if (now_ms - last_held_report_ms_ < report_interval_ms) {
+        return;
+    }
+    last_held_report_ms_ = now_ms;
+    log_event(log_level::warning, "starts_held",
+              {{"shard", options_.shard},
+               {"epoch", options_.epoch},
+               {"registrations_age_ms", now_ms - known_until_->registrations_ms},
+               {"jobs_age_ms", now_ms - known_until_->jobs_ms},
+               {"batches", writing_.size()}});
+}
+
+/// @return why the start of a stored assignment must not be ordered any more, or null
+const char* shard_core::obstacle_to_start(const run_entry& run, std::int64_t now_ms) const
+{
+    const worker_state& worker = *run.worker;
+    if (run.stopping) {
+        return "stopped before the start order was sent";
+    }
+    if (!worker.registered || worker.clock_ms < 0) {
+        return "the worker left before the start order was sent";
+    }
+    if (worker.entry.draining || worker.closed_until_ms > now_ms) {
+        return "the worker was closed before the start order was sent";
+    }
+    if (!fits(run.occurrence->step(run.step), worker.entry.capacity - ordered_resources(worker))) {
+        return "the worker lost the room before the start order was sent";
+    }
+    return nullptr;
+}
+
+/// Orders the starts whose assignments are stored, unless this owner is not up to date; then they wait.
+void shard_core::order_stored_starts(std::int64_t now_ms)
+{
+    if (writing_.empty() || writing_.begin()->first > stored_batch_) {
+        return;
+    }
+    if (!up_to_date(now_ms)) {
+        report_held_starts(now_ms);
+        return;
+    }
     std::vector<std::string> ready;
-    while (!writing_.empty() && writing_.begin()->first <= batch) {
+    while (!writing_.empty() && writing_.begin()->first <= stored_batch_) {
         std::vector<std::string>& keys = writing_.begin()->second;
         ready.insert(ready.end(), std::make_move_iterator(keys.begin()), std::make_move_iterator(keys.end()));
         writing_.erase(writing_.begin());
@@ -299,16 +363,8 @@
         }
         run_entry* run = found->second.get();
         worker_state& worker = *run->worker;
-        if (run->stopping) {
-            requeue(*run, "stopped before the start order was sent", now_ms);
-            continue;
-        }
-        if (!worker.registered || worker.clock_ms < 0) {
-            requeue(*run, "the worker left before the start order was sent", now_ms);
-            continue;
-        }
-        if (!fits(run->occurrence->step(run->step), worker.entry.capacity - ordered_resources(worker))) {
-            requeue(*run, "the worker lost the room before the start order was sent", now_ms);
+        if (const char* obstacle = obstacle_to_start(*run, now_ms)) {
+            requeue(*run, obstacle, now_ms);
             continue;
         }
         run->stage = run_stage::starting;
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -399,11 +399,12 @@
     if (fenced_ || !loaded_) {
         return out;
     }
-    if (schedule_needed_) {
+    const bool may_start = up_to_date(now_ms);
+    if (schedule_needed_ && may_start) {
         schedule_needed_ = false;
         schedule(now_ms);
     }
-    if (copies_needed_) {
+    if (copies_needed_ && may_start) {
         copies_needed_ = false;
         schedule_copies(now_ms);
     }
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -415,6 +415,7 @@
             evacuate(*worker, now_ms);
         }
     }
+    order_stored_starts(now_ms);
     check_awaited_proofs(now_ms);
     forget_ended_jobs(now_ms);
     report_waiting_tasks(now_ms);
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -315,12 +315,26 @@
     });
 }
 
+/// Passes the age of the owner's knowledge to the core, which starts nothing while that is too old. While the
+/// store fails the reads, starts go on: others may be unable to write there as well.
+void shard_owner::update_known_until()
+{
+    if (!parts_.registrations_until || !jobs_follower_) {
+        return;
+    }
+    // The load has read all that was stored when the take-over began.
+    const std::int64_t read_until_ms = std::max(jobs_follower_->complete_until_ms(), started_ms_);
+    core_.set_known_until(parts_.registrations_until(),
+                          jobs_follower_->failing() ? monotonic_ms() : read_until_ms);
+}
+
 void shard_owner::pump()
 {
     if (ended_) {
         return;
     }
     last_pump_ms_ = monotonic_ms();
+    update_known_until();
     if (core_.fenced()) {
         end_ownership("a worker has seen the token of a newer owner");
         return;
@@ -336,6 +350,7 @@
     }
     if (effects.batch != 0) {
         journal_.when_stored([this, batch = effects.batch] {
+            update_known_until();
             core_.on_stored(batch, monotonic_ms());
             pump_soon();
         });
--- a/src/store/keyed_follower.cpp
+++ b/src/store/keyed_follower.cpp
@@ -37,7 +37,8 @@
                            if (!*alive) {
                                return;
                            }
-                           if (page.status != store_status::ok || stale(page.end_offset)) {
+                           failing_ = page.status != store_status::ok;
+                           if (failing_ || stale(page.end_offset)) {
                                delay_timer_ = loop_.after(retry_ms, [this, after] { load_page(after); });
                                return;
                            }
@@ -146,7 +147,8 @@
         start();
         return;
     }
-    if (read.status != store_status::ok || stale(read.end_offset)) {
+    failing_ = read.status != store_status::ok;
+    if (failing_ || stale(read.end_offset)) {
         schedule_read(retry_ms);
         return;
     }
--- /dev/null
+++ b/tests/shard/shard_staleness_test.cpp
@@ -0,0 +1,85 @@
+/// Tests of starts that rest on knowledge of the workers and jobs that is no longer current.
+#include "loaded_core.hpp"
+
+#include <gtest/gtest.h>
+
+namespace waxwingnotch {
+namespace {
+
+constexpr shard_options limited{
+    .shard = 3, .epoch = 7, .max_registrations_age_ms = 1'600, .max_jobs_age_ms = 2'600};
+
+/// Lets a worker answer and the task be assigned to it. @return the batch to store
+std::uint64_t assign(loaded_core& owner, std::int64_t now_ms)
+{
+    owner.answer("a", {}, {}, now_ms);
+    return owner.core.take_effects(now_ms).batch;
+}
+
+// An append that took seconds was followed by the start at once, though the worker had begun to drain
+// meanwhile.
+TEST(shard_staleness, a_worker_that_drains_gets_no_start_that_was_stored_before)
+{
+    loaded_core owner({});
+    const std::uint64_t batch = assign(owner, 110);
+    ASSERT_NE(batch, 0U);
+    worker_entry entry = loaded_core::entry("a");
+    entry.draining = true;
+    owner.core.put_worker(entry, 500);
+    owner.core.on_stored(batch, 4'000);
+    EXPECT_TRUE(owner.step(4'000).starts.empty());
+}
+
+// The same for a worker whose host is about to be maintained.
+TEST(shard_staleness, a_closed_worker_gets_no_start_that_was_stored_before)
+{
+    loaded_core owner({});
+    const std::uint64_t batch = assign(owner, 110);
+    owner.core.drain_worker("a", 9'000, 500);
+    owner.core.on_stored(batch, 4'000);
+    EXPECT_TRUE(owner.step(4'000).starts.empty());
+}
+
+// A process that was held up for seconds handled the stored append before the registrations that it had
+// missed.
+TEST(shard_staleness, stored_starts_wait_until_the_registrations_are_known)
+{
+    loaded_core owner({}, limited);
+    owner.core.set_known_until(100, 100);
+    const std::uint64_t batch = assign(owner, 110);
+    ASSERT_NE(batch, 0U);
+    owner.core.on_stored(batch, 1'800);
+    EXPECT_TRUE(owner.step(1'800).starts.empty());
+    EXPECT_EQ(owner.core.counts().starts_held, 1U);
+    owner.core.set_known_until(1'790, 1'790);
+    owner.core.tick(1'810, 1'810);
+    EXPECT_EQ(owner.step(1'810).starts.size(), 1U);
+}
+
+// The same for cancels: a job that had been cancelled seconds before was started.
+TEST(shard_staleness, stored_starts_wait_until_the_cancels_are_known)
+{
+    loaded_core owner({}, limited);
+    owner.core.set_known_until(100, 100);
+    const std::uint64_t batch = assign(owner, 110);
+    owner.core.set_known_until(2'790, 100);
+    owner.core.on_stored(batch, 2'800);
+    EXPECT_TRUE(owner.step(2'800).starts.empty());
+    owner.core.cancel_job(id_of(1), 2'805);
+    owner.core.set_known_until(2'790, 2'790);
+    owner.core.tick(2'810, 2'810);
+    EXPECT_TRUE(owner.step(2'810).starts.empty());
+}
+
+// A new assignment would only wait in the store.
+TEST(shard_staleness, nothing_is_assigned_while_the_registrations_are_old)
+{
+    loaded_core owner({}, limited);
+    owner.core.set_known_until(100, 5'000);
+    EXPECT_EQ(assign(owner, 5'000), 0U);
+    owner.core.set_known_until(5'000, 5'000);
+    EXPECT_NE(assign(owner, 5'001), 0U);
+}
+
+}  // namespace
+}  // namespace waxwingnotch
