Claim a shard in the store, so that two owners of one epoch cannot both run it

The epoch of an owner follows from the generation of the group. The store answered the appends of the second as repeats of the first one's, and the check of the offsets lets them pass while both batches have as many records: both took their assignments for stored, and the workers obeyed both.

The append that registers the epoch now carries a claim (key `~claim`: address and 128 random bits) and a random sequence number, so the store refuses the second one (409 `seq`) before it has read anything. The load, which reads the records of owners anyway, ends the ownership if the newest claim is another owner's. The calls of a takeover are as many as before. `shard_takeover` and `shard_lost` name the claim.

--- a/include/waxwingnotch/shard/shard_owner.hpp
+++ b/include/waxwingnotch/shard/shard_owner.hpp
@@ -21,8 +21,13 @@
 constexpr const char* jobs_topic = "keyed.jobs";
 // Progress by job and occurrence, decisions about rerouted jobs by id and suffix; fenced by the epoch.
 constexpr const char* runs_topic = "keyed.runs";
-constexpr const char* owner_key = "~owner";  // in runs_topic: address of the owner
-constexpr char cancel_key_suffix = '!';      // last character of a cancellation's key
+// In runs_topic: address of the last owner that has finished its load, for the next one.
+constexpr const char* owner_key = "~owner";
+// In runs_topic: address and identity of the owner that has registered the newest epoch. A key of its own,
+// since earlier versions send requests to the whole value of `owner_key`; they take this record for progress
+// without a job and delete it after 30 s.
+constexpr const char* claim_key = "~claim";
+constexpr char cancel_key_suffix = '!';  // last character of a cancellation's key
 
 class shard_owner {
 public:
@@ -55,7 +60,8 @@
     shard_owner(shard_owner&&) = delete;
     shard_owner& operator=(shard_owner&&) = delete;
 
-    /// Fences previous owners, then reads the shard's records up to what the store held by then at least.
+    /// Fences previous owners and claims the shard by one append, then reads the shard's records up to what
+    /// the store held by then at least. The ownership ends if the newest claim is another owner's.
     void start();
     bool loaded() const { return core_.loaded(); }
     int partition() const { return partition_; }
@@ -99,6 +105,7 @@
     parts parts_;
     int partition_;
     shard_options options_;
+    std::string claim_;  // value of this owner's record `claim_key`; no other ownership has the same
     std::function<void()> on_lost_;
     shard_core core_;
     journal journal_;
@@ -113,6 +120,7 @@
     bool ended_ = false;
     std::int64_t last_pump_ms_ = 0;
     std::int64_t started_ms_ = 0;
+    std::string newest_claim_;    // as read from the store
     std::string previous_owner_;  // address; empty: none
     timer tick_;
     timer pump_timer_;
--- a/include/waxwingnotch/store/journal.hpp
+++ b/include/waxwingnotch/store/journal.hpp
@@ -28,6 +28,12 @@
         bool sole_writer = true;
         // Shortest time between two appends; keeps the writer below the store's rate limit.
         std::int64_t min_append_interval_ms = 8;
+        // Record that the append which registers the epoch carries. With a claim, the sequence numbers begin
+        // at a random one, so that the store refuses a second writer with this epoch. Without one they begin
+        // at 0: the protocol does not say which number follows an append without records. Empty key: no
+        // claim.
+        std::string claim_key;
+        std::string claim_value;
         // Record that is written when an action is pending and no value is.
         std::string probe_key = "~owner";
         std::string probe_value = "-";
@@ -43,7 +49,8 @@
     journal(journal&&) = delete;
     journal& operator=(journal&&) = delete;
 
-    /// Registers the epoch with the store, which fences all earlier owners.
+    /// Registers the epoch with the store, which fences all earlier owners, and stores the claim if there is
+    /// one.
     /// @param done runs once the store has accepted the epoch
     void open(std::function<void()> done);
     /// Queues a value to be written.
@@ -53,7 +60,7 @@
     /// written first, which confirms that this writer is not fenced.
     void when_stored(std::function<void()> action);
     /// @return the offset behind the newest record that this writer knows of: of its latest append, or what
-    ///         the store held when it accepted the epoch; -1 before that
+    ///         the store held when it accepted the epoch, with the claim; -1 before that
     std::int64_t end_offset() const { return end_offset_; }
     /// Monotonic time in ms at which the pending append first failed; 0: no append is failing.
     std::int64_t stalled_since_ms() const { return stalled_since_ms_; }
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -4,6 +4,7 @@
 #include "waxwingnotch/base/log.hpp"
 
 #include <algorithm>
+#include <random>
 
 namespace waxwingnotch {
 
@@ -17,18 +18,35 @@
 // to 1 s, so the age reaches 2 s in normal operation.
 constexpr std::int64_t max_jobs_age_ms = 3'000;
 
+/// @return 128 random bits as 32 hexadecimal digits
+std::string random_identity()
+{
+    constexpr std::size_t length = 32;
+    std::random_device source;
+    std::uniform_int_distribution<std::size_t> digit(0, 15);
+    std::string identity;
+    while (identity.size() < length) {
+        identity += "0123456789abcdef"[digit(source)];
+    }
+    return identity;
+}
+
 }  // namespace
 
 shard_owner::shard_owner(parts parts, int partition, shard_options options, std::function<void()> lost)
-    : parts_(std::move(parts)), partition_(partition), options_(options), on_lost_(std::move(lost)),
-      core_(options), journal_(*parts_.loop, *parts_.store,
-                               {.topic = runs_topic,
-                                .partition = partition,
-                                .writer = "owner",
-                                .epoch = options.epoch,
-                                .probe_key = owner_key,
-                                .probe_value = parts_.address.empty() ? "-" : parts_.address},
-                               [this] { end_ownership("another owner has written to the shard"); }),
+    : parts_(std::move(parts)), partition_(partition), options_(options),
+      claim_((parts_.address.empty() ? "-" : parts_.address) + " " + random_identity()),
+      on_lost_(std::move(lost)), core_(options),
+      journal_(*parts_.loop, *parts_.store,
+               {.topic = runs_topic,
+                .partition = partition,
+                .writer = "owner",
+                .epoch = options.epoch,
+                .claim_key = claim_key,
+                .claim_value = claim_,
+                .probe_key = owner_key,
+                .probe_value = parts_.address.empty() ? "-" : parts_.address},
+               [this] { end_ownership("another owner has written to the shard"); }),
       deletions_(*parts_.loop, *parts_.store,
                  {.topic = jobs_topic,
                   .partition = partition,
@@ -103,6 +121,10 @@
                                              previous_owner_ = *record.value;
                                              return;
                                          }
+                                         if (record.key == claim_key) {
+                                             newest_claim_ = *record.value;
+                                             return;
+                                         }
                                          core_.load_progress(record.key, *record.value);
                                      },
                                  .after_read =
@@ -110,6 +132,10 @@
                                          if (runs_loaded_) {
                                              return;
                                          }
+                                         if (newest_claim_ != claim_) {
+                                             end_ownership("the newest claim is another owner's");
+                                             return;
+                                         }
                                          if (runs_follower_->end_offset() != journal_.end_offset()) {
                                              end_ownership("another owner has written to the shard");
                                              return;
@@ -137,6 +163,8 @@
     log_event(log_level::info, "shard_takeover",
               {{"shard", partition_},
                {"epoch", options_.epoch},
+               {"claim", claim_},
+               {"previous_owner", previous_owner_},
                {"jobs", core_.jobs()},
                {"ms", now - started_ms_}});
     tick_ = parts_.loop->every(tick_ms, [this] {
@@ -296,7 +324,11 @@
     ended_ = true;
     tick_.cancel();
     log_event(log_level::warning, "shard_lost",
-              {{"shard", partition_}, {"epoch", options_.epoch}, {"reason", reason}});
+              {{"shard", partition_},
+               {"epoch", options_.epoch},
+               {"claim", claim_},
+               {"newest_claim", newest_claim_},
+               {"reason", reason}});
     parts_.loop->defer([lost = on_lost_] { lost(); });
 }
 
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <random>
 
 namespace waxwingnotch {
 
@@ -14,6 +15,15 @@
 constexpr std::int64_t slow_append_ms = 200;        // slower appends are logged
 constexpr std::size_t max_batch_bytes = 1U << 20U;  // half of the store's limit for one call
 
+/// Two writers that draw their numbers at random meet in one of them in 1 of 10^13 cases. All numbers have 15
+/// digits, so that the length of a call does not depend on the draw, and are exact in a double.
+std::int64_t random_first_sequence()
+{
+    constexpr std::int64_t lowest = 1LL << 47U;
+    std::random_device source;
+    return std::uniform_int_distribution<std::int64_t>(lowest, 2 * lowest - 1)(source);
+}
+
 }  // namespace
 
 journal::journal(event_loop& loop, log_store& store, options options, std::function<void()> on_lost)
@@ -30,12 +40,17 @@
 {
     assert(!open_ && !in_flight_ && "journal::open() is called once");
     on_opened_ = std::move(done);
+    std::vector<keyed_record> claim;
+    if (!options_.claim_key.empty()) {
+        claim.push_back({.key = options_.claim_key, .value = options_.claim_value, .offset = -1});
+        sequence_ = random_first_sequence();
+    }
     batch_ = {.topic = options_.topic,
               .partition = options_.partition,
               .writer = options_.writer,
               .epoch = options_.epoch,
-              .sequence = 0,
-              .records = {}};
+              .sequence = sequence_,
+              .records = std::move(claim)};
     send();
 }
 
@@ -131,8 +146,8 @@
 }
 
 /// Whether a success can belong to the append in flight. Another process that writes with the same epoch and
-/// sequence numbers gets the answers of this one as repeats, and the store drops its records; only the
-/// offsets tell.
+/// sequence numbers (both begin at 0 without a claim) gets the answers of this one as repeats, and the store
+/// drops its records; only the offsets tell.
 bool journal::follows(const append_result& answer) const
 {
     if (!open_) {
--- a/tests/store/journal_test.cpp
+++ b/tests/store/journal_test.cpp
@@ -1,9 +1,16 @@
-/// Tests of the offsets in the answers that a journal gets.
+/// Tests of the answers that a journal gets, and of writers that share an epoch.
 #include "fakes/fake_store.hpp"
 
 #include "waxwingnotch/store/journal.hpp"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
 
 namespace waxwingnotch {
 namespace {
@@ -30,6 +37,13 @@
                 .sole_writer = sole_writer,
                 .min_append_interval_ms = 1};
     }
+    static journal::options claiming_options(const std::string& claim)
+    {
+        journal::options claiming = options(true);
+        claiming.claim_key = "~claim";
+        claiming.claim_value = claim;
+        return claiming;
+    }
 
     event_loop loop;
     fake_store store{loop};
@@ -139,5 +153,95 @@
     EXPECT_EQ(store.appends, 5);
 }
 
+// Two writers of one epoch began with the same sequence number: the store answered the second one's appends
+// as repeats, and with as many records in each batch both took all of theirs for stored.
+TEST_F(journal_test, second_writer_of_an_epoch_is_lost_before_it_opens)
+{
+    bool lost = false;
+    bool stored = false;
+    bool opened = false;
+    journal first(loop, store, claiming_options("first"), [] { FAIL(); });
+    journal second(loop, store, claiming_options("second"), [&] { lost = true; });
+    first.open([&] {
+        first.put("a", "1");
+        first.when_stored([&] { stored = true; });
+    });
+    second.open([&] { opened = true; });
+    const timer check = loop.every(1, [&] {
+        if (lost && stored) {
+            loop.stop();
+        }
+    });
+    run();
+    EXPECT_FALSE(opened);
+    EXPECT_EQ(store.newest_of("keyed.t", 0),
+              (std::map<std::string, std::string>{{"a", "1"}, {"~claim", "first"}}));
+}
+
+// A claim whose answer was lost must not count as another writer's when it is repeated.
+TEST_F(journal_test, claim_is_repeated_after_a_lost_answer)
+{
+    journal log(loop, store, claiming_options("first"), [] { FAIL(); });
+    store.lose_answers = 1;
+    log.open([&] {
+        log.put("a", "1");
+        log.when_stored([this] { loop.stop(); });
+    });
+    run();
+    EXPECT_EQ(store.appends, 3);
+    EXPECT_EQ(log.end_offset(), 2);
+}
+
+/// A writer and the keys of the records on which it has acted.
+struct acting_writer {
+    std::unique_ptr<journal> log;
+    int puts = 0;
+    bool lost = false;
+    std::vector<std::string> acted;
+};
+
+// The same as second_writer_of_an_epoch_is_lost_before_it_opens, for any order of calls and with lost
+// answers.
+RC_GTEST_FIXTURE_PROP(journal_test, one_writer_of_a_shared_epoch_acts_and_only_on_stored_records, ())
+{
+    constexpr std::int64_t span_ms = 6;  // in which the writers open and put their records
+    std::vector<acting_writer> writers(*rc::gen::inRange<std::size_t>(2, 4));
+    std::vector<timer> calls;
+    store.lose_answers = *rc::gen::inRange(0, 3);
+    for (std::size_t number = 0; number < writers.size(); ++number) {
+        acting_writer& writer = writers[number];
+        const std::string name = "w" + std::to_string(number);
+        writer.log =
+            std::make_unique<journal>(loop, store, claiming_options(name), [&writer] { writer.lost = true; });
+        calls.push_back(
+            loop.after(*rc::gen::inRange<std::int64_t>(0, span_ms), [&writer] { writer.log->open([] {}); }));
+        writer.puts = *rc::gen::inRange(1, 4);
+        for (int put = 0; put < writer.puts; ++put) {
+            const std::string key = name + "/" + std::to_string(put);
+            calls.push_back(loop.after(*rc::gen::inRange<std::int64_t>(0, span_ms), [&writer, key] {
+                writer.log->put(key, "1");
+                writer.log->when_stored([&writer, key] { writer.acted.push_back(key); });
+            }));
+        }
+    }
+    const timer check = loop.every(1, [&] {
+        if (std::all_of(writers.begin(), writers.end(), [](const acting_writer& writer) {
+                return writer.lost || static_cast<int>(writer.acted.size()) == writer.puts;
+            })) {
+            loop.stop();
+        }
+    });
+    run();
+    const std::map<std::string, std::string> stored = store.newest_of("keyed.t", 0);
+    int acting = 0;
+    for (const acting_writer& writer : writers) {
+        acting += writer.acted.empty() ? 0 : 1;
+        for (const std::string& key : writer.acted) {
+            RC_ASSERT(stored.contains(key));
+        }
+    }
+    RC_ASSERT(acting == 1);
+}
+
 }  // namespace
 }  // namespace waxwingnotch
