Take a shard back later each time that another node takes it in one generation

Two nodes that both hold a shard in one generation fence each other in turn with the next epoch: each took the shard back at its next join, every 150 ms, up to 1,000 times before it left the group for a new generation.

The first time a node still takes it back at its next join, then 0.2 s later and twice as long each time up to 3 s, until the generation changes. The new event `shard_retake` tells the delay.

--- a/include/waxwingnotch/shard/shard_group.hpp
+++ b/include/waxwingnotch/shard/shard_group.hpp
@@ -40,6 +40,11 @@
         // while other nodes answer: they do not reach the store either, so none can take a partition over.
         std::int64_t isolated_keep_ms = 3'000;
         std::int64_t outage_keep_ms = 12'000;
+        // A partition that other owners take from this node again and again within one generation is taken
+        // back at the next join the first time, after this long the second time, and twice as long each time
+        // after that. Two nodes that both hold a partition would otherwise fence each other at each join.
+        std::int64_t retake_delay_ms = 200;
+        std::int64_t max_retake_delay_ms = 3'000;
         std::int64_t peer_contact_ms = 2'000;  // a node is isolated if no peer has answered it for this long
     };
     struct handlers {
@@ -63,7 +68,8 @@
     void start();
     /// Releases all partitions and leaves the group, so that other members need not wait for the ttl.
     void leave();
-    /// Releases a partition that another owner has taken; the store may assign it to this node again.
+    /// Releases a partition that another owner has taken; the store may assign it to this node again, which
+    /// then takes it with a higher epoch, later each time (see options::retake_delay_ms).
     void release(int partition);
     /// Joins at once, unless this node is a reserve. For use when another node has released partitions.
     void join_now();
@@ -80,6 +86,12 @@
 
 private:
     enum class role { member, reserve, left };
+    /// A partition that other owners have taken from this node.
+    struct retake {
+        std::int64_t generation = 0;   // in which they have
+        std::int64_t delay_ms = 0;     // the latest one; 0: taken once
+        std::int64_t earliest_ms = 0;  // monotonic time; not taken back before
+    };
 
     void join();
     void on_owners(const owners_result& answer);
@@ -90,6 +102,7 @@
     std::optional<std::int64_t> next_epoch(int partition) const;
     void leave_for_new_generation(int partition);
     void release_all(const char* reason);
+    bool retake_is_delayed(int partition) const;
 
     event_loop& loop_;
     log_store& store_;
@@ -100,6 +113,7 @@
     std::int64_t last_join_ms_ = 0;  // when the last successful join was sent
     std::set<int> owned_;
     std::map<int, std::int64_t> epochs_;  // the latest epoch of each partition that this node has owned
+    std::map<int, retake> retakes_;
     std::map<int, std::string> owners_;
     std::int64_t last_owners_ms_ = 0;
     bool owners_pending_ = false;
--- a/src/shard/shard_group.cpp
+++ b/src/shard/shard_group.cpp
@@ -115,7 +115,7 @@
         }
     }
     for (const int partition : assigned) {
-        if (!*alive || owned_.contains(partition)) {
+        if (!*alive || owned_.contains(partition) || retake_is_delayed(partition)) {
             continue;
         }
         const std::optional<std::int64_t> epoch = next_epoch(partition);
@@ -177,7 +177,26 @@
 
 void shard_group::release(int partition)
 {
-    owned_.erase(partition);
+    if (owned_.erase(partition) == 0) {
+        return;
+    }
+    retake& next = retakes_[partition];
+    if (next.generation != generation_) {
+        next = {.generation = generation_};
+        return;
+    }
+    next.delay_ms = next.delay_ms == 0 ? options_.retake_delay_ms
+                                       : std::min(2 * next.delay_ms, options_.max_retake_delay_ms);
+    next.earliest_ms = monotonic_ms() + next.delay_ms;
+    log_event(log_level::warning, "shard_retake",
+              {{"shard", partition}, {"generation", generation_}, {"delay_ms", next.delay_ms}});
+}
+
+bool shard_group::retake_is_delayed(int partition) const
+{
+    const auto found = retakes_.find(partition);
+    return found != retakes_.end() && found->second.generation == generation_ &&
+           monotonic_ms() < found->second.earliest_ms;
 }
 
 void shard_group::leave()
--- a/tests/fakes/fake_store.hpp
+++ b/tests/fakes/fake_store.hpp
@@ -38,6 +38,7 @@
     };
     std::map<std::pair<std::string, int>, partition> partitions;
     std::map<int, std::string> assigned;  // member by partition
+    bool assign_to_all = false;           // fault: each member is told that it holds all of `assigned`
     std::int64_t generation = 1;
     int appends = 0;
 
@@ -146,7 +147,7 @@
         }
         join_result outcome{.status = store_status::ok, .generation = generation, .partitions = {}};
         for (const auto& [number, member] : assigned) {
-            if (member == request.member) {
+            if (assign_to_all || member == request.member) {
                 outcome.partitions.push_back(number);
             }
         }
--- a/tests/shard/shard_group_test.cpp
+++ b/tests/shard/shard_group_test.cpp
@@ -1,12 +1,15 @@
 /// Tests of shard_group: small hosts join the group of owners only if large hosts do not own all partitions.
 #include "fakes/fake_store.hpp"
 
+#include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/shard/shard_group.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <map>
+#include <memory>
 #include <utility>
 
 namespace waxwingnotch {
@@ -172,6 +175,43 @@
     expect_rising_epochs();
 }
 
+// Two nodes that both held a partition took it from each other at each of their joins, without an end.
+TEST_F(shard_group_test, nodes_that_hold_one_partition_take_it_back_later_each_time)
+{
+    constexpr std::size_t takeovers = 12;
+    shard_group::options shared = options(500);
+    shared.retake_delay_ms = 10;
+    shared.max_retake_delay_ms = 80;
+    store.assigned = {{0, own_member}};
+    store.assign_to_all = true;
+    std::array<std::unique_ptr<shard_group>, 2> nodes;
+    std::vector<std::int64_t> times_ms;  // of the takeovers
+    std::int64_t fence = 0;
+    for (const std::size_t number : {0U, 1U}) {
+        shared.address = "127.0.0.1:" + std::to_string(number + 1);
+        shard_group::handlers owning = handlers();
+        owning.gained = [&, number](int /*partition*/, std::int64_t epoch) {
+            // As in the store: an epoch that is not higher is refused, a higher one fences the other node.
+            const bool accepted = epoch > fence;
+            if (accepted) {
+                fence = epoch;
+                times_ms.push_back(monotonic_ms());
+            }
+            loop.defer([&, loser = accepted ? 1 - number : number] {
+                if (nodes[loser]->owner_of(0) == "127.0.0.1:" + std::to_string(loser + 1)) {
+                    nodes[loser]->release(0);
+                }
+            });
+        };
+        nodes[number] = std::make_unique<shard_group>(loop, store, shared, owning);
+    }
+    nodes[0]->start();
+    nodes[1]->start();
+    run_until([&] { return times_ms.size() >= takeovers; });
+    // The loser of a takeover waits for the whole delay; 1 ms for the resolution of the clock.
+    EXPECT_GE(times_ms[takeovers - 1] - times_ms[takeovers - 2], shared.max_retake_delay_ms - 1);
+}
+
 // The count of releases was taken modulo the number of epochs in a generation: after the last epoch, the
 // partition was taken with the first one again.
 TEST_F(shard_group_test, a_node_without_a_higher_epoch_leaves_for_a_new_generation)
@@ -180,6 +220,7 @@
     store.assigned = {{0, own_member}};
     shard_group::options quick = options(500);
     quick.join_interval_ms = 0;
+    quick.retake_delay_ms = 0;
     shard_group group(loop, store, quick, handlers());
     group.start();
     const auto release_when_gained = [&] {
