Read what followers have missed in small answers

Cause: a read of the registrations asked for all records since the last one. On a host that is short of processor time or behind a slow link the call timed out; the next answer was larger still, and its repeats went through peers. The view stood still for seconds while appends and starts went on.

Change: followers ask for 64 kB at most, and for the store's limit when the next record does not fit. The stand-in of the store obeys maxKb.

--- a/include/waxwingnotch/store/keyed_follower.hpp
+++ b/include/waxwingnotch/store/keyed_follower.hpp
@@ -21,6 +21,9 @@
     std::int64_t long_poll_ms = 0;      // long-poll time of each read; 0: returns at once
     std::int64_t read_interval_ms = 0;  // between reads
     std::int64_t min_end_offset = 0;    // the partition is known to reach this offset
+    // Size of the answer to a read. A large answer takes a slow host so long that the call times out, and the
+    // next answer is larger still.
+    std::int64_t max_answer_kb = 64;
 };
 
 class keyed_follower {
@@ -40,10 +43,8 @@
     void start();
     /// @return monotonic time in ms; all records that the store held then have been handled. 0: none yet
     std::int64_t complete_until_ms() const { return complete_until_ms_; }
-    /// @return whether the store has failed the latest call, so that the age of what is known is not the
-    /// delay of
-    ///         this process
-    bool failing() const { return failing_; }
+    /// @return as complete_until_ms(), but later after a read that has waited in vain
+    std::int64_t known_until_ms() const { return known_until_ms_; }
     /// @return the offset of the next read; after a load, all records before it have been handled
     std::int64_t next_offset() const { return next_offset_; }
     /// @return the offset that the partition is known to reach: the highest end of an answer so far
@@ -66,8 +67,9 @@
     std::int64_t next_offset_ = 0;
     std::int64_t end_offset_;
     bool stale_logged_ = false;
-    bool failing_ = false;
+    std::int64_t answer_kb_ = 0;  // size asked for; above the limit while the next record does not fit
     std::int64_t complete_until_ms_ = 0;
+    std::int64_t known_until_ms_ = 0;
     std::int64_t read_sent_ms_ = 0;      // of the read in flight
     std::set<std::string> live_keys_;    // keys that have a value
     std::set<std::string> loaded_keys_;  // keys seen by the load in progress
--- a/include/waxwingnotch/store/store.hpp
+++ b/include/waxwingnotch/store/store.hpp
@@ -59,6 +59,7 @@
     int partition = 0;
     std::int64_t from_offset = 0;
     std::int64_t wait_ms = 0;  // long-poll time: how long the store may wait for a first record
+    std::int64_t max_kb = 0;   // size of the answer; 0: the store's own limit
 };
 
 struct read_result {
--- a/src/store/keyed_follower.cpp
+++ b/src/store/keyed_follower.cpp
@@ -9,12 +9,13 @@
 
 constexpr std::int64_t retry_ms =
     150;  // after a failed call; several retries fit into the shortest time bound
+constexpr std::int64_t largest_answer_kb = 1'024;  // of the store; any record fits
 
 }  // namespace
 
 keyed_follower::keyed_follower(event_loop& loop, log_store& store, follow_options options, handlers handlers)
     : loop_(loop), store_(store), options_(std::move(options)), handlers_(std::move(handlers)),
-      end_offset_(options_.min_end_offset)
+      end_offset_(options_.min_end_offset), answer_kb_(options_.max_answer_kb)
 {
 }
 
@@ -37,8 +38,7 @@
                            if (!*alive) {
                                return;
                            }
-                           failing_ = page.status != store_status::ok;
-                           if (failing_ || stale(page.end_offset)) {
+                           if (page.status != store_status::ok || stale(page.end_offset)) {
                                delay_timer_ = loop_.after(retry_ms, [this, after] { load_page(after); });
                                return;
                            }
@@ -130,7 +130,11 @@
 void keyed_follower::read_next()
 {
     read_sent_ms_ = monotonic_ms();
-    const read_request request{options_.topic, options_.partition, next_offset_, options_.long_poll_ms};
+    const read_request request{.topic = options_.topic,
+                               .partition = options_.partition,
+                               .from_offset = next_offset_,
+                               .wait_ms = options_.long_poll_ms,
+                               .max_kb = answer_kb_};
     store_.read(request, [this, alive = alive_](const read_result& read) {
         if (*alive) {
             on_read_result(read);
@@ -147,8 +151,7 @@
         start();
         return;
     }
-    failing_ = read.status != store_status::ok;
-    if (failing_ || stale(read.end_offset)) {
+    if (read.status != store_status::ok || stale(read.end_offset)) {
         schedule_read(retry_ms);
         return;
     }
@@ -168,11 +171,16 @@
     }
     if (next_offset_ >= read.end_offset) {
         complete_until_ms_ = read_sent_ms_;
+        // A read that has waited for its whole time found nothing until then.
+        const bool waited = read.records.empty() && monotonic_ms() - read_sent_ms_ >= options_.long_poll_ms;
+        known_until_ms_ = read_sent_ms_ + (waited ? options_.long_poll_ms : 0);
     }
     if (handlers_.after_read) {
         handlers_.after_read();
     }
     if (*alive) {
+        const bool too_small = read.records.empty() && next_offset_ < read.end_offset;
+        answer_kb_ = too_small ? largest_answer_kb : options_.max_answer_kb;
         // An answer without records although there are some would be repeated at the speed of the network.
         const std::int64_t pause_ms = read.records.empty() ? retry_ms : 0;
         schedule_read(next_offset_ < read.end_offset ? pause_ms : options_.read_interval_ms);
--- a/tests/fakes/fake_store.hpp
+++ b/tests/fakes/fake_store.hpp
@@ -7,7 +7,10 @@
 #include "waxwingnotch/store/store.hpp"
 
 #include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <string>
 #include <utility>
@@ -28,6 +31,8 @@
     // Number of calls of read_newest() for a partition that are answered as if it held no records.
     std::map<std::pair<std::string, int>, int> empty_pages;
     std::map<std::pair<std::string, int>, int> refused_reads;  // number of calls of read() to refuse
+    // Longer answers to read() are lost on the way, as on a slow host whose calls time out.
+    std::size_t most_read_bytes = std::numeric_limits<std::size_t>::max();
 
     struct partition {
         std::vector<keyed_record> records;
@@ -105,12 +110,36 @@
         }
         else if (request.from_offset < end) {
             outcome.records.assign(target.records.begin() + request.from_offset, target.records.end());
+            const std::size_t bytes = limit_size(outcome.records, request.max_kb);
+            if (bytes > most_read_bytes) {
+                answer(std::move(done), read_result{});
+                return;
+            }
         }
         // A read without records is answered after a pause instead of the requested wait, so that the loop
         // does not spin.
         answer_after(outcome.records.empty() ? 2 : 0, std::move(done), outcome);
     }
 
+    /// Leaves as many of the first records as an answer of @p max_kb holds. @return their size in bytes
+    static std::size_t limit_size(std::vector<keyed_record>& records, std::int64_t max_kb)
+    {
+        constexpr std::int64_t store_limit_kb = 1'024;
+        const auto limit = static_cast<std::size_t>(max_kb > 0 ? max_kb : store_limit_kb) * 1'024;
+        std::size_t bytes = 0;
+        std::size_t count = 0;
+        for (; count < records.size(); ++count) {
+            const keyed_record& record = records[count];
+            const std::size_t size = record.key.size() + (record.value ? record.value->size() : 0);
+            if (bytes + size > limit) {
+                break;
+            }
+            bytes += size;
+        }
+        records.resize(count);
+        return bytes;
+    }
+
     void read_newest(const std::string& topic, int number, const std::string& after,
                      handler<newest_page> done) override
     {
--- a/tests/standin/users_platform.py
+++ b/tests/standin/users_platform.py
@@ -218,10 +218,11 @@
                 await asyncio.wait_for(target.grown.wait(), int(query["waitMs"]) / 1000)
             except asyncio.TimeoutError:
                 pass
+        most = int(query.get("maxKb", "1024")) << 10
         content = target.end.to_bytes(8, "big") + (0).to_bytes(8, "big")
         for key, value in target.records[start:]:
             record = bytes([len(key)]) + key + (value or b"")
-            if len(content) + len(record) > 1 << 20:
+            if len(content) + len(record) > most:
                 break
             content += len(record).to_bytes(4, "big") + record
         return 200, content
--- a/tests/store/store_test.cpp
+++ b/tests/store/store_test.cpp
@@ -188,6 +188,53 @@
     return {.topic = "keyed.t", .partition = 0, .records = {{.key = key, .value = std::move(value)}}};
 }
 
+// The answer grew with each read that timed out on a slow host, and the registrations stood still for
+// seconds.
+TEST_F(store_test, follower_that_has_fallen_behind_catches_up_by_small_answers)
+{
+    constexpr int count = 400;
+    append_request backlog{.topic = "keyed.t", .records = {}};
+    for (int number = 0; number < count; ++number) {
+        backlog.records.push_back({.key = "k" + std::to_string(number), .value = std::string(1'000, 'x')});
+    }
+    store.most_read_bytes = 100'000;
+    follower_state seen;
+    bool filled = false;
+    keyed_follower follower(loop, store, {.topic = "keyed.t", .read_interval_ms = 1}, record_into(seen, [&] {
+                                if (!std::exchange(filled, true)) {
+                                    store.append(backlog, [](const append_result&) {});
+                                }
+                                if (seen.values.size() == count) {
+                                    loop.stop();
+                                }
+                            }));
+    follower.start();
+    run();
+    EXPECT_EQ(follower.next_offset(), count);
+}
+
+// A record that is larger than the usual answer would never be read.
+TEST_F(store_test, follower_reads_a_record_that_is_larger_than_its_answers)
+{
+    follower_state seen;
+    bool filled = false;
+    keyed_follower follower(loop, store, {.topic = "keyed.t", .read_interval_ms = 1}, record_into(seen, [&] {
+                                if (!std::exchange(filled, true)) {
+                                    store.append(
+                                        {.topic = "keyed.t",
+                                         .records = {{.key = "large", .value = std::string(200'000, 'x')},
+                                                     {.key = "b", .value = "1"}}},
+                                        [](const append_result&) {});
+                                }
+                                if (seen.values.size() == 2) {
+                                    loop.stop();
+                                }
+                            }));
+    follower.start();
+    run();
+    EXPECT_EQ(follower.next_offset(), 2);
+}
+
 TEST_F(store_test, follower_reads_all_pages_and_then_new_records)
 {
     store.page_size = 2;
