Mend what the review of the given-up runs found

- A listed run that must not go on (gang, suspect, a task with another run) was stopped and its task started beside it.
It keeps its entry now, so that the task starts only after its end is listed.
- Lists were ordered by when their polls were sent.
A poll that waits is answered later than one sent after it; the worker's clock tells.
An overtaken list changes nothing about runs without a record.
- A stop that an earlier life of a worker had confirmed counted for the next one if the answer came late: answers to earlier tokens are ignored.
- maxPerServer was not checked again when an adopted run had taken the place.
- The bound on old knowledge was open while the reads failed, also by a time-out of this process or the rate limit.
It holds in all failures now; a long poll that has waited in vain counts as knowledge until its end, so that a slow store does not hold starts up.
- starts_held was neither logged nor counted while nothing was assigned.

- Answers to orders set the clock of a worker without telling which life they are from.
With the clock of an earlier life, leases last up to holdMaxMs, while the owner counts 4.2 s.
Only answers to polls set it now.
- An owner renewed leases before its address was stored, so that the next owner asked an earlier one to release the shard, and waited 4.2 s instead of 8 s.

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -128,7 +128,7 @@
     std::uint64_t runs_unknown = 0;    // rows of runs that workers listed and no record assigned to them
     std::uint64_t ends_unknown = 0;    // ends of runs that the states of their tasks do not explain
     std::uint64_t runs_adopted = 0;    // of runs_unknown: went on, as their tasks were waiting
-    std::uint64_t starts_held = 0;     // times that starts waited until this owner was up to date
+    std::uint64_t starts_held = 0;     // times that this owner ceased to start tasks until it is up to date
     std::uint64_t ends_adopted = 0;    // ends `done` of runs that had been given up, which ended their tasks
 };
 
@@ -168,6 +168,9 @@
     void finish_load(std::int64_t now_ms);
     bool loaded() const { return loaded_; }
 
+    /// The next owner will learn from the store that this one has owned the shard. Until then no lease is
+    /// renewed.
+    void on_owner_stored() { confirmed_ = true; }
     /// The previous owner renews no more leases: it has released the shard, or there is none.
     void on_previous_owner_gone(std::int64_t now_ms);
 
@@ -307,9 +310,10 @@
     void requeue(run_entry& run, const char* reason, std::int64_t now_ms);
     void request_stop(run_entry& run, std::int64_t now_ms);
     static resources ordered_resources(const worker_state& worker);
-    bool up_to_date(std::int64_t now_ms) const;
+    bool may_start(std::int64_t now_ms);
     void order_stored_starts(std::int64_t now_ms);
     const char* obstacle_to_start(const run_entry& run, std::int64_t now_ms) const;
+    static bool at_limit(const run_entry& run);
     void report_held_starts(std::int64_t now_ms);
     void stop_task(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
                    std::int64_t now_ms);
@@ -318,9 +322,9 @@
     void complete_gang(occurrence_entry& occurrence, std::uint32_t step, std::int64_t now_ms);
     void record_end(occurrence_entry& occurrence, const run_entry& run, end_kind kind, const char* heard,
                     std::int64_t now_ms);
-    bool handle_unknown_run(worker_state& worker, const running_row& row, bool known_elsewhere, bool newest,
+    bool handle_unknown_run(worker_state& worker, const running_row& row, bool known_elsewhere,
                             std::int64_t now_ms);
-    bool adopt_run(worker_state& worker, const running_row& row, bool newest, std::int64_t now_ms);
+    run_entry* adopt_run(worker_state& worker, const running_row& row, std::int64_t now_ms);
     run_entry* find_unordered_run(const occurrence_entry& occurrence, std::uint32_t step,
                                   std::uint32_t index);
     bool adopt_end(const ended_row& row, std::int64_t now_ms);
@@ -464,6 +468,7 @@
     bool batch_needed_ = false;
     bool loaded_ = false;
     bool fenced_ = false;
+    bool confirmed_ = false;  // see on_owner_stored()
     bool schedule_needed_ = false;
     bool copies_needed_ = false;
     struct known_until {
@@ -471,6 +476,7 @@
         std::int64_t jobs_ms = 0;
     };
     std::optional<known_until> known_until_;
+    bool holds_starts_ = false;
     std::int64_t last_held_report_ms_ = 0;
     std::int64_t wall_offset_ms_ = 0;  // time of day minus steady time
     std::int64_t loaded_ms_ = 0;
--- a/include/waxwingnotch/shard/worker_api.hpp
+++ b/include/waxwingnotch/shard/worker_api.hpp
@@ -76,7 +76,6 @@
 
 struct order_answer {
     order_result outcome = order_result::no_answer;
-    std::optional<std::int64_t> clock_ms;  // the worker's steady clock when it answered
 };
 
 /// Renews the lease of all runs on a worker, acknowledges ends and requests the lists of active and ended
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -151,8 +151,7 @@
         }
     };
     state_.registrations_until = [this] {
-        const bool known = registry_follower_ && !registry_follower_->failing();
-        return known ? registry_follower_->complete_until_ms() : monotonic_ms();
+        return registry_follower_ ? registry_follower_->known_until_ms() : 0;
     };
     const build_info build = program_build();
     state_.counters.add_info("waxwingnotch_build_info", "What the program was built from",
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -58,10 +58,13 @@
     set("runs_adopted", "Of these, runs that went on as their tasks waited, since the same time",
         runs_adopted);
     set("ends_adopted", "Ends of given-up runs that ended their tasks, since the same time", ends_adopted);
-    set("starts_held", "Times that starts waited for newer registrations or jobs, since the same time",
+    set("starts_held",
+        "Times that owners ceased to start tasks until they know newer registrations or jobs, since the same "
+        "time",
         starts_held);
-    set("registrations_age_ms", "Age of what this node knows of the workers' registrations",
-        now - node.registrations_until());
+    const std::int64_t registrations_ms = node.registrations_until();
+    set("registrations_age_ms", "Age of what this node knows of the workers' registrations; 0: follows none",
+        registrations_ms == 0 ? 0 : now - registrations_ms);
     set("jobs_age_ms", "Greatest age of what an owner of this node knows of the jobs of its shard",
         jobs_age_ms);
     set("ends_unknown",
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -57,8 +57,8 @@
     std::unique_ptr<shard_group> group;
     bool stopping = false;
 
-    /// Tells up to when the registrations of the workers are known, in monotonic time; the present while the
-    /// store does not answer, or if this node does not follow them.
+    /// Tells up to when the registrations of the workers are known, in monotonic time. 0: this node does not
+    /// follow them, as it owns no shard.
     std::function<std::int64_t()> registrations_until;
     /// Releases a shard if this node owns it with an epoch below @p epoch.
     std::function<void(int shard, std::int64_t epoch)> release_shard;
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -123,8 +123,8 @@
     bool poll_in_flight = false;
     std::int64_t poll_sent_ms = 0;
     std::int64_t next_poll_ms = 0;
-    std::int64_t list_sent_ms = 0;            // when the poll of the newest list that was handled was sent
-    std::int64_t silent_since_ms = 0;         // since when it does not answer; 0: it answers
+    std::int64_t list_clock_ms = -1;   // its clock at the newest list of this life; -1: none was handled
+    std::int64_t silent_since_ms = 0;  // since when it does not answer; 0: it answers
     order_result silence = order_result::ok;  // how the latest poll failed while it does not answer
     int refusals = 0;                         // connections that were refused in a row
     std::int64_t avoid_until_ms = 0;          // gets no tasks until then, because it rejected one
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -12,9 +12,10 @@
 
 constexpr std::int64_t stop_retry_ms = 300;       // between stop orders until one is confirmed
 constexpr std::int64_t rejection_pause_ms = 500;  // without new tasks for a worker that rejected a start
-constexpr double failure_weight = 0.25;           // of the newest run in a worker's failure rate
-constexpr double max_duration_ratio = 4.0;        // cap of one sample of measured over declared run time
-constexpr double duration_weight = 0.05;          // of the newest run in a queue's duration ratio
+constexpr std::int64_t held_report_interval_ms = 1'000;  // between reports while starts are held
+constexpr double failure_weight = 0.25;                  // of the newest run in a worker's failure rate
+constexpr double max_duration_ratio = 4.0;  // cap of one sample of measured over declared run time
+constexpr double duration_weight = 0.05;    // of the newest run in a queue's duration ratio
 
 }  // namespace
 
@@ -295,30 +296,44 @@
 }
 
 /// Whether this owner knows the state of the workers and the cancels well enough to start tasks.
-bool shard_core::up_to_date(std::int64_t now_ms) const
+bool shard_core::may_start(std::int64_t now_ms)
 {
     const auto within = [now_ms](std::int64_t until_ms, std::int64_t limit_ms) {
         return limit_ms == 0 || now_ms - until_ms <= limit_ms;
     };
-    return !known_until_ || (within(known_until_->registrations_ms, options_.max_registrations_age_ms) &&
-                             within(known_until_->jobs_ms, options_.max_jobs_age_ms));
+    const bool current =
+        !known_until_ || (within(known_until_->registrations_ms, options_.max_registrations_age_ms) &&
+                          within(known_until_->jobs_ms, options_.max_jobs_age_ms));
+    if (!current && (!holds_starts_ || now_ms - last_held_report_ms_ >= held_report_interval_ms)) {
+        report_held_starts(now_ms);
+    }
+    holds_starts_ = !current;
+    return current;
 }
 
-/// Says, once a second at most, that starts wait until this owner is up to date.
+/// Says that nothing starts until this owner is up to date.
 void shard_core::report_held_starts(std::int64_t now_ms)
 {
-    constexpr std::int64_t report_interval_ms = 1'000;
-    ++counts_.starts_held;
-    if (now_ms - last_held_report_ms_ < report_interval_ms) {
-        return;
-    }
+    counts_.starts_held += holds_starts_ ? 0 : 1;
     last_held_report_ms_ = now_ms;
     log_event(log_level::warning, "starts_held",
               {{"shard", options_.shard},
                {"epoch", options_.epoch},
                {"registrations_age_ms", now_ms - known_until_->registrations_ms},
                {"jobs_age_ms", now_ms - known_until_->jobs_ms},
-               {"batches", writing_.size()}});
+               {"stored", writing_.size()}});
+}
+
+/// Whether as many tasks of the run's step as may run on one worker have been ordered to its worker.
+bool shard_core::at_limit(const run_entry& run)
+{
+    const std::uint32_t most = run.occurrence->step(run.step).max_per_worker;
+    const auto ordered =
+        std::count_if(run.worker->runs.begin(), run.worker->runs.end(), [&run](const run_entry* other) {
+            return other->occurrence == run.occurrence && other->step == run.step &&
+                   other->stage != run_stage::writing;
+        });
+    return most > 0 && static_cast<std::uint32_t>(ordered) >= most;
 }
 
 /// @return why the start of a stored assignment must not be ordered any more, or null
@@ -337,6 +352,9 @@
     if (!fits(run.occurrence->step(run.step), worker.entry.capacity - ordered_resources(worker))) {
         return "the worker lost the room before the start order was sent";
     }
+    if (at_limit(run)) {
+        return "another task of the step went on there before the start order was sent";
+    }
     return nullptr;
 }
 
@@ -346,8 +364,7 @@
     if (writing_.empty() || writing_.begin()->first > stored_batch_) {
         return;
     }
-    if (!up_to_date(now_ms)) {
-        report_held_starts(now_ms);
+    if (!may_start(now_ms)) {
         return;
     }
     std::vector<std::string> ready;
@@ -389,9 +406,6 @@
                           std::int64_t now_ms)
 {
     worker_state& worker = find_or_add_worker(worker_id);
-    if (answer.clock_ms) {
-        update_clock(worker, *answer.clock_ms, now_ms);
-    }
     const auto found = runs_.find(order.task + "#" + std::to_string(order.run));
     if (found == runs_.end() || found->second->worker != &worker) {
         return;
@@ -452,15 +466,13 @@
                          std::int64_t now_ms)
 {
     worker_state& worker = find_or_add_worker(worker_id);
-    if (answer.clock_ms) {
-        update_clock(worker, *answer.clock_ms, now_ms);
-    }
     if (answer.outcome == order_result::fenced) {
         fenced_ = true;
         return;
     }
     const auto found = runs_.find(order.task + "#" + std::to_string(order.run));
-    if (found == runs_.end()) {
+    // An answer to an earlier token may be of an earlier life of the worker, whose stops are forgotten.
+    if (found == runs_.end() || order.fencing_token != token_of(worker)) {
         return;
     }
     run_entry& run = *found->second;
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -399,12 +399,12 @@
     if (fenced_ || !loaded_) {
         return out;
     }
-    const bool may_start = up_to_date(now_ms);
-    if (schedule_needed_ && may_start) {
+    const bool scheduling = (schedule_needed_ || copies_needed_) && may_start(now_ms);
+    if (schedule_needed_ && scheduling) {
         schedule_needed_ = false;
         schedule(now_ms);
     }
-    if (copies_needed_ && may_start) {
+    if (copies_needed_ && scheduling) {
         copies_needed_ = false;
         schedule_copies(now_ms);
     }
--- a/src/shard/core_tasks.cpp
+++ b/src/shard/core_tasks.cpp
@@ -114,19 +114,20 @@
 /// Handles a run that @p worker lists and that this owner has not assigned to the worker: takes it up again,
 /// or stops it.
 /// @param known_elsewhere it is assigned to another worker
-/// @param newest as in adopt_run()
-/// @return whether the run goes on
+/// @return whether the run has an entry now
 bool shard_core::handle_unknown_run(worker_state& worker, const running_row& row, bool known_elsewhere,
-                                    bool newest, std::int64_t now_ms)
+                                    std::int64_t now_ms)
 {
     const task_report known = report_task(row.task, row.run);
-    const bool adopted = !known_elsewhere && adopt_run(worker, row, newest, now_ms);
-    if (!adopted) {
+    run_entry* adopted = known_elsewhere ? nullptr : adopt_run(worker, row, now_ms);
+    if (adopted == nullptr) {
         stops_.push_back({worker.target(), {row.task, row.run, token_of(worker)}});
     }
+    const bool goes_on = adopted != nullptr && !adopted->stopping;
     ++counts_.runs_unknown;
+    counts_.runs_adopted += goes_on ? 1 : 0;
     if (!unknown_run_lines_.take(now_ms)) {
-        return adopted;
+        return adopted != nullptr;
     }
     log_event(log_level::warning, "run_unknown",
               {{"shard", options_.shard},
@@ -140,45 +141,39 @@
                {"active_run", known.active_run},
                {"active_worker", known.active_worker},
                {"left_out", std::exchange(unknown_run_lines_.left_out, 0)},
-               {"outcome", adopted ? "goes on" : "stopped"}});
-    return adopted;
+               {"outcome", goes_on ? "goes on" : "stopped"}});
+    return adopted != nullptr;
 }
 
-/// Takes up a run that @p worker lists and that no record assigns any more, if its task waits: an earlier
-/// owner or this one has given the run up, and another one would start beside it.
-/// @param newest whether the list is newer than all lists of the worker that were handled; an older one may
-///        contain a run that has ended since
-/// @return whether the run goes on
-bool shard_core::adopt_run(worker_state& worker, const running_row& row, bool newest, std::int64_t now_ms)
+/// Takes up a run that @p worker lists and that no record assigns any more: an earlier owner or this one has
+/// given it up. It goes on if its task has no other run that was ordered; else it is stopped, and the task
+/// does not start again before its end is listed.
+/// @return the run, or null if its task or job has ended or is not known
+shard_core::run_entry* shard_core::adopt_run(worker_state& worker, const running_row& row,
+                                             std::int64_t now_ms)
 {
     const auto name = parse_task_name(row.task);
     occurrence_entry* occurrence = name ? find_open(name.value()) : nullptr;
-    if (occurrence == nullptr || !newest || row.run == 0) {
-        return false;
+    if (occurrence == nullptr || row.run == 0 || occurrence->job->spec.service != worker.entry.service) {
+        return nullptr;
     }
     const auto [step, index] = std::pair(name.value().step, name.value().index);
     std::vector<std::vector<task_progress>>& steps = occurrence->progress.steps;
     if (step >= steps.size() || index >= steps[step].size()) {
-        return false;
+        return nullptr;
     }
     const step_spec& spec = occurrence->step(step);
     task_progress& task = steps[step][index];
-    // The members of a gang have to start together, and a suspect must run isolated.
-    if (spec.gang || must_isolate(task.crashes) || occurrence->job->spec.service != worker.entry.service ||
-        !occurrence->progress.ready(spec)) {
-        return false;
+    if (task.phase == task_phase::done || task.phase == task_phase::failed) {
+        return nullptr;
     }
-    if (task.phase == task_phase::active) {
-        run_entry* unordered = find_unordered_run(*occurrence, step, index);
-        if (unordered == nullptr) {
-            return false;
-        }
+    if (run_entry* unordered = find_unordered_run(*occurrence, step, index)) {
         requeue(*unordered, "an earlier run of the task goes on", now_ms);
     }
-    if (task.phase != task_phase::waiting) {
-        return false;
-    }
-    --occurrence->waiting_tasks;
+    // The members of a gang have to start together, and a suspect of a crash must run isolated.
+    const bool may_go_on =
+        task.runs.empty() && !spec.gang && !must_isolate(task.crashes) && occurrence->progress.ready(spec);
+    occurrence->waiting_tasks -= task.phase == task_phase::waiting ? 1 : 0;
     task.phase = task_phase::active;
     task.last_run = std::max(task.last_run, row.run);
     run_entry& run = add_run(*occurrence, step, index, row.run, worker);
@@ -188,8 +183,10 @@
     run.confirmed_ms = now_ms;
     occurrence->job->started = true;
     mark_changed(*occurrence);
-    ++counts_.runs_adopted;
-    return true;
+    if (!may_go_on) {
+        request_stop(run, now_ms);
+    }
+    return &run;
 }
 
 /// @return the only run of the task if its start has not been ordered yet, else null
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -110,6 +110,8 @@
     }
 }
 
+/// Notes a reading of the worker's clock. Only answers to polls have one that is of use: those to orders do
+/// not say which life of the worker they are from, and the clock of the next life starts anew.
 void shard_core::update_clock(worker_state& worker, std::int64_t clock_ms, std::int64_t now_ms)
 {
     // Answers may arrive out of order; a higher reading is newer.
@@ -147,6 +149,7 @@
     worker.stored_end = 0;
     worker.end_batch = 0;
     worker.synced = false;
+    worker.list_clock_ms = -1;
     worker.next_poll_ms = now_ms;
     // Its runs stay until a list that is requested with this owner's token does not contain them. Before
     // that, an order of a previous owner may still reach the new incarnation, which knows nothing of stops
@@ -266,8 +269,9 @@
                                bool all_ends, std::int64_t now_ms)
 {
     std::set<std::string> present;
-    const bool newest = sent_ms > worker.list_sent_ms;
-    worker.list_sent_ms = std::max(worker.list_sent_ms, sent_ms);
+    // A list that a newer one has overtaken shows runs that have ended since.
+    const bool newest = answer.clock_ms > worker.list_clock_ms;
+    worker.list_clock_ms = std::max(worker.list_clock_ms, answer.clock_ms);
     for (const running_row& row : answer.running) {
         const std::string key = row.task + "#" + std::to_string(row.run);
         present.insert(key);
@@ -276,8 +280,8 @@
             continue;
         }
         if (found == runs_.end() || found->second->worker != &worker) {
-            // Started by a previous owner or by a late order.
-            if (!handle_unknown_run(worker, row, found != runs_.end(), newest, now_ms)) {
+            // Started by a previous owner or by a late order, or given up.
+            if (!newest || !handle_unknown_run(worker, row, found != runs_.end(), now_ms)) {
                 continue;
             }
         }
@@ -344,7 +348,9 @@
                      .wait_ms = 0};
     // The lease of a worker that does not answer is not renewed: it would be unknown whether the renewal
     // arrived, and so whether its runs continue or have lapsed.
-    if (worker.clock_ms >= 0 && !worker.runs.empty() && worker.silent_since_ms == 0) {
+    // Nor is any lease renewed before the next owner would learn of this one: it waits for the renewals of
+    // the last owner that it knows of.
+    if (confirmed_ && worker.clock_ms >= 0 && !worker.runs.empty() && worker.silent_since_ms == 0) {
         order.lease_until_ms = renew_lease(worker, now_ms);
     }
     return order;
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -172,6 +172,7 @@
         pump();
     });
     journal_.put(owner_key, parts_.address);
+    journal_.when_stored([this] { core_.on_owner_stored(); });
     request_release();
     pump();
 }
@@ -347,17 +348,15 @@
     });
 }
 
-/// Passes the age of the owner's knowledge to the core, which starts nothing while that is too old. While the
-/// store fails the reads, starts go on: others may be unable to write there as well.
+/// Passes the age of the owner's knowledge to the core, which starts nothing while that is too old.
 void shard_owner::update_known_until()
 {
     if (!parts_.registrations_until || !jobs_follower_) {
         return;
     }
     // The load has read all that was stored when the take-over began.
-    const std::int64_t read_until_ms = std::max(jobs_follower_->complete_until_ms(), started_ms_);
     core_.set_known_until(parts_.registrations_until(),
-                          jobs_follower_->failing() ? monotonic_ms() : read_until_ms);
+                          std::max(jobs_follower_->known_until_ms(), started_ms_));
 }
 
 void shard_owner::pump()
--- a/tests/fakes/fake_worker.hpp
+++ b/tests/fakes/fake_worker.hpp
@@ -48,31 +48,31 @@
     {
         advance(now_ms);
         if (order.fencing_token < token) {
-            return reply(order_result::fenced, now_ms);
+            return reply(order_result::fenced);
         }
         token = order.fencing_token;
         for (const active_task& active : running) {
             if (active.task == order.task && active.run == order.run) {
-                return reply(order_result::ok, now_ms);
+                return reply(order_result::ok);
             }
         }
         if (highest_ended.contains(order.task) && order.run <= highest_ended[order.task]) {
-            return reply(order_result::superseded, now_ms);
+            return reply(order_result::superseded);
         }
         if (order.lease_until_ms <= clock(now_ms)) {
-            return reply(order_result::lease_expired, now_ms);
+            return reply(order_result::lease_expired);
         }
         lease_until_ms = std::max(lease_until_ms, order.lease_until_ms);
         running.push_back(
             {order.task, order.run, now_ms, duration_ms == 0 ? 0 : now_ms + duration_ms, result});
-        return reply(order_result::ok, now_ms);
+        return reply(order_result::ok);
     }
 
     order_answer stop(const stop_order& order, std::int64_t now_ms)
     {
         advance(now_ms);
         if (order.fencing_token < token) {
-            return reply(order_result::fenced, now_ms);
+            return reply(order_result::fenced);
         }
         token = order.fencing_token;
         std::uint32_t& highest = highest_ended[order.task];
@@ -91,7 +91,7 @@
             }
             break;
         }
-        return reply(order_result::ok, now_ms);
+        return reply(order_result::ok);
     }
 
     poll_answer poll(const poll_order& order, std::int64_t now_ms)
@@ -145,7 +145,7 @@
     }
 
 private:
-    order_answer reply(order_result outcome, std::int64_t now_ms) const { return {outcome, clock(now_ms)}; }
+    static order_answer reply(order_result outcome) { return {outcome}; }
     void finish(std::size_t index, end_kind result)
     {
         const active_task active = running[index];
--- a/tests/shard/loaded_core.hpp
+++ b/tests/shard/loaded_core.hpp
@@ -19,23 +19,28 @@
     return id_of(job) + ".0.0.0";
 }
 
-/// A core of epoch 7 that has read job 1, which has one task, and its progress. Workers `a` and `b` have
+/// A core of epoch 7 that has read one job of one step, and its progress. Workers `a` and `b` have
 /// registered.
 class loaded_core {
 public:
     static constexpr std::int64_t start_ms = 100;
 
+    /// @param task the only task of job 1
     explicit loaded_core(const task_progress& task, const shard_options& options = {.shard = 3, .epoch = 7})
+        : loaded_core(shard_world::job(id_of(1), 1), {task}, options)
+    {
+    }
+    loaded_core(const job_spec& job, const std::vector<task_progress>& tasks,
+                const shard_options& options = {.shard = 3, .epoch = 7})
         : core(options)
     {
         core.set_config(shard_world::config());
         for (const char* id : {"a", "b"}) {
             core.put_worker(entry(id), start_ms);
         }
-        const job_spec job = shard_world::job(id_of(1), 1);
         occurrence_progress progress = make_occurrence(job);
-        progress.steps[0][0] = task;
-        core.load_progress(id_of(1) + ".0", encode_progress(progress));
+        progress.steps[0] = tasks;
+        core.load_progress(job.id + ".0", encode_progress(progress));
         core.tick(start_ms, start_ms);
         core.add_job(job, 0, start_ms);
         core.finish_load(start_ms);
--- a/tests/shard/shard_core_test.cpp
+++ b/tests/shard/shard_core_test.cpp
@@ -97,7 +97,7 @@
     core.on_stored(assigned.batch, 110);
     const shard_effects ordered = core.take_effects(110);
     ASSERT_EQ(ordered.starts.size(), 1U);
-    core.on_start("a", ordered.starts[0].order, {order_result::ok, 60}, 112);
+    core.on_start("a", ordered.starts[0].order, {order_result::ok}, 112);
     core.on_poll("a", 112, false, empty, 113);  // sent at 112 as well: may precede the confirmation
     EXPECT_EQ(core.runs(), 1U);
     core.on_poll("a", 114, false, empty, 115);
--- a/tests/shard/shard_crash_test.cpp
+++ b/tests/shard/shard_crash_test.cpp
@@ -422,7 +422,7 @@
     const shard_effects first = core.take_effects(110);
     ASSERT_EQ(first.starts.size(), 1U);
     const std::string dead = first.starts[0].worker.id;
-    core.on_start(dead, first.starts[0].order, {order_result::not_listening, {}}, 112);
+    core.on_start(dead, first.starts[0].order, {order_result::not_listening}, 112);
     core.on_stored(core.take_effects(113).batch, 120);
     const shard_effects second = core.take_effects(120);
     ASSERT_EQ(second.starts.size(), 1U);
--- a/tests/shard/shard_limits_test.cpp
+++ b/tests/shard/shard_limits_test.cpp
@@ -116,14 +116,7 @@
         }
     }
 
-    order_answer random_answer()
-    {
-        order_answer answer{numbers_.chance(80) ? order_result::ok : order_result::no_room, std::nullopt};
-        if (numbers_.chance(80)) {
-            answer.clock_ms = numbers_.any(limit_);
-        }
-        return answer;
-    }
+    order_answer random_answer() { return {numbers_.chance(80) ? order_result::ok : order_result::no_room}; }
 
     poll_answer random_list()
     {
--- a/tests/shard/shard_owner_test.cpp
+++ b/tests/shard/shard_owner_test.cpp
@@ -242,6 +242,41 @@
     }
 }
 
+// Reads that were refused, or timed out in this process, counted as knowledge of the present, so that a
+// cancelled job was started.
+TEST_F(shard_owner_test, nothing_starts_while_the_reads_of_the_cancels_are_refused)
+{
+    const resources room = workers.worker.entry.capacity;
+    workers.worker.entry.capacity = {0, 0, 0};
+    shard_owner::parts parts{.loop = &loop, .store = &store, .workers = &workers, .address = "node"};
+    parts.registrations_until = [] {
+        return monotonic_ms();
+    };
+    owner = std::make_unique<shard_owner>(
+        parts, 0, shard_options{.epoch = 50, .max_registrations_age_ms = 600, .max_jobs_age_ms = 600},
+        [] { FAIL() << "the owner was replaced"; });
+    auto config = std::make_shared<cluster_config>();
+    config->queues.push_back({.name = "q", .service = "svc", .max_attempts = 4});
+    config->services.push_back({.name = "svc"});
+    owner->set_config(config);
+    owner->put_worker(workers.worker.entry);
+    owner->start();
+    submit(1);
+    run_until([this] { return owner->core().jobs() == 1; });
+    store.refused_reads[{jobs_topic, 0}] = 1'000'000;
+    store.append({.topic = jobs_topic,
+                  .partition = 0,
+                  .records = {{.key = std::string("0000000000000010") + cancel_key_suffix,
+                               .value = cancel_record,
+                               .offset = -1}}},
+                 [](const append_result&) {});
+    run_for(1'000);
+    workers.worker.entry.capacity = room;
+    owner->put_worker(workers.worker.entry);
+    run_for(300);
+    EXPECT_TRUE(workers.started.empty());
+}
+
 // A second owner with the same epoch gets the answer to the first one's call as a repeat. It went on beside
 // the first one.
 TEST_F(shard_owner_test, an_owner_whose_epoch_is_in_use_ends)
--- a/tests/shard/shard_staleness_test.cpp
+++ b/tests/shard/shard_staleness_test.cpp
@@ -77,6 +77,7 @@
     loaded_core owner({}, limited);
     owner.core.set_known_until(100, 5'000);
     EXPECT_EQ(assign(owner, 5'000), 0U);
+    EXPECT_EQ(owner.core.counts().starts_held, 1U);
     owner.core.set_known_until(5'000, 5'000);
     EXPECT_NE(assign(owner, 5'001), 0U);
 }
--- a/tests/shard/shard_world.hpp
+++ b/tests/shard/shard_world.hpp
@@ -178,6 +178,7 @@
         }
         core.finish_load(now);
         owners.push_back(created);
+        confirm(created);
         tick(created);
         return created;
     }
@@ -266,6 +267,21 @@
     }
     bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(random) < share; }
 
+    /// Stores who owns the shard.
+    void confirm(const owner_ptr& owner)
+    {
+        constexpr std::int64_t append_ms = 8;
+        constexpr std::int64_t retry_ms = 60;
+        after(store_down ? retry_ms : append_ms, [this, owner] {
+            if (store_down) {
+                confirm(owner);
+            }
+            else if (!owner->terminated && owner->epoch == epoch) {
+                owner->core->on_owner_stored();
+            }
+        });
+    }
+
     void tick(const owner_ptr& owner)
     {
         if (owner->terminated || owner->core->fenced()) {
