Soak: let relays hold bytes and deliver them after a cut

A cut link lost its bytes, so no order could arrive seconds after it was sent, or after its sender had ended. A held link keeps the bytes of one or both directions, of all connections or of some callers, and passes them on when it heals. The end of a delayed connection follows its delayed bytes.

--- a/tests/soak/faulty_platform.py
+++ b/tests/soak/faulty_platform.py
@@ -13,6 +13,7 @@
 BEAT_S = 1.5
 SILENCE_S = 10.0
 LAPSE_S = 3 * BEAT_S  # a worker that sends nothing for this long loses its entry
+HELD_CHECK_S = 0.02
 UNANSWERED_S = 4.0  # a connection without an answer stays open for this long
 CHECKPOINT_S = 2.0  # checkpointS
 SALT = os.getpid() % 250 + 1  # keeps the addresses of soaks that run at the same time apart
@@ -25,11 +26,13 @@
     def __init__(self, relay, other=None, source=None):
         self.relay = relay
         self.other = other
-        self.source = source
+        self.source = source  # address from which the target sees this connection come
         self.transport = None
         self.waiting = []  # bytes that arrived before the other side was connected
+        self.queue = []  # what is held: bytes, and None for the end of the connection
         self.direction = "back" if other else "forth"
         self.mute = False  # silent for good, whatever the relay does later
+        self.kept = False  # held, whatever the relay does with other connections
         self.due = 0.0
 
     def connection_made(self, transport):
@@ -39,10 +42,17 @@
             asyncio.ensure_future(self.connect())
 
     async def connect(self):
+        # A connection that is opened during a cut is established when it heals. Nothing of it arrives if the sender
+        # has ended before.
+        while self.relay.holds(self.source):
+            await asyncio.sleep(HELD_CHECK_S)
+        if self.transport.is_closing():
+            return
         ip, port = self.relay.target.rsplit(":", 1)
         try:
             _, self.other = await asyncio.get_running_loop().create_connection(
-                lambda: Pipe(self.relay, self), ip, int(port), local_addr=self.source and (self.source, 0))
+                lambda: Pipe(self.relay, self, self.source), ip, int(port),
+                local_addr=self.source and (self.source, 0))
         except OSError:
             self.transport.abort()
             return
@@ -53,6 +63,9 @@
         for data in waiting:
             self.data_received(data)
 
+    def held(self):
+        return self.kept or self.relay.holds(self.source, self.direction)
+
     def data_received(self, data):
         if not self.other:
             self.waiting.append(data)
@@ -60,6 +73,14 @@
         if self.mute or self.relay.silent in (self.direction, "both"):
             self.mute = True  # a lost byte cannot be made up for by later ones
             return
+        self.take(data)
+
+    def take(self, data):
+        """Passes bytes on, or None for the end; after what is held, if something is."""
+        if self.queue or self.held():
+            self.queue.append(data)
+            self.relay.holding.add(self)
+            return
         loop = asyncio.get_running_loop()
         self.due = max(self.due, loop.time() + self.relay.delay_s)
         if self.due > loop.time():
@@ -67,26 +88,44 @@
         else:
             self.pass_on(data)
 
+    def release(self):
+        """Passes on what was held, also if the sender has ended since."""
+        if self.held():
+            return
+        self.relay.holding.discard(self)
+        queue, self.queue = self.queue, []
+        for data in queue:
+            self.take(data)
+
     def pass_on(self, data):
-        if not self.other.transport.is_closing():
+        if data is None:
+            self.other.transport.close()
+        elif not self.other.transport.is_closing():
             self.other.transport.write(data)
 
     def connection_lost(self, _):
         self.relay.pipes.discard(self)
-        if self.other and self.other.transport:
-            # The close follows the delayed bytes; the end of a silent connection is not seen for long.
-            wait_s = SILENCE_S if self.mute else self.relay.delay_s
-            asyncio.get_running_loop().call_later(wait_s, self.other.transport.close)
+        if not self.other or not self.other.transport:
+            return
+        if self.mute:
+            # The end of a silent connection is not seen for long.
+            asyncio.get_running_loop().call_later(SILENCE_S, self.other.transport.close)
+        else:
+            self.take(None)
 
 
 class Relay:
-    """Passes connections on to `target`, with delay, silence in one or both directions, or resets."""
+    """Passes connections on to `target`, with delay, silence in one or both directions, or resets. Silence loses the
+    bytes; a link that is held delivers them when it heals, as retransmission does after a cut."""
 
     def __init__(self, target=""):
         self.target = target
         self.delay_s = 0.0
         self.silent = ""  # "forth", "back" or "both"
+        self.hold = ""  # the same
+        self.hold_sources = None  # only connections from these addresses are held; None: all
         self.pipes = set()
+        self.holding = set()  # pipes with something in their queues, also of senders that have ended
         self.servers = []
         self.address = ""
 
@@ -107,6 +146,31 @@
         for pipe in list(self.pipes):
             pipe.mute = True
 
+    def holds(self, source, direction=""):
+        """@return whether bytes of connections from `source` are held, in any direction if none is named"""
+        return self.hold and (not direction or self.hold in (direction, "both")) and \
+            (self.hold_sources is None or source in self.hold_sources)
+
+    def hold_open(self, sources=None):
+        """Holds the bytes of the open connections, and not those of new ones. @return their pipes, for let_go()"""
+        pipes = [pipe for pipe in self.pipes if sources is None or pipe.source in sources]
+        for pipe in pipes:
+            pipe.kept = True
+        return pipes
+
+    def heal(self):
+        """Ends `hold`."""
+        self.hold, self.hold_sources = "", None
+        for pipe in list(self.holding):
+            pipe.release()
+
+
+def let_go(pipes):
+    """Ends what Relay.hold_open() began."""
+    for pipe in pipes:
+        pipe.kept = False
+        pipe.release()
+
 
 async def no_answer(random):
     """The connection ends at once or stays silent for longer than the nodes wait."""
