Soak: add the disturbances links_held and deals_in_series

links_held holds or delays links to workers, peers and the store for up to 2.5 s; deals_in_series makes tens of group generations in a minute.

--- a/tests/soak/platform_faults.py
+++ b/tests/soak/platform_faults.py
@@ -2,10 +2,11 @@
 import asyncio
 
 from fault_tools import some, touch
-from faulty_platform import LAPSE_S, odd_values
+from faulty_platform import LAPSE_S, let_go, odd_values
 from users_platform import call, dump
 
 REUSE_S = 2.0  # reuseAfterS
+LONG_DELAY_S = 2.5  # orders were under way for so long in the users' record
 
 
 # the store
@@ -70,6 +71,18 @@
         await asyncio.sleep(random.uniform(0.02, seconds / 2))
 
 
+async def deals_in_series(world, random, seconds):
+    """Tens of generations of the group in a minute, while starts are under way."""
+    end = world.now() + 4 * seconds
+    while world.now() < end:
+        touch(world, None, 2)
+        if random.random() < 0.3:
+            world.store.deal_anew()
+        else:
+            world.store.deal_at_once()
+        await asyncio.sleep(random.uniform(0.05, 2.5))
+
+
 async def store_parts_away(world, random, seconds):
     """Some partitions of all topics but the operator's cannot be reached; the group can."""
     touch(world, None, seconds)
@@ -138,6 +151,56 @@
     await harm(world, random, seconds, [worker.relay for worker in some(random, world.workers, 6)])
 
 
+async def links_held(world, random, seconds):
+    """Links hold the bytes of both sides and deliver them when they heal, also of senders that have ended. Held are the
+    links of some workers, all links of some nodes to workers, to peers or to the store; or they are only slow."""
+    relays, sources = random.choice([worker_relays, node_relays, peer_relays, store_relays])(world, random)
+    touch(world, None, seconds + LONG_DELAY_S)
+    end = world.now() + seconds
+    while world.now() < end:
+        how = random.choice(["forth", "back", "both", "both", "open", "delay"])
+        await hold(random, relays, sources, how, min(random.uniform(0.3, LONG_DELAY_S), seconds))
+        await asyncio.sleep(random.uniform(0.05, 0.5))
+
+
+def worker_relays(world, random):
+    return [worker.relay for worker in some(random, world.workers, 24)], None
+
+
+def node_relays(world, random):
+    return [worker.relay for worker in world.workers], {node.ip for node in some(random, world.nodes, 3)}
+
+
+def peer_relays(world, random):
+    relays = [relay for node in world.nodes for relay in node.peer_links.values()]
+    return random.sample(relays, len(relays) // 3), None
+
+
+def store_relays(world, random):
+    return [node.store_link for node in some(random, world.nodes, 3)], None
+
+
+async def hold(random, relays, sources, how, seconds):
+    """Holds links for so long, or delays them by at most as much.
+    @param sources only connections from these addresses are held; None: all
+    @param how a direction, "open" for the connections that are open now, or "delay" """
+    if how == "open":
+        # Retransmission backs off, so that connections of one link heal at different times.
+        for relay in relays:
+            pipes = relay.hold_open(sources)
+            asyncio.get_running_loop().call_later(seconds * random.uniform(0.6, 1.0), let_go, pipes)
+    elif how == "delay":
+        for relay in relays:
+            relay.delay_s = random.uniform(0.1, 1.0) * seconds
+    else:
+        for relay in relays:
+            relay.hold, relay.hold_sources = how, sources
+    await asyncio.sleep(seconds)
+    for relay in relays:
+        relay.delay_s = 0.0
+        relay.heal()
+
+
 async def harm(world, random, seconds, relays):
     touch(world, None, seconds)
     how = random.choice(["delay", "forth", "back", "both", "reset", "mute"])
