Soak: add nodes_throttled and all_killed_links_held

nodes_throttled gives nodes 0.12 to 0.25 of a core. all_killed_links_held ends all nodes and starts them 0.7 to 1.6 s later, while links of some of them to the workers hold what was sent before.

--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -7,6 +7,9 @@
 from fault_tools import some, taken, touch
 from faulty_platform import odd_values
 from nodes import limit_files
+from platform_faults import hold
+
+QUOTA_PERIOD_S = 0.1  # the kernel's period for processor quotas
 
 
 # processes
@@ -41,6 +44,47 @@
         await kill(world, random, nodes, random.choice([0, 0.7]))
 
 
+async def all_killed_links_held(world, random, seconds):
+    """All nodes lose power and come back, as at the end of the platform's days, while links of some nodes to the workers
+    hold what was sent before."""
+    with taken(world.nodes) as nodes:
+        if not nodes:
+            return
+        sources = {node.ip for node in some(random, nodes, len(nodes))}
+        relays = [worker.relay for worker in world.workers]
+        how = random.choice(["forth", "back", "both", "open", "open", "delay"])
+        away_s = random.uniform(0.7, 1.6)
+        before_s = random.uniform(0.0, 1.0)
+        held_s = before_s + away_s + random.uniform(-0.5, 2.5)
+        touch(world, None, held_s + 3)
+        holding = world.spawn(hold(random, relays, sources, how, held_s))
+        await asyncio.sleep(before_s)
+        await kill(world, random, nodes, away_s)
+        await holding
+
+
+async def nodes_throttled(world, random, seconds):
+    """Some or all nodes have hosts of 0.12 to 0.25 cores: of each tenth of a second, they run for this share."""
+    nodes = some(random, world.nodes, 3) if random.random() < 0.4 else list(world.nodes)
+    touch(world, None, 3 * seconds)
+    await asyncio.gather(*[throttle(world, random, node, 3 * seconds) for node in nodes])
+
+
+async def throttle(world, random, node, seconds):
+    share = random.uniform(0.12, 0.25)
+    end = world.now() + seconds
+    await asyncio.sleep(random.uniform(0, QUOTA_PERIOD_S))
+    while world.now() < end:
+        process = node.process
+        # Node.signal() writes a record for each signal and marks the node as paused; that is for disturbances only.
+        if not node.paused and process.poll() is None:
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep((1 - share) * QUOTA_PERIOD_S)
+            if not node.paused and process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(share * QUOTA_PERIOD_S)
+
+
 async def kill(world, random, nodes, away_s):
     touch(world, None, away_s + 3)
     for node in nodes:
