Soak: add a start under which leases of idle workers do not lapse

The rule TWICE voids an end that is listed after the worker's lease lapsed. The soak counted a lease that ran out while nothing ran as lapsed, so that ends of runs that an owner had given up never mattered. The start idle_leases_last counts only leases that end a run.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,9 +2,10 @@
 what it does. START conditions replace the usual start of the nodes."""
 from caller_faults import (cancels, configurations, deadly_job, hasty_clients, hopeless_jobs, large_bodies, large_jobs,
                            lasting_jobs, many_connections, many_routes, routes_move, services_change)
-from node_faults import (all_killed, all_killed_links_held, apart, node_kill, node_pause, node_reload, node_replaced,
-                         node_stop, nodes_join, nodes_throttled, reload_at_start, restarted_at_once, stops_in_turn,
-                         with_odd_records, with_odd_settings, with_small_files, without_configuration, without_store)
+from node_faults import (all_killed, all_killed_links_held, apart, idle_leases_last, node_kill, node_pause,
+                         node_reload, node_replaced, node_stop, nodes_join, nodes_throttled, reload_at_start,
+                         restarted_at_once, stops_in_turn, with_odd_records, with_odd_settings, with_small_files,
+                         without_configuration, without_store)
 from platform_faults import (addresses_reused, deals_in_series, links_held, odd_entries, odd_hosts, odd_nesting,
                              orders_late, orders_unanswered, peer_links, store_deals_anew, store_deals_at_once,
                              store_down, store_forgets, store_links, store_loses_answers, store_parts_away,
@@ -21,4 +22,4 @@
           deals_in_series]
 
 STARTS = [apart, without_store, without_configuration, with_odd_settings, restarted_at_once, with_odd_records,
-          with_small_files]
+          with_small_files, idle_leases_last]
--- a/tests/soak/faulty_platform.py
+++ b/tests/soak/faulty_platform.py
@@ -310,6 +310,7 @@
         self.late_share = 0.0  # share of starts, stops and holds without an answer, carried out 2 to 12 s later
         self.lost_share = 0.0  # share of them that are carried out without an answer
         self.fails_all = False
+        self.idle_lapses = True  # a lease that runs out while nothing runs counts as lapsed
         self.alive = False
         self.order = {}  # the one that is being carried out
         self.sender = ""  # IP address of its sender
@@ -400,7 +401,8 @@
 
     def check_lease(self):
         if self.clock() >= self.lease_until:
-            self.notice("lapse", worker=self.life)
+            voids = self.idle_lapses or self.running
+            self.notice("lapse" if voids else "idle_lapse", worker=self.life)
         super().check_lease()
 
     async def crash(self, away_s, leaves=False, reborn=lambda: None):
--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -172,6 +172,14 @@
         await asyncio.sleep(random.uniform(0, 0.3 / len(world.nodes)))
 
 
+async def idle_leases_last(world, random):
+    """A lease that runs out while nothing runs is no lapse. TWICE leaves open whether an end that is listed then is
+    void; here it is not."""
+    for worker in world.workers:
+        worker.idle_lapses = False
+    await apart(world, random)
+
+
 async def without_store(world, random):
     """The store is not there yet."""
     world.store.down = True
