--- a/tests/soak/platform_faults.py
+++ b/tests/soak/platform_faults.py
@@ -6,6 +6,7 @@
 from users_platform import call, dump
 
 REUSE_S = 2.0  # reuseAfterS
+LEASE_LAPSES_S = 6.0  # a lease of 4 s has lapsed on a slow clock, with time to spare
 LONG_DELAY_S = 2.5  # orders were under way for so long in the users' record
 
 
@@ -155,11 +156,13 @@
     """Links hold the bytes of both sides and deliver them when they heal, also of senders that have ended. Held are the
     links of some workers, all links of some nodes to workers, to peers or to the store; or they are only slow."""
     relays, sources = random.choice([worker_relays, node_relays, peer_relays, store_relays])(world, random)
-    touch(world, None, seconds + LONG_DELAY_S)
+    touch(world, None, seconds + LEASE_LAPSES_S)
     end = world.now() + seconds
     while world.now() < end:
         how = random.choice(["forth", "back", "both", "both", "open", "delay"])
-        await hold(random, relays, sources, how, min(random.uniform(0.3, LONG_DELAY_S), seconds))
+        # A cut may outlast the leases of the workers; a slow link does not.
+        most_s = min(seconds, LONG_DELAY_S) if how == "delay" else max(seconds, random.choice([0, LEASE_LAPSES_S]))
+        await hold(random, relays, sources, how, random.uniform(0.3, most_s))
         await asyncio.sleep(random.uniform(0.05, 0.5))
 
 
