--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -1,27 +1,34 @@
 """Checks the promises of the platform's pages on what callers, workers and the system saw. Shares no code with the
 product or with the soak; the records are dictionaries with `at` in seconds and `event`:
 
-    begin     number                               a disturbance begins
-    fault     number, until                        and has lasted from `at` to `until`
+    begin     number, scope                        a disturbance begins. `scope`: "planned" if cancels are judged beside it,
+                                                   "hosts" if `touched` tells which nodes it concerns, else all are
+    fault     number, until, scope                 and has lasted from `at` to `until`
+    touched   node, until                          a disturbance concerns one node, or all for None, from `at` to `until`
+    lag       seconds                              the soak itself was late
     calm                                           the last disturbance is over
-    submit    job, prefix, steps [{count, after, lasting, copies, most}], doomed
+    submit    job, prefix, spec, steps [{count, after, lasting, copies, most}], doomed
               `copies`: copies of a task may run, `most` tasks on one worker (0: any), `doomed`: it cannot be completed
     route     prefix, service                      a configuration sends the jobs of a prefix to a service
     answer    call (submit, get, cancel), job, sent, status, state, node
     unanswered job                                 nobody answers for this job at the end
     cut       node, sent                           a connection ended without an answer to a whole request
     start, end (how), ack (node)    task, run, worker     `worker` names one life of a worker
-    start     service, node, token, known          the worker's service, who ordered it with which fencing token, and
+    start     service, node, token, known, spec    the worker's service, who ordered it with which fencing token, and
                                                    whether its checkpoint, if it has one, is one of the task
+    draining  worker                               the store has taken a registration that says so
     lapse, crash             worker
     node_start, node_stop (status, seconds), node_end (status, lines)      node
     sample    node, pid, memory, descriptors, processor, log, ready, disturbed
 """
 import collections
+import math
 
 MAX_ATTEMPTS = 4
 CONTACT_S = 3.0  # contactMs
 CANCEL_S = 3.0  # cancel_ms
+BOUNDS = {"contactMs": 3000, "cancel_ms": 3000, "drainMs": 2000, "stopMs": 200}  # unless the deployment has others
+TIMER_S = 0.1  # rounding of the soak's own times, besides the lag that it has measured
 COPY_S = 1.0  # a copy may still start for so long after an end was noted
 GRACE_S = 6.0
 LOSS_SLACK_S = 0.2  # lossSlackMs
@@ -35,8 +42,9 @@
 
 
 class Job:
-    def __init__(self, name, steps, doomed, prefix):
+    def __init__(self, name, steps, doomed, prefix, spec=None):
         self.steps = steps
+        self.spec = spec
         self.prefix = prefix
         self.by_step = [[f"{name}.0.{step}.{index}" for index in range(row["count"])]
                         for step, row in enumerate(steps)]
@@ -68,7 +76,17 @@
 
 
 class Checker:
-    def __init__(self):
+    def __init__(self, bounds=None):
+        bounds = bounds or BOUNDS
+        self.contact_s = bounds["contactMs"] / 1000
+        self.cancel_s = bounds["cancel_ms"] / 1000
+        self.drain_s = bounds["drainMs"] / 1000
+        self.stop_s = bounds["stopMs"] / 1000
+        self.draining = {}  # by life of a worker: time of its first registration that says so
+        self.touches = collections.defaultdict(list)  # by node, None for all: (since, until)
+        self.lags = []  # (at, seconds)
+        self.by_scope = collections.defaultdict(list)  # [since, until] of disturbances
+        self.begun = {}  # number of a disturbance that is under way: its row in by_scope
         self.jobs = {}
         self.tasks = collections.defaultdict(Task)
         self.faults = []
@@ -97,13 +115,45 @@
     def see(self, record):
         getattr(self, "see_" + record["event"], lambda _: None)(record)
 
+    def in_touch(self, node, at):
+        """@return whether neither the node nor all nodes were disturbed since contactMs before `at`"""
+        rows = self.touches[node] + self.touches[None] + self.by_scope["all"]
+        return not any(since <= at and until >= at - self.contact_s for since, until in rows)
+
+    def lag_between(self, begin, end):
+        """@return by how much the soak was late in that time; what it has seen may be so old"""
+        return TIMER_S + sum(seconds for at, seconds in self.lags if at >= begin and at - seconds <= end)
+
+    def calm_between(self, begin, end):
+        """As undisturbed(), beside the planned disturbances."""
+        return not any(since <= end and until >= begin for since, until in self.unplanned())
+
+    def unplanned(self):
+        return [row for rows in (self.by_scope["all"], self.by_scope["hosts"], *self.touches.values()) for row in rows]
+
     def see_begin(self, record):
         if "number" in record:
             self.lasting[record["number"]] = record["at"]
+            self.begun[record["number"]] = row = [record["at"], math.inf]
+            self.by_scope[record.get("scope", "all")].append(row)
 
     def see_fault(self, record):
         self.lasting.pop(record["number"], None)
         self.faults.append((record["at"], record["until"]))
+        row = self.begun.pop(record["number"], None)
+        if row is None:
+            self.by_scope[record.get("scope", "all")].append([record["at"], record["until"]])
+        else:
+            row[1] = record["until"]
+
+    def see_touched(self, record):
+        self.touches[record["node"]].append((record["at"], record["until"]))
+
+    def see_lag(self, record):
+        self.lags.append((record["at"], record["seconds"]))
+
+    def see_draining(self, record):
+        self.draining.setdefault(record["worker"], record["at"])
 
     def see_calm(self, record):
         self.calm = record["at"]
@@ -112,7 +162,7 @@
 
     def see_submit(self, record):
         job = self.jobs.setdefault(record["job"], Job(record["job"], record["steps"], record["doomed"],
-                                                       record["prefix"]))
+                                                       record["prefix"], record.get("spec")))
         job.sends += 1
 
     def see_route(self, record):
@@ -179,6 +229,10 @@
             return
         task, step = self.tasks[name], job.steps[int(name.split(".")[2])]
         task.orders[record["worker"], record["run"]] = order
+        if job.spec is not None and record.get("spec", job.spec) != job.spec:
+            self.breach(at, "UNASKED", f"{where} with the spec {str(record['spec'])[:60]!r}, the client's is "
+                        f"{job.spec[:60]!r}")
+        self.check_drain(record, where)
         if not record["known"]:
             self.breach(at, "UNASKED", f"{where} with a checkpoint that is none of the task")
         if task.running and not step.get("copies"):
@@ -195,6 +249,10 @@
                 self.breach(at, "ORDER", f"{where} before {needed} is done")
         if job.cancelled and at > job.cancelled + CANCEL_S and self.undisturbed(at - CANCEL_S - CONTACT_S, at):
             self.breach(at, "CANCEL", f"{where}, its job was cancelled at {job.cancelled:.3f}")
+        elif job.cancelled and self.in_touch(record["node"], at) and \
+                at > job.cancelled + self.cancel_s + self.lag_between(job.cancelled, at):
+            self.breach(at, "UNASKED", f"{where}, {at - job.cancelled:.3f} s after its job was cancelled at "
+                        f"{job.cancelled:.3f}")
         task.running[record["worker"], record["run"]] = at
         self.on_worker[record["worker"]].add(name)
         task.starts.append((at, record["run"], record["worker"]))
@@ -203,6 +261,29 @@
         """@return whether a start comes too late after `since` even for a copy, with all nodes in touch"""
         return at > since + COPY_S and self.undisturbed(since - CONTACT_S, at)
 
+    def check_drain(self, record, where):
+        at, since = record["at"], self.draining.get(record["worker"])
+        if since is not None and self.in_touch(record["node"], at) and \
+                at > since + self.drain_s + self.lag_between(since, at):
+            self.breach(at, "DRAIN", f"{where}, {at - since:.3f} s after the store took its report of draining at "
+                        f"{since:.3f}; the soak was late by {self.lag_between(since, at) - TIMER_S:.3f} s")
+
+    def check_run_on(self, name, since, end):
+        """A run may not go on for stopMs after cancel_ms after the cancel, counted in a calm stretch; starts that come
+        after the cancel are judged by themselves."""
+        job = self.jobs.get(name.split(".")[0])
+        if not job or not job.cancelled:
+            return
+        allowed_s = self.cancel_s + self.stop_s
+        first = max(job.cancelled, since)
+        calm_again = [until + self.contact_s for _, until in self.unplanned()]
+        for begin in [first, *[at for at in calm_again if at > first]]:
+            until = begin + allowed_s + self.lag_between(begin, begin + allowed_s)
+            if end > until and self.calm_between(begin - self.contact_s + 0.001, until):
+                self.breach(end, "UNASKED", f"{name} runs until {end:.3f}, its job was cancelled at "
+                            f"{job.cancelled:.3f}, calm from {begin - self.contact_s:.3f} to {until:.3f}", name)
+                return
+
     def check_place(self, record, step, job, where):
         if record["service"] not in self.routes[job.prefix]:
             self.breach(record["at"], "ROUTE", f"{where}, a worker of {record['service']}; no configuration sends "
@@ -216,7 +297,9 @@
 
     def see_end(self, record):
         task, job = self.tasks[record["task"]], self.jobs.get(record["task"].split(".")[0])
-        task.running.pop((record["worker"], record["run"]), None)
+        since = task.running.pop((record["worker"], record["run"]), None)
+        if since is not None:
+            self.check_run_on(record["task"], since, record["at"])
         if not any(worker == record["worker"] for worker, _ in task.running):
             self.on_worker[record["worker"]].discard(record["task"])
         if record["how"] == "failed":
@@ -259,6 +342,7 @@
 
     def see_node_start(self, record):
         self.ready[record["node"]] = record["at"]
+        self.touches[record["node"]].append((record["at"], record["at"]))
 
     def see_node_stop(self, record):
         if record["status"] is None:
@@ -267,6 +351,7 @@
             self.breach(record["at"], "STOP", f"{record['node']} ends with status {record['status']} after SIGTERM")
 
     def see_signal(self, record):
+        self.touches[record["node"]].append((record["at"], record["at"]))
         if record["signal"] == "SIGTERM":
             self.stops.append((record["node"], record["at"]))
 
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -38,6 +38,10 @@
     stop_s: float  # how long a worker takes for a stop
     nodes: int
     bounds: dict  # where they differ from BOUNDS, which are those of tkc-sapporo
+    shares: tuple = ()  # processor share of each entry host, where they are not of one size
+    platform: dict = dataclasses.field(default_factory=dict)  # the store's figures that differ from those in settings()
+    services: dict = dataclasses.field(default_factory=dict)  # workers of each, where they are not the usual ones
+    grown: bool = False
 
     def all_bounds(self):
         return {**BOUNDS, **self.bounds}
@@ -47,6 +51,14 @@
     Deployment("tkc-sapporo with quick stops", 0.05, 7, {}),
     Deployment("tkc-sapporo", 0.2, 7, {}),
     Deployment("farsa-kano", 0.9, 8, {"holdMaxMs": 6000, "stopMs": 900, "remoteSlowdown": 1.5, "restoreMs": 100})]
+# Chosen by --deployment, never by a seed.
+GROWN_DEPLOYMENTS = [
+    Deployment("farsa-kano-grown", 0.9, 34,
+               {"holdMaxMs": 6000, "stopMs": 900, "remoteSlowdown": 1.5, "restoreMs": 100, "contactMs": 4000,
+                "ackMs": 6000, "catchUpS": 6, "drainMs": 3000, "configApplyMs": 3000, "maxStretchMs": 6000,
+                "recoveryS": 15, "gangMs": 4000, "cancel_ms": 4000, "noticeMs": 5500, "violationMs": 4500},
+               (0.5,) * 8 + (0.12,) * 26, {"writesPerS": 1200, "readsPerS": 6000, "readMbPerS": 500.0, "keep_s": 20},
+               {"lineplan": 61, "syrupworks": 69, "labelhouse": 78, "dockside": 85, "backoffice": 56}, True)]
 
 
 def limit_process():
@@ -71,6 +83,8 @@
     def __init__(self, world, number):
         self.world = world
         self.number = number
+        shares = world.deployment.shares
+        self.share = 0.25 if not shares else shares[number] if number < len(shares) else min(shares)
         self.name = f"front-{ZONES[number % 4]}-{number}"
         self.ip = f"127.100.{SALT}.{100 + number}"
         self.worker_ip = f"127.{129 + number}.{SALT}.1"
@@ -83,10 +97,20 @@
         self.expected_end = False
         self.paused = False
         self.held = False  # a disturbance of its process is under way
-        self.touched = 0.0  # until when a disturbance concerns this node
+        self._touched = 0.0
         self.file = os.path.join(world.folder, f"{self.name}.json")
         self.log = os.path.join(world.folder, f"{self.name}.log")
 
+    @property
+    def touched(self):
+        """Until when a disturbance concerns this node."""
+        return self._touched
+
+    @touched.setter
+    def touched(self, until):
+        self._touched = until
+        self.world.notice("touched", node=self.name, until=round(until, 3))
+
     async def connect(self):
         self.store_link.target = await self.world.store.add_front(self.number, self.rewrite_out, self.rewrite_in)
         await self.store_link.listen("127.0.0.1")
@@ -116,7 +140,7 @@
             "zones": dict.fromkeys(ZONES, "hokkaido"), "listenAddrs": self.listen, "internalPorts": [7060, 7075],
             "seeds": json.loads(self.rewrite_out(json.dumps(seeds).encode())), "bootstrap": True,
             "countsAsLoss": False,
-            "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": MEMORY_MB, "maxFds": DESCRIPTORS,
+            "limits": {"cpuShare": self.share, "cores": 1, "memoryMb": MEMORY_MB, "maxFds": DESCRIPTORS,
                        "linkMbps": 1000.0, "diskMb": 0},
             "dataDir": None, "discovery": "platform", "entry": "vip", "heartbeatMs": 1500,
             "contracts": ["base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep",
@@ -127,7 +151,7 @@
             "platform": {"address": self.store_link.address, "form": "log", "writesPerS": 600, "readsPerS": 2000,
                          "parts": 8, "appendMs": 4.0, "partMbPerS": 20.0, "readMbPerS": 80.0,
                          "recordBytes": 262144, "callBytes": 2097152, "keep_s": 300, "partMb": 200,
-                         "ttlMinMs": 1000},
+                         "ttlMinMs": 1000, **self.world.deployment.platform},
             "cloudApi": {"address": self.world.host_address, "ratePerS": 64.0, "duties": [], "dutyPerS": 64.0},
             **self.extra}
 
@@ -145,6 +169,8 @@
                      "WAXWINGNOTCH_CONFIG": self.file})
         self.expected_end = self.paused = False
         self.world.notice("node_start", node=self.name, pid=self.process.pid)
+        if self.world.shares:
+            self.world.shares.add(self.process.pid, self.share)
 
     def signal(self, number):
         """Sends a signal, to the process that this object started and nobody else."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -7,13 +7,15 @@
 import zlib
 
 from checker import FINISH_S, Checker
-from faulty_platform import SoakStore, SoakWorker, dump, host_rows
+from faulty_platform import SoakWorker, dump, host_rows
+from grown_faults import GrownStore, GrownWorker, Shares, WatchedStore
 from nodes import Node
 from users_platform import HostService, PolicyService, call
 
 SERVICES = {"lineplan": 8, "syrupworks": 9, "labelhouse": 11, "dockside": 12, "backoffice": 8}
 STANDBY = "backoffice"
 MAX_LAG_S = 2.0  # a soak that was this late has not seen enough to judge
+NOTED_LAG_S = 0.02
 HOST = "jobs.example"
 SPARE_NODES = 2
 SHOWN = 5  # breaches of each promise that are printed; the record has all
@@ -78,14 +80,18 @@
 
 
 class World:
-    def __init__(self, folder, seed, deployment, node_count, load):
-        """@param load how many jobs come, and to which services"""
+    def __init__(self, folder, seed, deployment, node_count, load, limit_shares=False):
+        """@param load how many jobs come, and to which services
+        @param limit_shares whether each process gets no more than its host's processor share"""
         self.folder = folder
         self.random = random.Random(seed)
         self.start_time = time.monotonic()
         self.record = open(f"{folder}/record.jsonl", "w", encoding="utf-8")
-        self.checker = Checker()
-        self.store = SoakStore()
+        self.checker = Checker(deployment.all_bounds())
+        self.shares = Shares() if limit_shares else None
+        self.services = deployment.services or SERVICES
+        self.store = GrownStore(deployment.platform, self.on_draining) if deployment.grown else \
+            WatchedStore(self.on_draining)
         self.store.random = random.Random(seed + 1)
         self.tasks = Tasks()
         self.hosts = HostService(Quiet())
@@ -102,7 +108,7 @@
         self.extra_routes = 0
         self.extra_services = set()
         self.leads = {name: name for name in SERVICES if name != STANDBY}  # by prefix: service, or None
-        self.disturbed_until = 0.0  # of what concerns all nodes
+        self._disturbed_until = 0.0
         self.traffic = True
         self.background = set()
         self.most_lag_s = 0.0
@@ -111,14 +117,30 @@
     def now(self):
         return time.monotonic() - self.start_time
 
+    @property
+    def disturbed_until(self):
+        """Until when a disturbance concerns all nodes."""
+        return self._disturbed_until
+
+    @disturbed_until.setter
+    def disturbed_until(self, until):
+        self._disturbed_until = until
+        self.notice("touched", node=None, until=round(until, 3))
+
+    def on_draining(self, life):
+        self.notice("draining", worker=life)
+
     def notice(self, event, **fields):
         record = {"at": round(self.now(), 4), "event": event, **fields}
         self.record.write(json.dumps(record) + "\n")
         if event == "start":
             # A lease that has run out ends its runs before anything else is seen, even if this loop is late.
             for worker in self.workers:
-                if worker.life != fields["worker"] and worker.alive and worker.running and \
-                        worker.clock() >= worker.lease_until:
+                if not worker.running or not worker.alive:
+                    continue
+                if worker.life == fields["worker"]:
+                    record["spec"] = worker.order.get("spec")
+                elif worker.clock() >= worker.lease_until:
                     worker.check_lease()
         known = len(self.checker.broken)
         self.checker.see(record)
@@ -201,11 +223,15 @@
 
         self.hosts.on_list = list_hosts
         number = 0
-        for service, count in SERVICES.items():
+        kind = GrownWorker if self.deployment.grown else SoakWorker
+        if self.deployment.grown:
+            self.spawn(self.store.expire())
+        for service, count in self.services.items():
             for _ in range(count):
-                worker = SoakWorker(Quiet(), f"i-{number:03d}", service, self.store, self.tasks, self.notice,
+                worker = kind(Quiet(), f"i-{number:03d}", service, self.store, self.tasks, self.notice,
                                     f"r{number // 4}", stop_s=self.deployment.stop_s,
                                     hold_max_ms=self.deployment.all_bounds()["holdMaxMs"])
+                worker.drain_s = self.deployment.all_bounds()["drainMs"] / 1000
                 worker.clock_rate = self.random.uniform(0.98, 1.0)
                 worker.sources = {node.worker_ip: node.ip for node in self.all_nodes}
                 await worker.start()
@@ -230,6 +256,8 @@
             await asyncio.sleep(0.05)
             lag_s = time.monotonic() - begin - 0.05
             self.most_lag_s = max(self.most_lag_s, lag_s)
+            if lag_s > NOTED_LAG_S:
+                self.notice("lag", seconds=round(lag_s, 3))
             if lag_s > MAX_LAG_S / 4:
                 self.disturbed_until = max(self.disturbed_until, self.now() + 5)
 
@@ -242,6 +270,9 @@
             for number in range(self.random.choice([1, 1, 2, 3])):
                 step = {"count": self.random.randint(1, 8), "cpu": self.random.choice([500, 900, 1900]),
                         "memMb": 256, "estimateMs": self.random.randint(50, 900)}
+                if self.deployment.grown:
+                    # Wide tasks fill hundreds of workers with few starts.
+                    step.update(cpu=step["cpu"] * 4, estimateMs=500 + 2 * step["estimateMs"])
                 if number:
                     step["dependsOn"] = sorted(self.random.sample(range(number), self.random.randint(1, number)))
                 steps.append({**step, **self.random.choices(EXTRAS, EXTRA_WEIGHTS)[0]})
@@ -274,7 +305,7 @@
         steps = [{"count": row["count"], "after": row.get("dependsOn", []), "lasting": row.get("longRunning", False),
                   "copies": row.get("speculative", False), "most": row.get("maxPerServer", 0)}
                  for row in job["steps"]]
-        send = {"job": name, "steps": steps, "doomed": job["kind"] in ("doomed", "deadly"), "prefix": job["service"]}
+        send = {"job": name, "steps": steps, "spec": body["spec"], "doomed": job["kind"] in ("doomed", "deadly"), "prefix": job["service"]}
         self.counts["jobs"] += 1
         for _ in range(tries):
             self.notice("submit", **send)
@@ -364,10 +395,19 @@
 
         await asyncio.gather(*[last_look(name) for name, job in self.checker.jobs.items() if job.accepted])
         self.traffic = False
+        if self.deployment.grown:
+            seconds = max(self.now(), 1.0)
+            self.notice("store_calls", per_s={name: round(count / seconds, 1)
+                                              for name, count in self.store.calls.items()},
+                        refused=dict(self.store.refused))
+            print(f"  store calls a second {dict((n, round(c / seconds)) for n, c in self.store.calls.items())}, "
+                  f"refused {dict(self.store.refused)}", flush=True)
 
     async def close(self):
         for node in self.all_nodes:
             node.kill()
+        if self.shares:
+            self.shares.close()
         for worker in self.workers:
             if worker.lease_timer:
                 worker.lease_timer.cancel()
