--- a/tests/soak/grown_faults.py
+++ b/tests/soak/grown_faults.py
@@ -12,7 +12,7 @@
 import time
 
 from fault_tools import some, taken
-from faulty_platform import WORKER_IP, SoakStore, SoakWorker
+from faulty_platform import WORKER_IP, Pipe, Relay, SoakStore, SoakWorker
 from users_platform import HttpServer, dump
 
 SO_BINDTODEVICE = getattr(socket, "SO_BINDTODEVICE", 25)
@@ -42,6 +42,50 @@
         return True
 
 
+class NarrowPipe(Pipe):
+    """One side of a connection over a link of limited rate, which all connections of the host share."""
+
+    async def connect(self):
+        ip, port = self.relay.target.rsplit(":", 1)
+        try:
+            _, self.other = await asyncio.get_running_loop().create_connection(
+                lambda: NarrowPipe(self.relay, self), ip, int(port))
+        except OSError:
+            self.transport.abort()
+            return
+        if self.transport.is_closing():
+            self.other.transport.abort()
+            return
+        waiting, self.waiting = self.waiting, []
+        for data in waiting:
+            self.data_received(data)
+
+    def data_received(self, data):
+        if self.other:
+            link = self.relay.links[self.direction]
+            now = time.monotonic()
+            link[0] = max(now, link[0]) + len(data) / self.relay.bytes_per_s
+            link[1] += len(data)
+            link[2] = max(link[2], link[0] - now)
+            self.due = max(self.due, asyncio.get_running_loop().time() + link[0] - now)
+        super().data_received(data)
+
+
+class NarrowRelay(Relay):
+    """A relay over a host's link."""
+
+    def __init__(self, bytes_per_s):
+        super().__init__()
+        self.bytes_per_s = bytes_per_s
+        self.links = {name: [0.0, 0, 0.0] for name in ("forth", "back")}  # [free at, bytes, longest wait]
+
+    async def listen(self, ip, port=0, source=None):
+        server = await asyncio.get_running_loop().create_server(lambda: NarrowPipe(self, source=source), ip, port)
+        self.servers.append(server)
+        self.address = self.address or f"{ip}:{server.sockets[0].getsockname()[1]}"
+        return self.address
+
+
 class WatchedStore(SoakStore):
     """The store, which tells of each registration that says `draining`."""
 
@@ -102,12 +146,16 @@
     def __init__(self, handler, sources):
         super().__init__(handler)
         self.sources = sources
+        self.avoid = set()  # ports of nodes, which may not listen yet
 
     async def listen(self, ip, port=0):
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, SO_BINDTODEVICE, b"lo\0")
-        # A port of the kernel's choice: those of free_port() belong to nodes that may not listen yet.
-        listener.bind(("", 0))
+        while True:
+            listener = socket.socket()
+            listener.setsockopt(socket.SOL_SOCKET, SO_BINDTODEVICE, b"lo\0")
+            listener.bind(("", 0))
+            if listener.getsockname()[1] not in self.avoid:
+                break
+            listener.close()
         self.server = await asyncio.start_server(self.serve, sock=listener)
         self.address = f"{WORKER_IP}:{listener.getsockname()[1]}"
         return self.address
@@ -189,7 +237,7 @@
 
 async def large_hosts_killed(world, random, seconds):
     """Some of the large hosts, or all of them, end at once, so that reserves take over, and come back."""
-    large = [node for node in world.nodes if node.share >= 0.3]
+    large = [node for node in world.nodes if node.share >= 0.3] or random.sample(world.nodes, 8)
     with taken(random.sample(large, random.choice([1, 2, 4, len(large)]))) as nodes:
         for node in nodes:
             node.kill()
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -10,6 +10,7 @@
 import time
 
 from faulty_platform import ROOT, SALT, WORKER_IP, Relay
+from grown_faults import NarrowRelay
 from users_platform import call, free_port
 
 PROGRAM = os.path.join(os.environ.get("BUILD_DIR", os.path.join(ROOT, "build")), "waxwingnotch")
@@ -42,6 +43,7 @@
     platform: dict = dataclasses.field(default_factory=dict)  # the store's figures that differ from those in settings()
     services: dict = dataclasses.field(default_factory=dict)  # workers of each, where they are not the usual ones
     grown: bool = False
+    link_mbps: float = 0.0  # of each host; limits what it exchanges with the store. 0: no limit
 
     def all_bounds(self):
         return {**BOUNDS, **self.bounds}
@@ -59,6 +61,10 @@
                 "recoveryS": 15, "gangMs": 4000, "cancel_ms": 4000, "noticeMs": 5500, "violationMs": 4500},
                (0.5,) * 8 + (0.12,) * 26, {"writesPerS": 1200, "readsPerS": 6000, "readMbPerS": 500.0, "keep_s": 20},
                {"lineplan": 61, "syrupworks": 69, "labelhouse": 78, "dockside": 85, "backoffice": 56}, True)]
+# As its days are played when they are shrunk by 2.4: small hosts only, with narrow links.
+GROWN_DEPLOYMENTS.append(dataclasses.replace(
+    GROWN_DEPLOYMENTS[0], name="farsa-kano-grown-small", shares=(0.12,) * 34, link_mbps=2.0,
+    services={"lineplan": 25, "syrupworks": 29, "labelhouse": 33, "dockside": 35, "backoffice": 23}))
 
 
 def limit_process():
@@ -89,7 +95,8 @@
         self.ip = f"127.100.{SALT}.{100 + number}"
         self.worker_ip = f"127.{129 + number}.{SALT}.1"
         self.listen = {name: f"{self.ip}:{free_port(self.ip)}" for name in ("front", "ready", "control")}
-        self.store_link = Relay()  # between this node and the store
+        mbps = world.deployment.link_mbps
+        self.store_link = NarrowRelay(mbps * 125_000) if mbps else Relay()  # between this node and the store
         self.peer_links = {}  # number of another node: relay to it
         self.limits = limit_process
         self.extra = {}  # settings that a fault changes or adds
@@ -141,7 +148,7 @@
             "seeds": json.loads(self.rewrite_out(json.dumps(seeds).encode())), "bootstrap": True,
             "countsAsLoss": False,
             "limits": {"cpuShare": self.share, "cores": 1, "memoryMb": MEMORY_MB, "maxFds": DESCRIPTORS,
-                       "linkMbps": 1000.0, "diskMb": 0},
+                       "linkMbps": self.world.deployment.link_mbps or 1000.0, "diskMb": 0},
             "dataDir": None, "discovery": "platform", "entry": "vip", "heartbeatMs": 1500,
             "contracts": ["base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep",
                           "sharing"],
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -234,6 +234,9 @@
                 worker.drain_s = self.deployment.all_bounds()["drainMs"] / 1000
                 worker.clock_rate = self.random.uniform(0.98, 1.0)
                 worker.sources = {node.worker_ip: node.ip for node in self.all_nodes}
+                if self.deployment.grown:
+                    worker.http.avoid = {int(address.rsplit(":", 1)[1]) for node in self.all_nodes
+                                         for address in node.listen.values()}
                 await worker.start()
                 self.workers.append(worker)
                 number += 1
@@ -271,8 +274,8 @@
                 step = {"count": self.random.randint(1, 8), "cpu": self.random.choice([500, 900, 1900]),
                         "memMb": 256, "estimateMs": self.random.randint(50, 900)}
                 if self.deployment.grown:
-                    # Wide tasks fill hundreds of workers with few starts.
-                    step.update(cpu=step["cpu"] * 4, estimateMs=500 + 2 * step["estimateMs"])
+                    # 2.2 cores for 0.7 s, and up to 16 tasks a step, as quick jobs of the grown deployments have them.
+                    step.update(count=step["count"] * 2, cpu=step["cpu"] * 2, estimateMs=step["estimateMs"] + 200)
                 if number:
                     step["dependsOn"] = sorted(self.random.sample(range(number), self.random.randint(1, number)))
                 steps.append({**step, **self.random.choices(EXTRAS, EXTRA_WEIGHTS)[0]})
@@ -400,6 +403,9 @@
             self.notice("store_calls", per_s={name: round(count / seconds, 1)
                                               for name, count in self.store.calls.items()},
                         refused=dict(self.store.refused))
+            links = {node.name: [round(link[1] / seconds), round(link[2], 3)] for node in self.all_nodes
+                     if hasattr(node.store_link, "links") for link in [node.store_link.links["back"]]}
+            self.notice("links", from_store=links)  # bytes a second, longest wait in seconds
             print(f"  store calls a second {dict((n, round(c / seconds)) for n, c in self.store.calls.items())}, "
                   f"refused {dict(self.store.refused)}", flush=True)
 
