--- a/tests/soak/grown_faults.py
+++ b/tests/soak/grown_faults.py
@@ -19,6 +19,7 @@
 QUOTA_PERIOD_S = 0.1
 QUOTA_STEP_S = 0.004
 CONTACT_S = 4.0  # contactMs
+AWAY_S = 20.0
 SERVES_ON_S = 9.0  # "at times many seconds" after the report
 
 
@@ -251,6 +252,17 @@
         await asyncio.sleep(2.0)
 
 
+async def large_hosts_away(world, random, seconds):
+    """All large hosts are gone for long, and the small ones own the shards meanwhile."""
+    with taken([node for node in world.nodes if node.share >= 0.3]) as nodes:
+        for node in nodes:
+            node.kill()
+        await asyncio.sleep(AWAY_S)
+        for node in nodes:
+            node.start()
+        await asyncio.sleep(seconds)
+
+
 async def hosts_reset(world, random, seconds):
     """All connections of a tenth of the hosts are reset at once."""
     for node in random.sample(world.nodes, max(1, len(world.nodes) // 10)):
@@ -286,7 +298,7 @@
     await asyncio.sleep(seconds)
 
 
-GROWN_FAULTS = [workers_drain_long, release, large_hosts_killed, hosts_reset, hosts_cut, lasting_cancelled]
+GROWN_FAULTS = [workers_drain_long, release, large_hosts_killed, large_hosts_away, hosts_reset, hosts_cut, lasting_cancelled]
 
 
 # processor shares
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,6 +1,7 @@
 """One run: platform, nodes and clients, and what all of them see. See tests/soak/run."""
 import asyncio
 import dataclasses
+import itertools
 import json
 import random
 import time
@@ -111,6 +112,7 @@
         self._disturbed_until = 0.0
         self.traffic = True
         self.background = set()
+        self.numbers = itertools.count()  # of disturbances
         self.most_lag_s = 0.0
         self.counts = dict.fromkeys(("jobs", "accepted", "calls"), 0)
 
