--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -1,8 +1,8 @@
 """Checks the promises of the platform's pages on what callers, workers and the system saw. Shares no code with the
 product or with the soak; the records are dictionaries with `at` in seconds and `event`:
 
-    begin     number, scope                        a disturbance begins. `scope`: "planned" if cancels are judged beside it,
-                                                   "hosts" if `touched` tells which nodes it concerns, else all are
+    begin     number, scope                        a disturbance begins. `scope`: "planned" if cancels are judged beside
+                                                   it, "hosts" if `touched` tells which nodes it concerns, else all are
     fault     number, until, scope                 and has lasted from `at` to `until`
     touched   node, until                          a disturbance concerns one node, or all for None, from `at` to `until`
     lag       seconds                              the soak itself was late
--- a/tests/soak/grown_faults.py
+++ b/tests/soak/grown_faults.py
@@ -298,7 +298,8 @@
     await asyncio.sleep(seconds)
 
 
-GROWN_FAULTS = [workers_drain_long, release, large_hosts_killed, large_hosts_away, hosts_reset, hosts_cut, lasting_cancelled]
+GROWN_FAULTS = [workers_drain_long, release, large_hosts_killed, large_hosts_away, hosts_reset, hosts_cut,
+                lasting_cancelled]
 
 
 # processor shares
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -310,7 +310,8 @@
         steps = [{"count": row["count"], "after": row.get("dependsOn", []), "lasting": row.get("longRunning", False),
                   "copies": row.get("speculative", False), "most": row.get("maxPerServer", 0)}
                  for row in job["steps"]]
-        send = {"job": name, "steps": steps, "spec": body["spec"], "doomed": job["kind"] in ("doomed", "deadly"), "prefix": job["service"]}
+        send = {"job": name, "steps": steps, "spec": body["spec"],
+                "doomed": job["kind"] in ("doomed", "deadly"), "prefix": job["service"]}
         self.counts["jobs"] += 1
         for _ in range(tries):
             self.notice("submit", **send)
