--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,7 +9,7 @@
 
 from checker import FINISH_S, Checker
 from faulty_platform import SoakWorker, dump, host_rows
-from grown_faults import GrownStore, GrownWorker, Shares, WatchedStore
+from grown_faults import GrownStore, GrownWorker, Shares, WatchedStore, owner_of_connection
 from nodes import Node
 from users_platform import HostService, PolicyService, call
 
@@ -145,6 +145,10 @@
                     continue
                 if worker.life == fields["worker"]:
                     record["spec"] = worker.order.get("spec")
+                    if self.deployment.grown and self.checker.judges_touch(record):
+                        caller = owner_of_connection(worker.sender.port, int(worker.address.rsplit(":", 1)[1]),
+                                                     self.nodes)
+                        record["node"] = caller.name if caller else None
                 elif worker.clock() >= worker.lease_until:
                     worker.check_lease()
         known = len(self.checker.broken)
