--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -4,7 +4,7 @@
     begin     number, scope                        a disturbance begins. `scope`: "planned" if cancels are judged beside
                                                    it, "hosts" if `touched` tells which nodes it concerns, else all are
     fault     number, until, scope                 and has lasted from `at` to `until`
-    touched   node, until                          a disturbance concerns one node, or all for None, from `at` to `until`
+    touched   node, until                          a disturbance concerns one node, all for None, from `at` to `until`
     lag       seconds                              the soak itself was late
     calm                                           the last disturbance is over
     submit    job, prefix, spec, steps [{count, after, lasting, copies, most}], doomed
