--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -118,9 +118,9 @@
 
     def in_touch(self, node, at):
         """@return whether neither the node nor all nodes were disturbed since contactMs before `at`"""
-        if node is None:
-            return False  # nobody knows which node it was
         rows = self.touches[node] + self.touches[None] + self.by_scope["all"]
+        if node is None:  # not known, so none of them may have been disturbed
+            rows = [row for touches in self.touches.values() for row in touches] + self.by_scope["all"]
         return not any(since <= at and until >= at - self.contact_s for since, until in rows)
 
     def judges_touch(self, record):
