--- a/tests/soak/grown_faults.py
+++ b/tests/soak/grown_faults.py
@@ -161,7 +161,7 @@
     that has read a registration through a peer calls the worker at the peer's address, so the address does not tell."""
     ends = f":{port:04X} ", f":{target_port:04X} "
     with open("/proc/net/tcp", encoding="ascii") as table:
-        inodes = {row.split()[9] for row in table if ends[0] in row[:30] and ends[1] in row[:30]}
+        inodes = {row.split()[9] for row in table if ends[0] in row[:36] and ends[1] in row[:36]}
     names = {f"socket:[{inode}]" for inode in inodes}
     for node in nodes:
         folder = f"/proc/{node.process.pid}/fd" if node.process else ""
