--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -139,8 +139,9 @@
     def notice(self, event, **fields):
         record = {"at": round(self.now(), 4), "event": event, **fields}
         self.record.write(json.dumps(record) + "\n")
-        if event == "start":
+        if event in ("start", "end"):
             record["late"] = round(self.under_way_lag(), 3)
+        if event == "start":
             # A lease that has run out ends its runs before anything else is seen, even if this loop is late.
             for worker in self.workers:
                 if not worker.running or not worker.alive:
