--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -138,7 +138,6 @@
 
     def notice(self, event, **fields):
         record = {"at": round(self.now(), 4), "event": event, **fields}
-        self.record.write(json.dumps(record) + "\n")
         if event in ("start", "end"):
             record["late"] = round(self.under_way_lag(), 3)
         if event == "start":
@@ -154,6 +153,7 @@
                         record["node"] = caller.name if caller else None
                 elif worker.clock() >= worker.lease_until:
                     worker.check_lease()
+        self.record.write(json.dumps(record) + "\n")
         known = len(self.checker.broken)
         self.checker.see(record)
         self.show(known)
