--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,19 +1,22 @@
 """One run: platform, nodes and clients, and what all of them see. See tests/soak/run."""
 import asyncio
 import dataclasses
+import itertools
 import json
 import random
 import time
 import zlib
 
 from checker import FINISH_S, Checker
-from faulty_platform import SoakStore, SoakWorker, dump, host_rows
+from faulty_platform import SoakWorker, dump, host_rows
+from grown_faults import GrownStore, GrownWorker, Shares, WatchedStore, owner_of_connection
 from nodes import Node
 from users_platform import HostService, PolicyService, call
 
 SERVICES = {"lineplan": 8, "syrupworks": 9, "labelhouse": 11, "dockside": 12, "backoffice": 8}
 STANDBY = "backoffice"
 MAX_LAG_S = 2.0  # a soak that was this late has not seen enough to judge
+NOTED_LAG_S = 0.02
 HOST = "jobs.example"
 SPARE_NODES = 2
 SHOWN = 5  # breaches of each promise that are printed; the record has all
@@ -78,14 +81,18 @@
 
 
 class World:
-    def __init__(self, folder, seed, deployment, node_count, load):
-        """@param load how many jobs come, and to which services"""
+    def __init__(self, folder, seed, deployment, node_count, load, share_factor=0.0):
+        """@param load how many jobs come, and to which services
+        @param share_factor each process gets its host's processor share times this; 0: no limit"""
         self.folder = folder
         self.random = random.Random(seed)
         self.start_time = time.monotonic()
         self.record = open(f"{folder}/record.jsonl", "w", encoding="utf-8")
-        self.checker = Checker()
-        self.store = SoakStore()
+        self.checker = Checker(deployment.all_bounds())
+        self.shares = Shares(share_factor) if share_factor else None
+        self.services = deployment.services or SERVICES
+        self.store = GrownStore(deployment.platform, self.on_draining, self.on_registry_read) \
+            if deployment.grown else WatchedStore(self.on_draining)
         self.store.random = random.Random(seed + 1)
         self.tasks = Tasks()
         self.hosts = HostService(Quiet())
@@ -102,24 +109,51 @@
         self.extra_routes = 0
         self.extra_services = set()
         self.leads = {name: name for name in SERVICES if name != STANDBY}  # by prefix: service, or None
-        self.disturbed_until = 0.0  # of what concerns all nodes
+        self._disturbed_until = 0.0
         self.traffic = True
         self.background = set()
+        self.numbers = itertools.count()  # of disturbances
         self.most_lag_s = 0.0
+        self.last_tick = time.monotonic()
         self.counts = dict.fromkeys(("jobs", "accepted", "calls"), 0)
 
     def now(self):
         return time.monotonic() - self.start_time
 
+    @property
+    def disturbed_until(self):
+        """Until when a disturbance concerns all nodes."""
+        return self._disturbed_until
+
+    @disturbed_until.setter
+    def disturbed_until(self, until):
+        self._disturbed_until = until
+        self.notice("touched", node=None, until=round(until, 3))
+
+    def on_registry_read(self, number, begin, count):
+        self.notice("registry_read", node=self.all_nodes[number].name, begin=begin, count=count)
+
+    def on_draining(self, life):
+        self.notice("draining", worker=life)
+
     def notice(self, event, **fields):
         record = {"at": round(self.now(), 4), "event": event, **fields}
-        self.record.write(json.dumps(record) + "\n")
+        if event in ("start", "end"):
+            record["late"] = round(self.under_way_lag(), 3)
         if event == "start":
             # A lease that has run out ends its runs before anything else is seen, even if this loop is late.
             for worker in self.workers:
-                if worker.life != fields["worker"] and worker.alive and worker.running and \
-                        worker.clock() >= worker.lease_until:
+                if not worker.running or not worker.alive:
+                    continue
+                if worker.life == fields["worker"]:
+                    record["spec"] = worker.order.get("spec")
+                    if self.deployment.grown and self.checker.judges_touch(record):
+                        caller = owner_of_connection(worker.sender.port, int(worker.address.rsplit(":", 1)[1]),
+                                                     self.nodes)
+                        record["node"] = caller.name if caller else None
+                elif worker.clock() >= worker.lease_until:
                     worker.check_lease()
+        self.record.write(json.dumps(record) + "\n")
         known = len(self.checker.broken)
         self.checker.see(record)
         self.show(known)
@@ -201,13 +235,20 @@
 
         self.hosts.on_list = list_hosts
         number = 0
-        for service, count in SERVICES.items():
+        kind = GrownWorker if self.deployment.grown else SoakWorker
+        if self.deployment.grown:
+            self.spawn(self.store.expire())
+        for service, count in self.services.items():
             for _ in range(count):
-                worker = SoakWorker(Quiet(), f"i-{number:03d}", service, self.store, self.tasks, self.notice,
+                worker = kind(Quiet(), f"i-{number:03d}", service, self.store, self.tasks, self.notice,
                                     f"r{number // 4}", stop_s=self.deployment.stop_s,
                                     hold_max_ms=self.deployment.all_bounds()["holdMaxMs"])
+                worker.drain_s = self.deployment.all_bounds()["drainMs"] / 1000
                 worker.clock_rate = self.random.uniform(0.98, 1.0)
                 worker.sources = {node.worker_ip: node.ip for node in self.all_nodes}
+                if self.deployment.grown:
+                    worker.http.avoid = {int(address.rsplit(":", 1)[1]) for node in self.all_nodes
+                                         for address in node.listen.values()}
                 await worker.start()
                 self.workers.append(worker)
                 number += 1
@@ -224,12 +265,18 @@
             self.spawn(node.watch())
             self.spawn(self.keep_using(node, pipelined=False))
 
+    def under_way_lag(self):
+        """@return by how much this loop is late now; watch_lag() tells of it only afterwards"""
+        return max(0.0, time.monotonic() - self.last_tick - 0.05)
+
     async def watch_lag(self):
         while True:
-            begin = time.monotonic()
+            begin = self.last_tick = time.monotonic()
             await asyncio.sleep(0.05)
             lag_s = time.monotonic() - begin - 0.05
             self.most_lag_s = max(self.most_lag_s, lag_s)
+            if lag_s > NOTED_LAG_S:
+                self.notice("lag", seconds=round(lag_s, 3))
             if lag_s > MAX_LAG_S / 4:
                 self.disturbed_until = max(self.disturbed_until, self.now() + 5)
 
@@ -242,6 +289,9 @@
             for number in range(self.random.choice([1, 1, 2, 3])):
                 step = {"count": self.random.randint(1, 8), "cpu": self.random.choice([500, 900, 1900]),
                         "memMb": 256, "estimateMs": self.random.randint(50, 900)}
+                if self.deployment.grown:
+                    # 2.2 cores for 0.7 s, and up to 16 tasks a step, as quick jobs of the grown deployments have them.
+                    step.update(count=step["count"] * 2, cpu=step["cpu"] * 2, estimateMs=step["estimateMs"] + 200)
                 if number:
                     step["dependsOn"] = sorted(self.random.sample(range(number), self.random.randint(1, number)))
                 steps.append({**step, **self.random.choices(EXTRAS, EXTRA_WEIGHTS)[0]})
@@ -274,7 +324,8 @@
         steps = [{"count": row["count"], "after": row.get("dependsOn", []), "lasting": row.get("longRunning", False),
                   "copies": row.get("speculative", False), "most": row.get("maxPerServer", 0)}
                  for row in job["steps"]]
-        send = {"job": name, "steps": steps, "doomed": job["kind"] in ("doomed", "deadly"), "prefix": job["service"]}
+        send = {"job": name, "steps": steps, "spec": body["spec"],
+                "doomed": job["kind"] in ("doomed", "deadly"), "prefix": job["service"]}
         self.counts["jobs"] += 1
         for _ in range(tries):
             self.notice("submit", **send)
@@ -364,10 +415,22 @@
 
         await asyncio.gather(*[last_look(name) for name, job in self.checker.jobs.items() if job.accepted])
         self.traffic = False
+        if self.deployment.grown:
+            seconds = max(self.now(), 1.0)
+            self.notice("store_calls", per_s={name: round(count / seconds, 1)
+                                              for name, count in self.store.calls.items()},
+                        refused=dict(self.store.refused))
+            links = {node.name: [round(link[1] / seconds), round(link[2], 3)] for node in self.all_nodes
+                     if hasattr(node.store_link, "links") for link in [node.store_link.links["back"]]}
+            self.notice("links", from_store=links)  # bytes a second, longest wait in seconds
+            print(f"  store calls a second {dict((n, round(c / seconds)) for n, c in self.store.calls.items())}, "
+                  f"refused {dict(self.store.refused)}", flush=True)
 
     async def close(self):
         for node in self.all_nodes:
             node.kill()
+        if self.shares:
+            self.shares.close()
         for worker in self.workers:
             if worker.lease_timer:
                 worker.lease_timer.cancel()
