--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -55,9 +55,8 @@
     return sha256_hex(names).substr(0, digits);
 }
 
-/// @return how old an owner's knowledge may be at a start, if something must start nothing @p bound_ms after
-/// it was
-///         stored
+/// @param bound_ms how long after a report or cancel is stored a task may still start
+/// @return how old what an owner knows may be when it orders a start
 std::int64_t age_limit_ms(std::int64_t bound_ms)
 {
     return std::max(bound_ms - order_margin_ms, order_margin_ms);
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -11,6 +11,35 @@
 
 namespace waxwingnotch {
 
+namespace {
+
+/// A gauge with the sum of a counter over the shards that this node owns.
+struct shard_gauge {
+    const char* name;
+    const char* help;
+    std::uint64_t shard_counts::*count;
+};
+
+// All count since this node took its shards over.
+constexpr shard_gauge shard_gauges[] = {
+    {"worker_crashes", "Workers that crashed with runs on them since this node took their shards over",
+     &shard_counts::worker_crashes},
+    {"tasks_given_up", "Tasks given up because they crash their workers, since the same time",
+     &shard_counts::given_up},
+    {"runs_unknown", "Runs that workers listed and no record assigned to them, since the same time",
+     &shard_counts::runs_unknown},
+    {"runs_adopted", "Of these, runs that went on as their tasks waited, since the same time",
+     &shard_counts::runs_adopted},
+    {"ends_unknown", "Ends that workers listed of runs that this node has no record of, since the same time",
+     &shard_counts::ends_unknown},
+    {"ends_adopted", "Ends of given-up runs that ended their tasks, since the same time",
+     &shard_counts::ends_adopted},
+    {"starts_held", "Times that owners ceased to start tasks until they know newer registrations or jobs",
+     &shard_counts::starts_held},
+};
+
+}  // namespace
+
 void update_metrics(node_state& node)
 {
     auto set = [&node](const char* name, const char* help, std::int64_t value) {
@@ -19,13 +48,6 @@
     std::int64_t jobs = 0;
     std::int64_t runs = 0;
     std::int64_t suspects = 0;
-    std::int64_t worker_crashes = 0;
-    std::int64_t given_up = 0;
-    std::int64_t runs_unknown = 0;
-    std::int64_t ends_unknown = 0;
-    std::int64_t runs_adopted = 0;
-    std::int64_t ends_adopted = 0;
-    std::int64_t starts_held = 0;
     std::int64_t jobs_age_ms = 0;
     const std::int64_t now = monotonic_ms();
     std::array<std::int64_t, wait_reason_count> waiting{};
@@ -36,13 +58,6 @@
         jobs += static_cast<std::int64_t>(owner->core().jobs());
         runs += static_cast<std::int64_t>(owner->core().runs());
         suspects += static_cast<std::int64_t>(owner->core().suspected_occurrences());
-        worker_crashes += static_cast<std::int64_t>(owner->core().counts().worker_crashes);
-        given_up += static_cast<std::int64_t>(owner->core().counts().given_up);
-        runs_unknown += static_cast<std::int64_t>(owner->core().counts().runs_unknown);
-        ends_unknown += static_cast<std::int64_t>(owner->core().counts().ends_unknown);
-        runs_adopted += static_cast<std::int64_t>(owner->core().counts().runs_adopted);
-        ends_adopted += static_cast<std::int64_t>(owner->core().counts().ends_adopted);
-        starts_held += static_cast<std::int64_t>(owner->core().counts().starts_held);
         jobs_age_ms = std::max(jobs_age_ms, owner->loaded() ? now - owner->complete_until_ms() : 0);
     }
     set("shards_owned", "Shards that this node owns", static_cast<std::int64_t>(node.shards.size()));
@@ -50,26 +65,18 @@
     set("runs_active", "Runs that may be under way in the shards of this node", runs);
     set("jobs_suspected", "Job occurrences with a task that is isolated because workers crashed under it",
         suspects);
-    set("worker_crashes", "Workers that crashed with runs on them since this node took their shards over",
-        worker_crashes);
-    set("tasks_given_up", "Tasks given up because they crash their workers, since the same time", given_up);
-    set("runs_unknown", "Runs that workers listed and no record assigned to them, since the same time",
-        runs_unknown);
-    set("runs_adopted", "Of these, runs that went on as their tasks waited, since the same time",
-        runs_adopted);
-    set("ends_adopted", "Ends of given-up runs that ended their tasks, since the same time", ends_adopted);
-    set("starts_held",
-        "Times that owners ceased to start tasks until they know newer registrations or jobs, since the same "
-        "time",
-        starts_held);
+    for (const shard_gauge& gauge : shard_gauges) {
+        std::int64_t sum = 0;
+        for (const auto& [shard, owner] : node.shards) {
+            sum += static_cast<std::int64_t>(owner->core().counts().*gauge.count);
+        }
+        set(gauge.name, gauge.help, sum);
+    }
     const std::int64_t registrations_ms = node.registrations_until();
     set("registrations_age_ms", "Age of what this node knows of the workers' registrations; 0: follows none",
         registrations_ms == 0 ? 0 : now - registrations_ms);
     set("jobs_age_ms", "Greatest age of what an owner of this node knows of the jobs of its shard",
         jobs_age_ms);
-    set("ends_unknown",
-        "Ends that workers listed of runs that this node has no record of, since the same time",
-        ends_unknown);
     constexpr std::pair<wait_reason, const char*> waiting_names[] = {
         {wait_reason::no_worker, "tasks_waiting_no_worker"},
         {wait_reason::no_room, "tasks_waiting_no_room"},
