Share the connections of the soak's relays and the set-up of shard tests

Read again, the change had written some of its parts twice:

- NarrowPipe.connect() and NarrowRelay.listen() repeated those of Pipe and Relay, without their wait for a held link.
Each side of a connection makes the other one of its own class now, and a relay names that class.
- shard_owner_test set an owner up twice; start_owner() serves both.
- Three tests assigned a task by hand as shard_staleness_test did; loaded_core::assign() serves all of them.

--- a/tests/shard/loaded_core.hpp
+++ b/tests/shard/loaded_core.hpp
@@ -71,6 +71,14 @@
                      sent_ms);
     }
 
+    /// Lets @p worker answer without runs, so that what waits is assigned to it.
+    /// @return the batch that stores the assignments; 0: there are none
+    std::uint64_t assign(const std::string& worker, std::int64_t now_ms)
+    {
+        answer(worker, {}, {}, now_ms);
+        return core.take_effects(now_ms).batch;
+    }
+
     /// Executes the effects: stores the writes at once.
     /// @return the orders that were given, also those that follow the writes
     shard_effects step(std::int64_t now_ms)
--- a/tests/shard/shard_given_up_test.cpp
+++ b/tests/shard/shard_given_up_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <string>
 
 namespace waxwingnotch {
@@ -42,11 +43,10 @@
 TEST(shard_given_up, a_second_run_is_not_ordered_once_the_first_has_ended)
 {
     loaded_core owner(given_up());
-    owner.answer("b", {}, {}, 110);
-    const shard_effects assigned = owner.core.take_effects(110);
-    ASSERT_NE(assigned.batch, 0U);
+    const std::uint64_t batch = owner.assign("b", 110);
+    ASSERT_NE(batch, 0U);
     owner.answer("a", {}, {{1, task_of(1), 1, end_kind::done, ""}}, 112);
-    owner.core.on_stored(assigned.batch, 114);
+    owner.core.on_stored(batch, 114);
     EXPECT_TRUE(owner.step(114).starts.empty());
     EXPECT_EQ(owner.core.state_of(id_of(1)), job_state::completed);
 }
@@ -86,11 +86,10 @@
 TEST(shard_given_up, a_run_that_goes_on_replaces_one_that_was_not_ordered_yet)
 {
     loaded_core owner(given_up());
-    owner.answer("b", {}, {}, 110);
-    const shard_effects assigned = owner.core.take_effects(110);
-    ASSERT_NE(assigned.batch, 0U);
+    const std::uint64_t batch = owner.assign("b", 110);
+    ASSERT_NE(batch, 0U);
     owner.answer("a", {{.task = task_of(1), .run = 1}}, {}, 112);
-    owner.core.on_stored(assigned.batch, 114);
+    owner.core.on_stored(batch, 114);
     const shard_effects effects = owner.step(114);
     EXPECT_TRUE(effects.starts.empty());
     EXPECT_TRUE(effects.stops.empty());
@@ -181,11 +180,10 @@
     job_spec job = shard_world::job(id_of(1), 2);
     job.steps[0].max_per_worker = 1;
     loaded_core owner(job, {{}, given_up()});
-    owner.answer("a", {}, {}, 110);
-    const shard_effects assigned = owner.core.take_effects(110);
-    ASSERT_NE(assigned.batch, 0U);
+    const std::uint64_t batch = owner.assign("a", 110);
+    ASSERT_NE(batch, 0U);
     owner.answer("a", {{.task = id_of(1) + ".0.0.1", .run = 1}}, {}, 112);
-    owner.core.on_stored(assigned.batch, 114);
+    owner.core.on_stored(batch, 114);
     EXPECT_TRUE(owner.step(114).starts.empty());
 }
 
--- a/tests/shard/shard_owner_test.cpp
+++ b/tests/shard/shard_owner_test.cpp
@@ -68,10 +68,14 @@
     void take_over()
     {
         owner.reset();
-        const shard_options options{.epoch = ++epoch_, .ended_job_retention_ms = 200};
-        owner = std::make_unique<shard_owner>(
-            shard_owner::parts{.loop = &loop, .store = &store, .workers = &workers, .address = "node"}, 0,
-            options, [] { FAIL() << "the owner was replaced"; });
+        start_owner({.epoch = ++epoch_, .ended_job_retention_ms = 200},
+                    {.loop = &loop, .store = &store, .workers = &workers, .address = "node"});
+    }
+
+    void start_owner(const shard_options& options, shard_owner::parts parts)
+    {
+        owner = std::make_unique<shard_owner>(std::move(parts), 0, options,
+                                              [] { FAIL() << "the owner was replaced"; });
         auto config = std::make_shared<cluster_config>();
         config->queues.push_back({.name = "q", .service = "svc", .max_attempts = 4});
         config->services.push_back({.name = "svc"});
@@ -252,15 +256,7 @@
     parts.registrations_until = [] {
         return monotonic_ms();
     };
-    owner = std::make_unique<shard_owner>(
-        parts, 0, shard_options{.epoch = 50, .max_registrations_age_ms = 600, .max_jobs_age_ms = 600},
-        [] { FAIL() << "the owner was replaced"; });
-    auto config = std::make_shared<cluster_config>();
-    config->queues.push_back({.name = "q", .service = "svc", .max_attempts = 4});
-    config->services.push_back({.name = "svc"});
-    owner->set_config(config);
-    owner->put_worker(workers.worker.entry);
-    owner->start();
+    start_owner({.epoch = 50, .max_registrations_age_ms = 600, .max_jobs_age_ms = 600}, std::move(parts));
     submit(1);
     run_until([this] { return owner->core().jobs() == 1; });
     store.refused_reads[{jobs_topic, 0}] = 1'000'000;
--- a/tests/shard/shard_staleness_test.cpp
+++ b/tests/shard/shard_staleness_test.cpp
@@ -9,19 +9,12 @@
 constexpr shard_options limited{
     .shard = 3, .epoch = 7, .max_registrations_age_ms = 1'600, .max_jobs_age_ms = 2'600};
 
-/// Lets a worker answer and the task be assigned to it. @return the batch to store
-std::uint64_t assign(loaded_core& owner, std::int64_t now_ms)
-{
-    owner.answer("a", {}, {}, now_ms);
-    return owner.core.take_effects(now_ms).batch;
-}
-
 // An append that took seconds was followed by the start at once, though the worker had begun to drain
 // meanwhile.
 TEST(shard_staleness, a_worker_that_drains_gets_no_start_that_was_stored_before)
 {
     loaded_core owner({});
-    const std::uint64_t batch = assign(owner, 110);
+    const std::uint64_t batch = owner.assign("a", 110);
     ASSERT_NE(batch, 0U);
     worker_entry entry = loaded_core::entry("a");
     entry.draining = true;
@@ -34,7 +27,7 @@
 TEST(shard_staleness, a_closed_worker_gets_no_start_that_was_stored_before)
 {
     loaded_core owner({});
-    const std::uint64_t batch = assign(owner, 110);
+    const std::uint64_t batch = owner.assign("a", 110);
     owner.core.drain_worker("a", 9'000, 500);
     owner.core.on_stored(batch, 4'000);
     EXPECT_TRUE(owner.step(4'000).starts.empty());
@@ -46,7 +39,7 @@
 {
     loaded_core owner({}, limited);
     owner.core.set_known_until(100, 100);
-    const std::uint64_t batch = assign(owner, 110);
+    const std::uint64_t batch = owner.assign("a", 110);
     ASSERT_NE(batch, 0U);
     owner.core.on_stored(batch, 1'800);
     EXPECT_TRUE(owner.step(1'800).starts.empty());
@@ -61,7 +54,7 @@
 {
     loaded_core owner({}, limited);
     owner.core.set_known_until(100, 100);
-    const std::uint64_t batch = assign(owner, 110);
+    const std::uint64_t batch = owner.assign("a", 110);
     owner.core.set_known_until(2'790, 100);
     owner.core.on_stored(batch, 2'800);
     EXPECT_TRUE(owner.step(2'800).starts.empty());
@@ -76,10 +69,10 @@
 {
     loaded_core owner({}, limited);
     owner.core.set_known_until(100, 5'000);
-    EXPECT_EQ(assign(owner, 5'000), 0U);
+    EXPECT_EQ(owner.assign("a", 5'000), 0U);
     EXPECT_EQ(owner.core.counts().starts_held, 1U);
     owner.core.set_known_until(5'000, 5'000);
-    EXPECT_NE(assign(owner, 5'001), 0U);
+    EXPECT_NE(owner.assign("a", 5'001), 0U);
 }
 
 }  // namespace
--- a/tests/soak/faulty_platform.py
+++ b/tests/soak/faulty_platform.py
@@ -51,7 +51,7 @@
         ip, port = self.relay.target.rsplit(":", 1)
         try:
             _, self.other = await asyncio.get_running_loop().create_connection(
-                lambda: Pipe(self.relay, self, self.source), ip, int(port),
+                lambda: type(self)(self.relay, self, self.source), ip, int(port),
                 local_addr=self.source and (self.source, 0))
         except OSError:
             self.transport.abort()
@@ -118,6 +118,8 @@
     """Passes connections on to `target`, with delay, silence in one or both directions, or resets. Silence loses the
     bytes; a link that is held delivers them when it heals, as retransmission does after a cut."""
 
+    pipe = Pipe  # one side of each connection
+
     def __init__(self, target=""):
         self.target = target
         self.delay_s = 0.0
@@ -132,7 +134,7 @@
     async def listen(self, ip, port=0, source=None):
         """Listens on one more address; may be called several times.
         @param source the address from which the target sees connections to this one come"""
-        server = await asyncio.get_running_loop().create_server(lambda: Pipe(self, source=source), ip, port)
+        server = await asyncio.get_running_loop().create_server(lambda: self.pipe(self, source=source), ip, port)
         self.servers.append(server)
         self.address = self.address or f"{ip}:{server.sockets[0].getsockname()[1]}"
         return self.address
--- a/tests/soak/grown_faults.py
+++ b/tests/soak/grown_faults.py
@@ -47,21 +47,6 @@
 class NarrowPipe(Pipe):
     """One side of a connection over a link of limited rate, which all connections of the host share."""
 
-    async def connect(self):
-        ip, port = self.relay.target.rsplit(":", 1)
-        try:
-            _, self.other = await asyncio.get_running_loop().create_connection(
-                lambda: NarrowPipe(self.relay, self), ip, int(port))
-        except OSError:
-            self.transport.abort()
-            return
-        if self.transport.is_closing():
-            self.other.transport.abort()
-            return
-        waiting, self.waiting = self.waiting, []
-        for data in waiting:
-            self.data_received(data)
-
     def data_received(self, data):
         if self.other:
             link = self.relay.links[self.direction]
@@ -76,6 +61,8 @@
 class NarrowRelay(Relay):
     """A relay over a host's link."""
 
+    pipe = NarrowPipe
+
     def __init__(self, bytes_per_s, target="", links=None):
         """@param links those of another relay of the same host"""
         super().__init__(target)
@@ -83,12 +70,6 @@
         # [free at, bytes, longest wait] for each direction
         self.links = links or {name: [0.0, 0, 0.0] for name in ("forth", "back")}
 
-    async def listen(self, ip, port=0, source=None):
-        server = await asyncio.get_running_loop().create_server(lambda: NarrowPipe(self, source=source), ip, port)
-        self.servers.append(server)
-        self.address = self.address or f"{ip}:{server.sockets[0].getsockname()[1]}"
-        return self.address
-
 
 class WatchedStore(SoakStore):
     """The store, which tells of each registration that says `draining`."""
