Soak: cut workers off, hold links of the store one way, and make islands of nodes and workers

The soak had no plain cut of workers, which the site files have under node_cut: a sixth of them is silent for 5.5 s, longer than a lease of 4 s, and runs on. A cut worker may lose its registration as well. one_way holds the links of one or two nodes to the store in one direction; island lets two nodes and half of the workers reach only each other.

--- a/tests/soak/faulty_platform.py
+++ b/tests/soak/faulty_platform.py
@@ -313,6 +313,7 @@
         self.lost_share = 0.0  # share of them that are carried out without an answer
         self.fails_all = False
         self.idle_lapses = True  # a lease that runs out while nothing runs counts as lapsed
+        self.reaches_store = True  # else it does not register, and its entry lapses
         self.alive = False
         self.order = {}  # the one that is being carried out
         self.sender = ""  # IP address of its sender
@@ -339,9 +340,18 @@
         self.beat = asyncio.create_task(self.heartbeat())
 
     def register(self):
-        if not self.store.down:
+        if self.reaches_store and not self.store.down:
             super().register()
 
+    def cut_from_store(self):
+        """Registers no more until `reaches_store` is set again."""
+        self.reaches_store = False
+        asyncio.get_running_loop().call_later(LAPSE_S, self.lapse_entry, self.life)
+
+    def lapse_entry(self, life):
+        if self.life == life and not self.reaches_store:
+            self.store.put("keyed.servers", 0, [(self.id.encode(), None)])
+
     async def handle(self, method, path, query, headers, body):
         async def carry_out():
             # Nothing else runs between here and the start or stop.
--- a/tests/soak/grown_faults.py
+++ b/tests/soak/grown_faults.py
@@ -210,7 +210,7 @@
         await super().heartbeat()
 
     def register(self):
-        if self.store.down:
+        if self.store.down or not self.reaches_store:
             return
         self.sequence += 1
         entry = {"service": self.service, "address": self.address, "zone": "z1", "version": "v1", "slots": 8,
--- a/tests/soak/platform_faults.py
+++ b/tests/soak/platform_faults.py
@@ -8,6 +8,7 @@
 REUSE_S = 2.0  # reuseAfterS
 LEASE_LAPSES_S = 6.0  # a lease of 4 s has lapsed on a slow clock, with time to spare
 LONG_DELAY_S = 2.5  # orders were under way for so long in the users' record
+CUT_S = 5.5  # of a plain cut in the site files, longer than a lease
 
 
 # the store
@@ -204,6 +205,63 @@
         relay.heal()
 
 
+async def workers_cut(world, random, seconds):
+    """A sixth of the workers is cut off from all nodes and runs on, registered; single ones are cut off for longer, or
+    from the store as well."""
+    touch(world, None, 2 * CUT_S + LEASE_LAPSES_S)
+    workers = random.sample(world.workers, max(1, len(world.workers) // 6))
+    for worker in workers:
+        worker.relay.hold, worker.relay.hold_sources = "both", None
+        if random.random() < 0.3:
+            worker.cut_from_store()
+    await asyncio.sleep(CUT_S)
+    longer = random.sample(workers, min(len(workers), random.choice([0, 0, 2])))
+    for worker in workers:
+        worker.reaches_store = True
+        if worker not in longer:
+            worker.relay.heal()
+    if longer:
+        await asyncio.sleep(CUT_S)
+    for worker in longer:
+        worker.relay.heal()
+
+
+async def one_way(world, random, seconds):
+    """Links of one or two nodes to the store are held in one direction, and their memberships may end."""
+    nodes = some(random, world.nodes, 2)
+    touch(world, None, CUT_S + LEASE_LAPSES_S)
+    how = random.choice(["forth", "back"])
+    for node in nodes:
+        node.store_link.hold, node.store_link.hold_sources = how, None
+    if random.random() < 0.5:
+        world.store.revoke([node.listen["control"] for node in nodes])
+    await asyncio.sleep(random.uniform(4.5, 9))
+    for node in nodes:
+        node.store_link.heal()
+
+
+async def island(world, random, seconds):
+    """Two nodes and half of the workers reach each other and nobody else; the rest goes on."""
+    touch(world, None, 2 * LEASE_LAPSES_S + 6)
+    inside = random.sample(world.nodes, 2)
+    numbers = {node.number for node in inside}
+    near = random.sample(world.workers, len(world.workers) // 2)
+    relays = [node.store_link for node in inside]
+    relays += [relay for node in world.nodes for number, relay in node.peer_links.items()
+               if (node.number in numbers) != (number in numbers)]
+    for relay in relays:
+        relay.hold = "both"
+    for worker in world.workers:
+        far = [node for node in world.nodes if (node in inside) != (worker in near)]
+        worker.relay.hold, worker.relay.hold_sources = "both", {node.ip for node in far}
+        relays.append(worker.relay)
+    if random.random() < 0.5:
+        world.store.revoke([node.listen["control"] for node in inside])
+    await asyncio.sleep(random.uniform(6, 13))
+    for relay in relays:
+        relay.heal()
+
+
 async def harm(world, random, seconds, relays):
     touch(world, None, seconds)
     how = random.choice(["delay", "forth", "back", "both", "reset", "mute"])
