Take no answer that the protocol does not name for a proof that an order was not executed

What callers would see: a task that runs twice. A start that was answered with a status which the protocol does not name, such as 500 of a worker in trouble or 502 of something between the node and the worker, counted as an order that the worker cannot read, and the task was started elsewhere at once. Only 400, 409, 421, 429 and 503 say that nothing was done.

The two new tests, of the adapter and of the core, did not exist in the code before: the core had no such outcome.

Change: such an answer is an outcome of its own, and a start with it is followed by a stop like one without an answer; the task waits until a list requested after the stop does not show the run.

--- a/include/waxwingnotch/shard/worker_api.hpp
+++ b/include/waxwingnotch/shard/worker_api.hpp
@@ -36,6 +36,7 @@
     bad_ticket,      // the policy service's permission is missing or has lapsed
     refused,         // the worker is unhealthy; nothing was done
     invalid,         // the worker cannot read the order
+    unexplained,     // an answer that the protocol does not name; the order may have been executed
     other_instance,  // another worker answers at this address
     no_answer,       // the order may have been executed, or may still be
     disconnected,    // the connection closed before an answer; the order may have been executed
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -38,6 +38,8 @@
         return "the worker is unhealthy";
     case order_result::invalid:
         return "the order cannot be read";
+    case order_result::unexplained:
+        return "an answer without a meaning";
     case order_result::other_instance:
         return "another worker answers";
     case order_result::no_answer:
@@ -439,6 +441,7 @@
         return;
     case order_result::no_answer:
     case order_result::disconnected:
+    case order_result::unexplained:
         ++counts_.unanswered;
         run.stage = run_stage::unconfirmed;
         worker.silent_since_ms = worker.silent_since_ms == 0 ? now_ms : worker.silent_since_ms;
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -435,6 +435,15 @@
     EXPECT_EQ(poll(400, "?").outcome, order_result::invalid);
 }
 
+// Another status than those of the protocol counted as an order that the worker cannot read, and so as one
+// that was not executed.
+TEST_F(worker_calls, an_answer_that_the_protocol_does_not_name_is_no_proof)
+{
+    for (const int status : {404, 408, 500, 502, 504}) {
+        EXPECT_EQ(poll(status, "").outcome, order_result::unexplained) << status;
+    }
+}
+
 // A crash and a cut-off worker looked alike, "no answer", so neither the log nor a decision could tell them
 // apart.
 TEST_F(worker_calls, tells_an_ended_process_from_one_that_does_not_answer)
--- a/tests/shard/shard_silent_worker_test.cpp
+++ b/tests/shard/shard_silent_worker_test.cpp
@@ -155,6 +155,25 @@
     EXPECT_EQ(world.core().runs(), 0U);
 }
 
+// Something between the owner and the worker answered 502 after the worker had started the task, and the task
+// was started elsewhere at once.
+TEST(shard_silent_worker, a_task_does_not_start_elsewhere_after_an_answer_without_a_meaning)
+{
+    loaded_core owner({});
+    owner.answer("b", {}, {}, 105);
+    const std::uint64_t batch = owner.assign("a", 110);
+    ASSERT_NE(batch, 0U);
+    owner.core.on_stored(batch, 112);
+    const shard_effects ordered = owner.step(112);
+    ASSERT_EQ(ordered.starts.size(), 1U);
+    owner.core.on_start(ordered.starts[0].worker.id, ordered.starts[0].order,
+                        {.outcome = order_result::unexplained}, 114);
+    const shard_effects after = owner.step(114);
+    EXPECT_TRUE(after.starts.empty());
+    EXPECT_EQ(after.stops.size(), 1U);
+    EXPECT_EQ(owner.core.runs(), 1U);
+}
+
 /// Random jobs, and workers that are cut off for longer than a lease, under both readings of what becomes of
 /// the lease of an idle worker. Owners are replaced meanwhile.
 RC_GTEST_PROP(shard_silent_worker, cuts_longer_than_a_lease_start_no_task_twice, ())
