Count the time that a host was suspended

Cause: monotonic_ms() read std::chrono::steady_clock, which stands still while the host is suspended.

Change: monotonic_ms() reads CLOCK_BOOTTIME. Timers of the event loop stay on the steady clock: they fire later by the time of the suspension, and find the right ages then.

--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -1,26 +1,24 @@
 #include "waxwingnotch/base/clock.hpp"
 
 #include <chrono>
+#include <ctime>
 
 namespace waxwingnotch {
 
-namespace {
-template <class Clock>
-std::int64_t now_ms()
-{
-    using std::chrono::duration_cast;
-    return duration_cast<std::chrono::milliseconds>(Clock::now().time_since_epoch()).count();
-}
-}  // namespace
-
 std::int64_t wall_ms()
 {
-    return now_ms<std::chrono::system_clock>();
+    using std::chrono::duration_cast;
+    return duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
 }
 
 std::int64_t monotonic_ms()
 {
-    return now_ms<std::chrono::steady_clock>();
+    using namespace std::chrono;
+    // std::chrono::steady_clock stands still while the host is suspended.
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return duration_cast<milliseconds>(seconds(now.tv_sec) + nanoseconds(now.tv_nsec)).count();
 }
 
 }  // namespace waxwingnotch
