Keep the ownership when a worker rejects an order because of this owner's own later token

What callers would see: a pause of all jobs of a shard, as its owner gives it up and takes it again. Each restart of a worker raises the token of the orders to it. An order that was under way when the worker restarted, and arrives after the next poll, is rejected with a lower token; the owner took that for the token of a newer owner.

Change: a rejected start or stop ends the ownership only if it carried the newest token for that worker, a rejected poll only if it was sent after the latest restart was seen. A start that was rejected for an earlier token is placed again.

--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -140,6 +140,7 @@
     std::vector<suspected_task> suspected;  // of its last crash, unless it is proved or refuted
     double failure_rate = 0;                // moving average over its recent runs, 0 to 1
     std::int64_t restarts = 0;              // seen by this owner
+    std::int64_t restarted_ms = 0;          // when it saw the latest one; later orders have a higher token
 
     worker_target target() const { return {entry.id, entry.address}; }
     worker_incarnation incarnation() const { return {entry.id, entry.started_ms}; }
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -450,7 +450,13 @@
         request_stop(run, now_ms);
         return;
     case order_result::fenced:
-        fenced_ = true;
+        if (order.fencing_token == token_of(worker)) {
+            fenced_ = true;
+            return;
+        }
+        // Its next life has heard of this owner by a later order.
+        ++counts_.rejected;
+        requeue(run, to_string(answer.outcome), now_ms);
         return;
     default:
         ++counts_.rejected;
@@ -470,7 +476,7 @@
 {
     worker_state& worker = find_or_add_worker(worker_id);
     if (answer.outcome == order_result::fenced) {
-        fenced_ = true;
+        fenced_ = fenced_ || order.fencing_token == token_of(worker);
         return;
     }
     const auto found = runs_.find(order.task + "#" + std::to_string(order.run));
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -152,6 +152,7 @@
     prove_crash(worker, now_ms);
     worker.entry.started_ms = started_ms;
     ++worker.restarts;
+    worker.restarted_ms = now_ms;
     worker.clock_ms = -1;
     worker.applied_end = 0;
     worker.stored_end = 0;
@@ -177,7 +178,8 @@
         return;  // it has been left to another shard
     }
     if (answer.outcome == order_result::fenced) {
-        fenced_ = true;
+        fenced_ = fenced_ || sent_ms > worker.restarted_ms;
+        worker.next_poll_ms = now_ms;
         return;
     }
     if (answer.outcome != order_result::ok) {
