Take a list without ends, and a conflict without a reason, for no answer

What callers would see: a task that runs twice. An answer to a poll whose list of ends was missing or no list counted as one without ends: a run that had ended stood in neither list and its task started again. A conflict (409) with a reason that the protocol does not name counted as "this run has ended there", which is a proof for a stop and places the task of a start at once.

Change: such a poll is not answered, such a conflict is unexplained. The tests of the adapter are the cases; the first fails before.

--- a/include/waxwingnotch/node/host_api.hpp
+++ b/include/waxwingnotch/node/host_api.hpp
@@ -28,7 +28,8 @@
 
 /// Result of host_api::list().
 struct host_listing {
-    bool ok = false;  // false: the call failed and `hosts` is empty
+    bool ok = false;       // false: the call failed and `hosts` is empty
+    bool complete = true;  // false: rows that could not be read are missing
     std::vector<host_row> hosts;
 };
 
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -439,7 +439,7 @@
 // that was not executed.
 TEST_F(worker_calls, an_answer_that_the_protocol_does_not_name_is_no_proof)
 {
-    for (const int status : {404, 408, 500, 502, 504}) {
+    for (const int status : {404, 408, 409, 500, 502, 504}) {
         EXPECT_EQ(poll(status, "").outcome, order_result::unexplained) << status;
     }
 }
@@ -592,6 +592,7 @@
         "nextToken":null})");
     ASSERT_TRUE(got.ok);
     ASSERT_EQ(got.hosts.size(), 1U);
+    EXPECT_FALSE(got.complete);
     EXPECT_EQ(got.hosts[0].name, "c");
     EXPECT_EQ(got.hosts[0].capacity.cpu_milli, 8);
     EXPECT_FALSE(list(R"({"machines":"abc"})").ok);
@@ -601,6 +602,13 @@
         list(R"({"machines":[],"x":)" + std::string(100'000, '[') + std::string(100'000, ']') + "}").ok);
 }
 
+// A run that has ended stood in neither list, and its task started again.
+TEST_F(worker_calls, an_answer_without_the_list_of_ends_is_none)
+{
+    EXPECT_EQ(poll(200, R"({"clockMs":5,"running":[]})").outcome, order_result::no_answer);
+    EXPECT_EQ(poll(200, R"({"clockMs":5,"running":[],"finished":7})").outcome, order_result::no_answer);
+}
+
 TEST_F(worker_calls, invalid_rows_are_skipped)
 {
     const poll_answer got = poll(
