Soak: cut some nodes off from some workers

paths_cut: some nodes lose the paths to some workers for 5 to 20 s, longer than a lease, while every other path works. workers_cut cuts workers off from all nodes, and island parts nodes and workers from everything else, so no disturbance left another node in reach of a worker that does not answer its owner.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,11 +7,11 @@
                          restarted_at_once, stops_in_turn, with_odd_records, with_odd_settings, with_small_files,
                          without_configuration, without_store)
 from platform_faults import (addresses_reused, deals_in_series, island, links_held, odd_entries, odd_hosts,
-                             odd_nesting, one_way, orders_late, orders_unanswered, peer_links, store_deals_anew,
-                             store_deals_at_once, store_down, store_forgets, store_links, store_loses_answers,
-                             store_parts_away, store_revokes, store_slow, store_turns_some_away, store_writes_late,
-                             wave, worker_links, workers_crash, workers_cut, workers_fail, workers_leave,
-                             workers_slow)
+                             odd_nesting, one_way, orders_late, orders_unanswered, paths_cut, peer_links,
+                             store_deals_anew, store_deals_at_once, store_down, store_forgets, store_links,
+                             store_loses_answers, store_parts_away, store_revokes, store_slow, store_turns_some_away,
+                             store_writes_late, wave, worker_links, workers_crash, workers_cut, workers_fail,
+                             workers_leave, workers_slow)
 
 FAULTS = [store_down, store_slow, store_loses_answers, store_turns_some_away, store_forgets, store_deals_anew,
           odd_entries, odd_nesting, store_links, peer_links, worker_links, workers_crash, workers_leave, workers_slow,
@@ -20,7 +20,7 @@
           lasting_jobs, cancels, hasty_clients, many_connections, large_bodies, odd_hosts, store_deals_at_once,
           store_parts_away, store_writes_late, store_revokes, orders_late, orders_unanswered, addresses_reused,
           nodes_join, node_replaced, services_change, links_held, nodes_throttled, all_killed_links_held,
-          deals_in_series, workers_cut, one_way, island]
+          deals_in_series, workers_cut, one_way, island, paths_cut]
 
 STARTS = [apart, without_store, without_configuration, with_odd_settings, restarted_at_once, with_odd_records,
           with_small_files, idle_leases_last]
--- a/tests/soak/platform_faults.py
+++ b/tests/soak/platform_faults.py
@@ -226,6 +226,19 @@
         worker.relay.heal()
 
 
+async def paths_cut(world, random, seconds):
+    """Some nodes lose the paths to some workers for longer than a lease; the other nodes reach these workers."""
+    cut_s = random.uniform(5, 20)
+    touch(world, None, cut_s + LEASE_LAPSES_S)
+    nodes = some(random, world.nodes, max(1, len(world.nodes) // 2))
+    workers = some(random, world.workers, max(1, len(world.workers) // 3))
+    for worker in workers:
+        worker.relay.hold, worker.relay.hold_sources = "both", {node.ip for node in nodes}
+    await asyncio.sleep(cut_s)
+    for worker in workers:
+        worker.relay.heal()
+
+
 async def one_way(world, random, seconds):
     """Links of one or two nodes to the store are held in one direction, and their memberships may end."""
     nodes = some(random, world.nodes, 2)
