Poll a silent worker through another node while runs on it are awaited

What callers would see: where only the path from an owner to a worker is broken, a job whose task the worker had done long ago was held up for as long as the path, at most 30 s, although every other node reached the worker.

Cause: since a task of a silent worker starts elsewhere only when its run is known to be over, the owner's own path was the only way to learn that.

Change: once the leases of a silent worker have lapsed and a run on it is awaited, the owner sends its poll through the other nodes in turn, one at a time and two a second for each worker, with its token and without a lease. The lists settle runs as those of a direct poll do, ends are acknowledged the same way, and another life of the worker counts as usual. Runs that are being stopped get their stops through the node that reached the worker last, since a list cannot tell that a start without an answer never arrives. The worker stays silent for placement and leases.

A node passes an order on only to a worker that has registered with the same id and life, at the address that it knows itself; so an answer of another process at an older address is never taken for the end of the worker. A former owner is fenced by its token.

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -17,7 +17,7 @@
 #include "waxwingnotch/decision/task_placement.hpp"
 #include "waxwingnotch/job/progress.hpp"
 #include "waxwingnotch/job/route.hpp"
-#include "waxwingnotch/shard/worker_api.hpp"
+#include "waxwingnotch/shard/shard_effects.hpp"
 
 #include <array>
 #include <cstdint>
@@ -55,56 +55,6 @@
     std::int64_t max_jobs_age_ms = 0;
 };
 
-/// Orders to workers.
-struct start_effect {
-    worker_target worker;
-    start_order order;
-};
-struct stop_effect {
-    worker_target worker;
-    stop_order order;
-};
-struct pace_effect {
-    worker_target worker;
-    pace_order order;
-};
-struct poll_effect {
-    worker_target worker;
-    poll_order order;
-    bool extra = false;  // sent while another poll to this worker is in flight
-};
-struct advice_effect {
-    std::string step;  // JOB.OCCURRENCE.STEP
-    std::vector<std::string> workers;
-};
-
-/// Stores the record of a job, or of its cancel, in the shard that runs the job.
-struct forward_effect {
-    std::string id;
-    int shard = 0;
-    bool cancel = false;
-    std::string record;  // encoded job, or that of a cancel
-};
-/// Asks the shard that runs a forwarded job whether it still knows the job.
-struct forward_check {
-    std::string id;
-    int shard = 0;
-};
-
-/// Effects for the caller to execute, in the order of the members.
-struct shard_effects {
-    std::vector<std::pair<std::string, std::optional<std::string>>> writes;  // progress records by key
-    std::uint64_t batch = 0;          // pass it to on_stored() once the writes are stored; 0: not needed
-    std::vector<std::string> forget;  // jobs whose records of the job and of its cancel can be deleted
-    std::vector<start_effect> starts;
-    std::vector<stop_effect> stops;
-    std::vector<pace_effect> paces;
-    std::vector<poll_effect> polls;
-    std::vector<advice_effect> advice;
-    std::vector<forward_effect> forwards;
-    std::vector<forward_check> forward_checks;
-};
-
 /// Demand of a service on its pool, for decisions on moves of hosts.
 struct service_demand {
     std::int64_t waiting_cpu_ms = 0;     // core-milliseconds of ready tasks, without long-running jobs
@@ -205,6 +155,11 @@
     /// @param extra as in poll_effect
     void on_poll(const std::string& worker, std::int64_t sent_ms, bool extra, const poll_answer& answer,
                  std::int64_t now_ms);
+    /// The answer to a poll through another node. It settles runs and tells of another life of the worker;
+    /// the worker stays silent, as this owner does not reach it.
+    /// @param sent_ms as in on_poll()
+    void on_relayed_poll(const poll_effect& poll, std::int64_t sent_ms, const poll_answer& answer,
+                         std::int64_t now_ms);
     void on_start(const std::string& worker, const start_order& order, const order_answer& answer,
                   std::int64_t now_ms);
     void on_stop(const std::string& worker, const stop_order& order, const order_answer& answer,
@@ -337,15 +292,19 @@
     worker_state& find_or_add_worker(const std::string& id);
     std::int64_t token_of(const worker_state& worker) const;
     void handle_restart(worker_state& worker, std::int64_t started_ms, std::int64_t now_ms);
+    void end_life(worker_state& worker, std::int64_t now_ms);
+    bool enter_life(worker_state& worker, std::int64_t started_ms, std::int64_t now_ms);
     void apply_running(worker_state& worker, std::int64_t sent_ms, const poll_answer& answer, bool all_ends,
                        std::int64_t now_ms);
-    bool apply_ended(worker_state& worker, const poll_answer& answer, std::int64_t now_ms);
+    bool apply_ended(worker_state& worker, const poll_answer& answer, const char* heard, std::int64_t now_ms);
     void expire_lease(worker_state& worker, std::int64_t now_ms);
     bool may_have_ended_task(const run_entry& run) const;
     bool presumed_gone(const worker_state& worker, std::int64_t now_ms) const;
     void await_end(run_entry& run, std::int64_t now_ms);
     std::int64_t latest_lease_end(std::int64_t now_ms) const;
     void plan_polls(std::int64_t now_ms, shard_effects& out);
+    static bool wants_relayed_poll(const worker_state& worker, std::int64_t now_ms);
+    void plan_relayed_orders(worker_state& worker, std::int64_t now_ms, shard_effects& out);
     poll_order make_poll(worker_state& worker, std::int64_t now_ms);
     void update_clock(worker_state& worker, std::int64_t clock_ms, std::int64_t now_ms);
     std::int64_t renew_lease(worker_state& worker, std::int64_t now_ms);
--- a/include/waxwingnotch/shard/shard_owner.hpp
+++ b/include/waxwingnotch/shard/shard_owner.hpp
@@ -53,6 +53,14 @@
         /// Tells up to when the registrations of the workers are known, in monotonic time; the present while
         /// the store does not answer. Empty: they count as up to date.
         std::function<std::int64_t()> registrations_until;
+        /// Send an order to a worker through another node; `no_answer` if it was not passed on. Empty: there
+        /// are no other nodes.
+        std::function<void(const relay_route& route, const worker_target& worker, const poll_order& order,
+                           worker_api::handler<poll_answer> done)>
+            relay_poll;
+        std::function<void(const relay_route& route, const worker_target& worker, const stop_order& order,
+                           worker_api::handler<order_answer> done)>
+            relay_stop;
     };
 
     /// @param lost called once, when another owner has replaced this one
@@ -101,6 +109,8 @@
     void pump_soon();  // calls pump() from the loop, at most once per 4 ms
     void execute(shard_effects& effects);
     void send_starts(shard_effects& effects);
+    void send_stop(const stop_effect& effect);
+    void send_poll(const poll_effect& effect);
     void send_forwards(shard_effects& effects);
     void delete_job_records(const std::string& id);
     void delete_job_and_cancel(const std::string& id);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -401,7 +401,15 @@
             [this](int other, const std::string& id, std::function<void(std::optional<bool>)> done) {
                 ask_for_job(other, id, std::move(done));
             },
-            [this](const stored_job& job) { state_.upgrade->add_late(job); }, state_.registrations_until},
+            [this](const stored_job& job) { state_.upgrade->add_late(job); }, state_.registrations_until,
+            [this](const relay_route& route, const worker_target& worker, const poll_order& order,
+                   worker_api::handler<poll_answer> done) {
+                relay_poll(state_, route, worker, order, std::move(done));
+            },
+            [this](const relay_route& route, const worker_target& worker, const stop_order& order,
+                   worker_api::handler<order_answer> done) {
+                relay_stop(state_, route, worker, order, std::move(done));
+            }},
         shard, options, [this, shard, epoch] { state_.release_shard(shard, epoch + 1); });
     if (state_.config) {
         configure_shard(shard, *owner);
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -165,6 +165,22 @@
 void apply_reported_ends(shard_owner& owner, const std::vector<ended_row>& ends, std::int64_t from_epoch,
                          std::int64_t age_ms, std::int64_t stalled_ms);
 
+// Paths of the internal interface at which a node passes orders of owners on to workers.
+constexpr const char* relayed_poll_path = "/worker/poll";
+constexpr const char* relayed_stop_path = "/worker/stop";
+/// Polls a worker through another node, for an owner that does not reach it.
+/// @param order renews no lease
+/// @param done receives `no_answer` if there is no other node, or it cannot or does not pass the order on
+void relay_poll(node_state& node, const relay_route& route, const worker_target& worker,
+                const poll_order& order, worker_api::handler<poll_answer> done);
+/// The same for the stop of a run.
+void relay_stop(node_state& node, const relay_route& route, const worker_target& worker,
+                const stop_order& order, worker_api::handler<order_answer> done);
+/// Passes an order of another node on to a worker, at the address that this node knows from its registration.
+/// Answers 400 if the order cannot be read, 404 if no worker has registered with this id in this life, and
+/// 503 if this node follows no registrations.
+void relay_to_worker(node_state& node, const http_exchange_ptr& exchange);
+
 /// HTTP interface for client accounts.
 class caller_api {
 public:
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -110,6 +110,24 @@
     crash_suspicion suspicion = crash_suspicion::none;
 };
 
+/// Orders through other nodes to a worker that does not answer this one.
+struct relayed_contact {
+    bool poll_in_flight = false;
+    std::uint64_t turn = 0;           // of the next poll
+    std::int64_t next_ms = 0;         // no poll before
+    std::int64_t answered_ms = 0;     // latest answer of the worker in this silence; 0: none
+    std::uint64_t answered_turn = 0;  // of the poll that it answered
+    std::int64_t ends_due =
+        0;  // highest end number that came in this silence and is not acknowledged; 0: none
+
+    /// Forgets what was learned in a silence that has ended, or of a life that has.
+    void reset()
+    {
+        answered_ms = 0;
+        ends_due = 0;
+    }
+};
+
 /// A worker and its runs.
 struct shard_core::worker_state {
     worker_entry entry;
@@ -128,14 +146,15 @@
     std::int64_t silent_since_ms = 0;  // since when it does not answer; 0: it answers
     order_result silence = order_result::ok;  // how the latest poll failed while it does not answer
     int refusals = 0;                         // connections that were refused in a row
-    std::int64_t avoid_until_ms = 0;          // gets no tasks until then, because it rejected one
-    std::int64_t closed_until_ms = 0;         // gets no tasks until then, because of a host operation
-    std::int64_t stops_since_ms = 0;          // when its short runs were first stopped for that; 0: not
-    std::int64_t applied_end = 0;             // highest end number that was applied
-    std::int64_t stored_end = 0;              // highest end number that is in the store
-    std::uint64_t end_batch = 0;              // store batch that contains `applied_end`; 0: stored
-    std::int64_t removed_ms = 0;              // when it was unregistered; 0: registered
-    bool moved = false;                       // has started again in a service of another shard
+    relayed_contact relayed;
+    std::int64_t avoid_until_ms = 0;   // gets no tasks until then, because it rejected one
+    std::int64_t closed_until_ms = 0;  // gets no tasks until then, because of a host operation
+    std::int64_t stops_since_ms = 0;   // when its short runs were first stopped for that; 0: not
+    std::int64_t applied_end = 0;      // highest end number that was applied
+    std::int64_t stored_end = 0;       // highest end number that is in the store
+    std::uint64_t end_batch = 0;       // store batch that contains `applied_end`; 0: stored
+    std::int64_t removed_ms = 0;       // when it was unregistered; 0: registered
+    bool moved = false;                // has started again in a service of another shard
     std::int64_t last_pace_ms = 0;
     std::vector<suspected_task> suspected;  // of its last crash, unless it is proved or refuted
     double failure_rate = 0;                // moving average over its recent runs, 0 to 1
--- /dev/null
+++ b/src/shard/core_silence.cpp
@@ -0,0 +1,179 @@
+/// Workers that do not answer: what becomes of their runs, and orders to them through other nodes.
+#include "shard/core_parts.hpp"
+
+#include "waxwingnotch/base/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace waxwingnotch {
+
+namespace {
+
+// A worker that is cut off for some seconds loses its registration, and has it back at its next heartbeat.
+// One that is missing for longer has ended.
+constexpr std::int64_t unregistered_gone_ms = 4'000;
+// A worker that registers is alive, and lists its ends once it can be reached. Its tasks do not wait longer.
+constexpr std::int64_t max_awaited_silence_ms = 30'000;
+// Between polls of one worker through other nodes. Callers wait no more than this longer for a task that is
+// done, and a worker costs the other nodes two calls a second.
+constexpr std::int64_t relayed_poll_interval_ms = 500;
+// An acknowledgement names ends by their numbers, which start anew with each life of a worker. A worker takes
+// 2 s and more to start again, so one that has answered this lately is in the same life.
+constexpr std::int64_t same_life_ms = 1'500;
+
+}  // namespace
+
+/// Whether an end `done` of the run would end its task. Such a run may have ended before its lease lapsed,
+/// and its worker lists the end when it can be reached again.
+bool shard_core::may_have_ended_task(const run_entry& run) const
+{
+    const step_spec& spec = run.occurrence->step(run.step);
+    return !spec.long_running && !spec.speculative && open_.contains(run.occurrence) &&
+           run.occurrence->progress.steps[run.step][run.index].phase == task_phase::active;
+}
+
+/// Whether a silent worker, whose leases have lapsed, counts as gone with all that it has not listed.
+bool shard_core::presumed_gone(const worker_state& worker, std::int64_t now_ms) const
+{
+    if (worker.silence == order_result::other_instance || worker.moved) {
+        return true;  // another process has taken its place
+    }
+    if (worker.registered) {
+        return now_ms - worker.silent_since_ms >= max_awaited_silence_ms;
+    }
+    const std::int64_t known_ms = known_until_ ? std::min(now_ms, known_until_->registrations_ms) : now_ms;
+    return known_ms - std::max(worker.removed_ms, loaded_ms_) >= unregistered_gone_ms;
+}
+
+/// Gives up the runs of a worker that does not answer and whose leases have lapsed. What was running has been
+/// killed; a run that may have ended its task before is awaited until the worker counts as gone.
+void shard_core::expire_lease(worker_state& worker, std::int64_t now_ms)
+{
+    const bool gone = presumed_gone(worker, now_ms);
+    const std::vector<run_entry*> runs(worker.runs.begin(), worker.runs.end());
+    for (run_entry* run : runs) {
+        if (run->stage == run_stage::writing) {
+            continue;
+        }
+        if (!gone && may_have_ended_task(*run)) {
+            await_end(*run, now_ms);
+            continue;
+        }
+        ++counts_.lost;
+        counts_.presumed_lost += run->awaited ? 1 : 0;
+        requeue(*run,
+                run->awaited ? "its worker counts as gone"
+                             : "the lease of a worker that does not answer has lapsed",
+                now_ms);
+    }
+}
+
+void shard_core::await_end(run_entry& run, std::int64_t now_ms)
+{
+    if (std::exchange(run.awaited, true)) {
+        return;
+    }
+    ++counts_.awaited;
+    log_event(log_level::info, "run_awaited",
+              {{"shard", options_.shard},
+               {"epoch", options_.epoch},
+               {"task", run.task},
+               {"run", run.number},
+               {"worker", run.worker->entry.id},
+               {"inherited", run.inherited},
+               {"registered", run.worker->registered},
+               {"silent_ms", now_ms - run.worker->silent_since_ms},
+               {"ms", now_ms - run.ordered_ms}});
+}
+
+/// Whether a poll through another node may tell how a run of the worker has ended, or acknowledges ends that
+/// came in this way.
+bool shard_core::wants_relayed_poll(const worker_state& worker, std::int64_t now_ms)
+{
+    if (worker.silent_since_ms == 0 || !worker.registered || now_ms < worker.lease_end_ms) {
+        return false;
+    }
+    const bool acknowledges = worker.relayed.ends_due != 0 && worker.end_batch == 0;
+    return acknowledges || std::any_of(worker.runs.begin(), worker.runs.end(),
+                                       [](const run_entry* run) { return run->awaited; });
+}
+
+/// Plans the next poll of a silent worker through another node, and the stops of its runs through the node
+/// that has reached it last.
+void shard_core::plan_relayed_orders(worker_state& worker, std::int64_t now_ms, shard_effects& out)
+{
+    relayed_contact& relayed = worker.relayed;
+    if (relayed.poll_in_flight || now_ms < relayed.next_ms || !wants_relayed_poll(worker, now_ms)) {
+        return;
+    }
+    const bool same_life = relayed.answered_ms != 0 && now_ms - relayed.answered_ms <= same_life_ms;
+    // As in make_poll(), no lease of a silent worker is renewed: the answer may be lost.
+    const poll_order order{.fencing_token = token_of(worker),
+                           .acknowledged_end = same_life ? worker.stored_end : 0,
+                           .lease_until_ms = std::nullopt,
+                           .wait_ms = 0};
+    if (same_life) {
+        for (const run_entry* run : worker.runs) {
+            if (run->stopping && run->awaited && run->stop_confirmed_ms == 0) {
+                out.stops.push_back({worker.target(),
+                                     {run->task, run->number, order.fencing_token},
+                                     relay_route{relayed.answered_turn, worker.entry.started_ms}});
+            }
+        }
+    }
+    relayed.poll_in_flight = true;
+    relayed.next_ms = now_ms + relayed_poll_interval_ms;
+    out.polls.push_back(
+        {worker.target(), order, false, relay_route{relayed.turn++, worker.entry.started_ms}});
+}
+
+void shard_core::on_relayed_poll(const poll_effect& poll, std::int64_t sent_ms, const poll_answer& answer,
+                                 std::int64_t now_ms)
+{
+    const auto found = workers_.find(poll.worker.id);
+    if (found == workers_.end()) {
+        return;
+    }
+    worker_state& worker = *found->second;
+    worker.relayed.poll_in_flight = false;
+    const bool overtaken = worker.silent_since_ms == 0 || worker.silent_since_ms > sent_ms ||
+                           poll.order.fencing_token != token_of(worker);
+    if (overtaken || worker.entry.address != poll.worker.address) {
+        return;  // a direct answer, a new life or a new address is newer than this
+    }
+    if (answer.outcome == order_result::fenced) {
+        fenced_ = true;
+        return;
+    }
+    if (answer.outcome == order_result::other_instance) {
+        note_silence(worker, answer.outcome, now_ms);
+        end_life(worker, now_ms);
+        return;
+    }
+    // Any other outcome may be of the path between the nodes, and tells nothing of the worker.
+    if (answer.outcome != order_result::ok || !enter_life(worker, answer.started_ms, now_ms)) {
+        return;
+    }
+    relayed_contact& relayed = worker.relayed;
+    if (relayed.answered_ms == 0) {
+        log_event(log_level::info, "worker",
+                  {{"worker", worker.entry.id},
+                   {"state", "answers another node"},
+                   {"silent_ms", now_ms - worker.silent_since_ms},
+                   {"runs", worker.runs.size()}});
+    }
+    relayed.answered_ms = now_ms;
+    relayed.answered_turn = poll.relay->turn;
+    if (poll.order.acknowledged_end >= relayed.ends_due) {
+        relayed.ends_due = 0;
+    }
+    const std::int64_t applied_before = worker.applied_end;
+    const bool all_ends = apply_ended(worker, answer, "relay", now_ms);
+    if (worker.applied_end > applied_before) {
+        relayed.ends_due = worker.applied_end;
+    }
+    apply_running(worker, sent_ms, answer, all_ends, now_ms);
+}
+
+}  // namespace waxwingnotch
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -22,11 +22,6 @@
 constexpr double slow_down_above = 0.85;              // tail latency relative to its target
 constexpr double speed_up_below = 0.6;                // tail latency relative to its target
 constexpr std::int64_t unregistered_keep_ms = 2'000;  // registrations return this soon after a store outage
-// A worker that is cut off for some seconds loses its registration, and has it back at its next heartbeat.
-// One that is missing for longer has ended.
-constexpr std::int64_t unregistered_gone_ms = 4'000;
-// A worker that registers is alive, and lists its ends once it can be reached. Its tasks do not wait longer.
-constexpr std::int64_t max_awaited_silence_ms = 30'000;
 
 }  // namespace
 
@@ -156,6 +151,7 @@
     worker.applied_end = 0;
     worker.stored_end = 0;
     worker.end_batch = 0;
+    worker.relayed.reset();
     worker.synced = false;
     worker.list_clock_ms = -1;
     worker.next_poll_ms = now_ms;
@@ -168,6 +164,32 @@
     }
 }
 
+/// Handles that another process answers at the worker's address: its own has ended, and its leases with it.
+void shard_core::end_life(worker_state& worker, std::int64_t now_ms)
+{
+    worker.lease_end_ms = std::min(worker.lease_end_ms, now_ms);
+    expire_lease(worker, now_ms);
+}
+
+/// Notes which life of the worker has answered.
+/// @param started_ms as in poll_answer
+/// @return false if a later life has answered before: the answer is late
+bool shard_core::enter_life(worker_state& worker, std::int64_t started_ms, std::int64_t now_ms)
+{
+    const std::int64_t known_ms = worker.entry.started_ms;
+    if (started_ms == 0 || started_ms == known_ms) {
+        return true;
+    }
+    if (started_ms < known_ms) {
+        return false;
+    }
+    if (known_ms != 0) {
+        handle_restart(worker, started_ms, now_ms);
+    }
+    worker.entry.started_ms = started_ms;
+    return true;
+}
+
 void shard_core::on_poll(const std::string& worker_id, std::int64_t sent_ms, bool extra,
                          const poll_answer& answer, std::int64_t now_ms)
 {
@@ -184,22 +206,13 @@
         note_silence(worker, answer.outcome, now_ms);
         worker.next_poll_ms = now_ms + poll_retry_ms;
         if (answer.outcome == order_result::other_instance) {
-            // The worker's process has ended: another one answers at its address.
-            worker.lease_end_ms = std::min(worker.lease_end_ms, now_ms);
-            expire_lease(worker, now_ms);
+            end_life(worker, now_ms);
         }
         return;
     }
-    if (answer.started_ms != 0 && worker.entry.started_ms != 0 &&
-        answer.started_ms < worker.entry.started_ms) {
+    if (!enter_life(worker, answer.started_ms, now_ms)) {
         worker.next_poll_ms = now_ms;
-        return;  // a late answer of an earlier incarnation
-    }
-    if (answer.started_ms != 0 && answer.started_ms != worker.entry.started_ms) {
-        if (worker.entry.started_ms != 0) {
-            handle_restart(worker, answer.started_ms, now_ms);
-        }
-        worker.entry.started_ms = answer.started_ms;
+        return;
     }
     if (worker.silent_since_ms != 0) {
         log_event(
@@ -209,13 +222,14 @@
         worker.silent_since_ms = 0;
         worker.silence = order_result::ok;
         worker.refusals = 0;
+        worker.relayed.reset();
         for (run_entry* run : worker.runs) {
             run->awaited = false;
         }
         schedule_needed_ = true;
     }
     update_clock(worker, answer.clock_ms, now_ms);
-    const bool all_ends = apply_ended(worker, answer, now_ms);
+    const bool all_ends = apply_ended(worker, answer, "worker", now_ms);
     apply_running(worker, sent_ms, answer, all_ends, now_ms);
     if (!worker.synced) {
         worker.synced = true;
@@ -227,8 +241,10 @@
     adjust_pace(worker, now_ms);
 }
 
+/// @param heard how the list came here, for the log
 /// @return whether all ends of the worker are known now
-bool shard_core::apply_ended(worker_state& worker, const poll_answer& answer, std::int64_t now_ms)
+bool shard_core::apply_ended(worker_state& worker, const poll_answer& answer, const char* heard,
+                             std::int64_t now_ms)
 {
     bool all = answer.ended.size() < max_ends_per_answer;
     bool changed = false;
@@ -244,11 +260,11 @@
         changed = true;
         const auto found = runs_.find(row.task + "#" + std::to_string(row.run));
         if (found == runs_.end() || found->second->worker != &worker) {
-            handle_unknown_end(worker.entry.id, row, "worker", now_ms);
+            handle_unknown_end(worker.entry.id, row, heard, now_ms);
             continue;
         }
         unstored_ends_.push_back({.batch = batch_ + 1, .read_ms = now_ms, .row = row});
-        end_run(*found->second, row.kind, row.checkpoint, "worker", now_ms);
+        end_run(*found->second, row.kind, row.checkpoint, heard, now_ms);
     }
     if (changed) {
         batch_needed_ = true;
@@ -339,69 +355,6 @@
     }
 }
 
-/// Whether an end `done` of the run would end its task. Such a run may have ended before its lease lapsed,
-/// and its worker lists the end when it can be reached again.
-bool shard_core::may_have_ended_task(const run_entry& run) const
-{
-    const step_spec& spec = run.occurrence->step(run.step);
-    return !spec.long_running && !spec.speculative && open_.contains(run.occurrence) &&
-           run.occurrence->progress.steps[run.step][run.index].phase == task_phase::active;
-}
-
-/// Whether a silent worker, whose leases have lapsed, counts as gone with all that it has not listed.
-bool shard_core::presumed_gone(const worker_state& worker, std::int64_t now_ms) const
-{
-    if (worker.silence == order_result::other_instance || worker.moved) {
-        return true;  // another process has taken its place
-    }
-    if (worker.registered) {
-        return now_ms - worker.silent_since_ms >= max_awaited_silence_ms;
-    }
-    const std::int64_t known_ms = known_until_ ? std::min(now_ms, known_until_->registrations_ms) : now_ms;
-    return known_ms - std::max(worker.removed_ms, loaded_ms_) >= unregistered_gone_ms;
-}
-
-/// Gives up the runs of a worker that does not answer and whose leases have lapsed. What was running has been
-/// killed; a run that may have ended its task before is awaited until the worker counts as gone.
-void shard_core::expire_lease(worker_state& worker, std::int64_t now_ms)
-{
-    const bool gone = presumed_gone(worker, now_ms);
-    const std::vector<run_entry*> runs(worker.runs.begin(), worker.runs.end());
-    for (run_entry* run : runs) {
-        if (run->stage == run_stage::writing) {
-            continue;
-        }
-        if (!gone && may_have_ended_task(*run)) {
-            await_end(*run, now_ms);
-            continue;
-        }
-        ++counts_.lost;
-        counts_.presumed_lost += run->awaited ? 1 : 0;
-        requeue(*run,
-                run->awaited ? "its worker counts as gone"
-                             : "the lease of a worker that does not answer has lapsed",
-                now_ms);
-    }
-}
-
-void shard_core::await_end(run_entry& run, std::int64_t now_ms)
-{
-    if (std::exchange(run.awaited, true)) {
-        return;
-    }
-    ++counts_.awaited;
-    log_event(log_level::info, "run_awaited",
-              {{"shard", options_.shard},
-               {"epoch", options_.epoch},
-               {"task", run.task},
-               {"run", run.number},
-               {"worker", run.worker->entry.id},
-               {"inherited", run.inherited},
-               {"registered", run.worker->registered},
-               {"silent_ms", now_ms - run.worker->silent_since_ms},
-               {"ms", now_ms - run.ordered_ms}});
-}
-
 poll_order shard_core::make_poll(worker_state& worker, std::int64_t now_ms)
 {
     // A worker that did not answer may have restarted and number its ends from 1 again.
@@ -423,6 +376,7 @@
 {
     for (auto& entry : workers_) {
         worker_state* worker = entry.second.get();
+        plan_relayed_orders(*worker, now_ms, out);
         if (worker->entry.address.empty() || (!worker->registered && worker->runs.empty())) {
             continue;
         }
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -392,13 +392,7 @@
     send_forwards(effects);
     send_starts(effects);
     for (const stop_effect& effect : effects.stops) {
-        parts_.workers->stop(effect.worker, effect.order,
-                             [this, effect, alive = alive_](const order_answer& answer) {
-                                 if (*alive) {
-                                     core_.on_stop(effect.worker.id, effect.order, answer, monotonic_ms());
-                                     pump_soon();
-                                 }
-                             });
+        send_stop(effect);
     }
     for (const pace_effect& effect : effects.paces) {
         parts_.workers->pace(effect.worker, effect.order, [effect](const order_answer& answer) {
@@ -409,14 +403,7 @@
         });
     }
     for (const poll_effect& effect : effects.polls) {
-        parts_.workers->poll(effect.worker, effect.order,
-                             [this, id = effect.worker.id, extra = effect.extra, sent = monotonic_ms(),
-                              alive = alive_](const poll_answer& answer) {
-                                 if (*alive) {
-                                     core_.on_poll(id, sent, extra, answer, monotonic_ms());
-                                     pump_soon();
-                                 }
-                             });
+        send_poll(effect);
     }
     for (const advice_effect& effect : effects.advice) {
         if (parts_.advice == nullptr) {
@@ -434,19 +421,6 @@
     }
 }
 
-void shard_owner::send_starts(shard_effects& effects)
-{
-    for (const start_effect& effect : effects.starts) {
-        parts_.workers->start(effect.worker, effect.order,
-                              [this, effect, alive = alive_](const order_answer& answer) {
-                                  if (*alive) {
-                                      core_.on_start(effect.worker.id, effect.order, answer, monotonic_ms());
-                                      pump_soon();
-                                  }
-                              });
-    }
-}
-
 void shard_owner::send_forwards(shard_effects& effects)
 {
     for (forward_effect& effect : effects.forwards) {
--- a/tests/shard/shard_world.hpp
+++ b/tests/shard/shard_world.hpp
@@ -50,8 +50,10 @@
     std::int64_t epoch = 0;             // of the newest owner
     std::set<std::string> unreachable;  // workers that get no orders
     std::set<std::string> refusing;     // of these: connections are refused at once
-    std::set<std::string> answerless;   // workers that get orders, and whose answers do not arrive
-    bool idle_leases_last = false;      // of workers that are added: see fake_worker::idle_lapses
+    // Whether the node whose turn it is passes orders on to a worker; empty: no other node does.
+    std::function<bool(const std::string& worker, std::uint64_t turn)> passes_on;
+    std::set<std::string> answerless;  // workers that get orders, and whose answers do not arrive
+    bool idle_leases_last = false;     // of workers that are added: see fake_worker::idle_lapses
     bool store_down = false;
     // Deletions that the store carries out before it goes down.
     std::size_t deletions_until_down = std::numeric_limits<std::size_t>::max();
@@ -334,7 +336,7 @@
         }
         for (const start_effect& effect : effects.starts) {
             send<order_answer>(
-                owner, effect.worker.id,
+                owner, effect.worker.id, std::nullopt,
                 [this, effect](fake_worker& worker) { return start(worker, effect.order); },
                 [this, owner, effect](const order_answer& answer) {
                     owner->core->on_start(effect.worker.id, effect.order, answer, now);
@@ -342,7 +344,7 @@
         }
         for (const stop_effect& effect : effects.stops) {
             send<order_answer>(
-                owner, effect.worker.id,
+                owner, effect.worker.id, effect.relay,
                 [this, effect](fake_worker& worker) { return worker.stop(effect.order, now); },
                 [this, owner, effect](const order_answer& answer) {
                     owner->core->on_stop(effect.worker.id, effect.order, answer, now);
@@ -486,8 +488,8 @@
     }
 
     template <class Answer>
-    void send(const owner_ptr& owner, const std::string& id, std::function<Answer(fake_worker&)> act,
-              std::function<void(const Answer&)> done)
+    void send(const owner_ptr& owner, const std::string& id, const std::optional<relay_route>& relay,
+              std::function<Answer(fake_worker&)> act, std::function<void(const Answer&)> done)
     {
         constexpr std::int64_t timeout_ms = 400;  // same as in the adapter
         const bool late = chance(faults.late_orders);
@@ -495,20 +497,20 @@
         // Late orders reach only the incarnation that they were sent to: nothing could keep them from a later
         // one under the same id before its first contact with the owner (open question in docs/questions.md).
         const std::int64_t started_ms = workers[id].entry.started_ms;
-        after(late ? draw(1'000, 6'000) : draw(1, 2), [this, owner, id, act, done, lost, late, started_ms] {
+        after(late ? draw(1'000, 6'000) : draw(1, 2), [=, this] {
             fake_worker& worker = workers[id];
-            if (unreachable.contains(id) || !worker.alive ||
-                (late && worker.entry.started_ms != started_ms)) {
+            const bool cut_off = relay ? !passes_on || !passes_on(id, relay->turn) : unreachable.contains(id);
+            if (cut_off || !worker.alive || (late && worker.entry.started_ms != started_ms)) {
                 const order_result cut =
                     refusing.contains(id) ? order_result::not_listening : order_result::no_answer;
-                const Answer failure{.outcome = unreachable.contains(id) ? cut : worker.failure};
+                const Answer failure{.outcome = cut_off ? cut : worker.failure};
                 const bool at_once = failure.outcome != order_result::no_answer;
                 after(at_once ? 1 : timeout_ms,
                       [this, owner, done, failure] { deliver<Answer>(owner, done, failure); });
                 return;
             }
             const Answer answer = act(worker);
-            const bool unanswered = lost || answerless.contains(id);
+            const bool unanswered = lost || (!relay && answerless.contains(id));
             after(unanswered ? timeout_ms : draw(1, 2), [this, owner, id, done, answer, unanswered] {
                 const Answer closed{.outcome = order_result::disconnected};
                 const bool taken = taken_hosts_.contains(id);
@@ -523,7 +525,7 @@
         const std::int64_t wait = effect.order.wait_ms > 0 ? draw(5, 60) : 0;
         after(wait, [this, owner, effect, sent] {
             send<poll_answer>(
-                owner, effect.worker.id,
+                owner, effect.worker.id, effect.relay,
                 [this, effect](fake_worker& worker) {
                     worker.advance(now);
                     for (const ended_row& row : worker.ended) {
@@ -535,7 +537,12 @@
                     return worker.poll(effect.order, now);
                 },
                 [this, owner, effect, sent](const poll_answer& answer) {
-                    owner->core->on_poll(effect.worker.id, sent, effect.extra, answer, now);
+                    if (effect.relay) {
+                        owner->core->on_relayed_poll(effect, sent, answer, now);
+                    }
+                    else {
+                        owner->core->on_poll(effect.worker.id, sent, effect.extra, answer, now);
+                    }
                 });
         });
     }
