--- a/src/shard/core_silence.cpp
+++ b/src/shard/core_silence.cpp
@@ -1,4 +1,4 @@
-/// Workers that do not answer: what becomes of their runs once their leases have lapsed.
+/// Workers that do not answer: what becomes of their runs, and orders to them through other nodes.
 #include "shard/core_parts.hpp"
 
 #include "waxwingnotch/base/log.hpp"
@@ -14,6 +14,12 @@
 // s after the beginning of the cut at the earliest (the last of three heartbeats came up to 1.5 s before),
 // and returns within 2 s of the end of a cut of 6.5 s.
 constexpr std::int64_t missing_limit_ms = 6'000;
+// Between polls of one worker through other nodes. Callers wait no more than this longer for a task that is
+// done, and a worker costs the other nodes two calls a second.
+constexpr std::int64_t relayed_poll_interval_ms = 500;
+// An acknowledgement names ends by their numbers, which start anew with each life of a worker. A worker takes
+// 2 s and more to start again, so one that has answered this lately is in the same life.
+constexpr std::int64_t same_life_ms = 1'500;
 
 }  // namespace
 
@@ -117,4 +123,93 @@
     log_event(log_level::info, "worker", {{"worker", id}, {"state", "host lost"}});
 }
 
+/// Whether a poll through another node may tell how a run of the worker has ended, or acknowledges ends that
+/// came in this way.
+bool shard_core::wants_relayed_poll(const worker_state& worker, std::int64_t now_ms)
+{
+    if (worker.silent_since_ms == 0 || !worker.registered || now_ms < worker.lease_end_ms) {
+        return false;
+    }
+    const bool acknowledges = worker.relayed.ends_due != 0 && worker.end_batch == 0;
+    return acknowledges || std::any_of(worker.runs.begin(), worker.runs.end(),
+                                       [](const run_entry* run) { return run->awaited; });
+}
+
+/// Plans the next poll of a silent worker through another node, and the stops of its runs through the node
+/// that has reached it last.
+void shard_core::plan_relayed_orders(worker_state& worker, std::int64_t now_ms, shard_effects& out)
+{
+    relayed_contact& relayed = worker.relayed;
+    if (relayed.poll_in_flight || now_ms < relayed.next_ms || !wants_relayed_poll(worker, now_ms)) {
+        return;
+    }
+    const bool same_life = relayed.answered_ms != 0 && now_ms - relayed.answered_ms <= same_life_ms;
+    // As in make_poll(), no lease of a silent worker is renewed: the answer may be lost.
+    const poll_order order{.fencing_token = token_of(worker),
+                           .acknowledged_end = same_life ? worker.stored_end : 0,
+                           .lease_until_ms = std::nullopt,
+                           .wait_ms = 0};
+    if (same_life) {
+        for (const run_entry* run : worker.runs) {
+            if (run->stopping && run->awaited && run->stop_confirmed_ms == 0) {
+                out.stops.push_back({worker.target(),
+                                     {run->task, run->number, order.fencing_token},
+                                     relay_route{relayed.answered_turn, worker.entry.started_ms}});
+            }
+        }
+    }
+    relayed.poll_in_flight = true;
+    relayed.next_ms = now_ms + relayed_poll_interval_ms;
+    out.polls.push_back(
+        {worker.target(), order, false, relay_route{relayed.turn++, worker.entry.started_ms}});
+}
+
+void shard_core::on_relayed_poll(const poll_effect& poll, std::int64_t sent_ms, const poll_answer& answer,
+                                 std::int64_t now_ms)
+{
+    const auto found = workers_.find(poll.worker.id);
+    if (found == workers_.end()) {
+        return;
+    }
+    worker_state& worker = *found->second;
+    worker.relayed.poll_in_flight = false;
+    const bool overtaken = worker.silent_since_ms == 0 || worker.silent_since_ms > sent_ms ||
+                           poll.order.fencing_token != token_of(worker);
+    if (overtaken || worker.entry.address != poll.worker.address) {
+        return;  // a direct answer, a new life or a new address is newer than this
+    }
+    if (answer.outcome == order_result::fenced) {
+        fenced_ = true;
+        return;
+    }
+    if (answer.outcome == order_result::other_instance) {
+        note_silence(worker, answer.outcome, now_ms);
+        end_life(worker, now_ms);
+        return;
+    }
+    // Any other outcome may be of the path between the nodes, and tells nothing of the worker.
+    if (answer.outcome != order_result::ok || !enter_life(worker, answer.started_ms, now_ms)) {
+        return;
+    }
+    relayed_contact& relayed = worker.relayed;
+    if (relayed.answered_ms == 0) {
+        log_event(log_level::info, "worker",
+                  {{"worker", worker.entry.id},
+                   {"state", "answers another node"},
+                   {"silent_ms", now_ms - worker.silent_since_ms},
+                   {"runs", worker.runs.size()}});
+    }
+    relayed.answered_ms = now_ms;
+    relayed.answered_turn = poll.relay->turn;
+    if (poll.order.acknowledged_end >= relayed.ends_due) {
+        relayed.ends_due = 0;
+    }
+    const std::int64_t applied_before = worker.applied_end;
+    const bool all_ends = apply_ended(worker, answer, "relay", now_ms);
+    if (worker.applied_end > applied_before) {
+        relayed.ends_due = worker.applied_end;
+    }
+    apply_running(worker, sent_ms, answer, all_ends, now_ms);
+}
+
 }  // namespace waxwingnotch
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -152,6 +152,7 @@
     worker.applied_end = 0;
     worker.stored_end = 0;
     worker.end_batch = 0;
+    worker.relayed.reset();
     worker.synced = false;
     worker.list_clock_ms = -1;
     worker.next_poll_ms = now_ms;
@@ -164,6 +165,32 @@
     }
 }
 
+/// Handles that another process answers at the worker's address: its own has ended, and its leases with it.
+void shard_core::end_life(worker_state& worker, std::int64_t now_ms)
+{
+    worker.lease_end_ms = std::min(worker.lease_end_ms, now_ms);
+    expire_lease(worker, now_ms);
+}
+
+/// Notes which life of the worker has answered.
+/// @param started_ms as in poll_answer
+/// @return false if a later life has answered before: the answer is late
+bool shard_core::enter_life(worker_state& worker, std::int64_t started_ms, std::int64_t now_ms)
+{
+    const std::int64_t known_ms = worker.entry.started_ms;
+    if (started_ms == 0 || started_ms == known_ms) {
+        return true;
+    }
+    if (started_ms < known_ms) {
+        return false;
+    }
+    if (known_ms != 0) {
+        handle_restart(worker, started_ms, now_ms);
+    }
+    worker.entry.started_ms = started_ms;
+    return true;
+}
+
 void shard_core::on_poll(const std::string& worker_id, std::int64_t sent_ms, bool extra,
                          const poll_answer& answer, std::int64_t now_ms)
 {
@@ -181,22 +208,13 @@
         note_silence(worker, answer.outcome, now_ms);
         worker.next_poll_ms = now_ms + poll_retry_ms;
         if (answer.outcome == order_result::other_instance) {
-            // The worker's process has ended: another one answers at its address.
-            worker.lease_end_ms = std::min(worker.lease_end_ms, now_ms);
-            expire_lease(worker, now_ms);
+            end_life(worker, now_ms);
         }
         return;
     }
-    if (answer.started_ms != 0 && worker.entry.started_ms != 0 &&
-        answer.started_ms < worker.entry.started_ms) {
+    if (!enter_life(worker, answer.started_ms, now_ms)) {
         worker.next_poll_ms = now_ms;
-        return;  // a late answer of an earlier incarnation
-    }
-    if (answer.started_ms != 0 && answer.started_ms != worker.entry.started_ms) {
-        if (worker.entry.started_ms != 0) {
-            handle_restart(worker, answer.started_ms, now_ms);
-        }
-        worker.entry.started_ms = answer.started_ms;
+        return;
     }
     if (worker.silent_since_ms != 0) {
         log_event(
@@ -206,13 +224,14 @@
         worker.silent_since_ms = 0;
         worker.silence = order_result::ok;
         worker.refusals = 0;
+        worker.relayed.reset();
         schedule_needed_ = true;
     }
     for (run_entry* run : worker.runs) {
         run->awaited = false;
     }
     update_clock(worker, answer.clock_ms, now_ms);
-    const bool all_ends = apply_ended(worker, answer, now_ms);
+    const bool all_ends = apply_ended(worker, answer, "worker", now_ms);
     apply_running(worker, sent_ms, answer, all_ends, now_ms);
     if (!worker.synced) {
         worker.synced = true;
@@ -224,8 +243,10 @@
     adjust_pace(worker, now_ms);
 }
 
+/// @param heard how the list came here, for the log
 /// @return whether all ends of the worker are known now
-bool shard_core::apply_ended(worker_state& worker, const poll_answer& answer, std::int64_t now_ms)
+bool shard_core::apply_ended(worker_state& worker, const poll_answer& answer, const char* heard,
+                             std::int64_t now_ms)
 {
     bool all = answer.ended.size() < max_ends_per_answer;
     bool changed = false;
@@ -241,11 +262,11 @@
         changed = true;
         const auto found = runs_.find(row.task + "#" + std::to_string(row.run));
         if (found == runs_.end() || found->second->worker != &worker) {
-            handle_unknown_end(worker.entry.id, row, "worker", now_ms);
+            handle_unknown_end(worker.entry.id, row, heard, now_ms);
             continue;
         }
         unstored_ends_.push_back({.batch = batch_ + 1, .read_ms = now_ms, .row = row});
-        end_run(*found->second, row.kind, row.checkpoint, "worker", now_ms);
+        end_run(*found->second, row.kind, row.checkpoint, heard, now_ms);
     }
     if (changed) {
         batch_needed_ = true;
@@ -359,6 +380,7 @@
 {
     for (auto& entry : workers_) {
         worker_state* worker = entry.second.get();
+        plan_relayed_orders(*worker, now_ms, out);
         if (worker->entry.address.empty() || (!worker->registered && worker->runs.empty())) {
             continue;
         }
