Take a host only when the owner of its worker is confirmed

What callers would see: tasks that run twice, or lost ends. An owner that has been replaced and does not know it yet, for up to about a second, told the host duty that a worker was empty, and the host was taken with the runs of the next owner.

Cause: the answer came from the owner's books and named no ground, neither the epoch nor how old the ownership was known to be. The host duty took the answer of any node that held itself for the owner.

Evidence: three new tests of host_manager_test with two owners of one shard.

Change: an owner whose books would let a host be taken first polls the worker with its token. The worker refuses the poll once a later owner has reached it, and no owner starts a task on a worker that it has not reached, so an accepted poll shows that no later owner has runs there; runs that the list shows count. For a worker that does not answer, the store's group has to name this node, in a read sent after the question. Otherwise the question is not answered (drain_unconfirmed) and asked again. Answers name the epoch, and the host duty believes none below the highest it has heard of.

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -257,6 +257,10 @@
     void drain_worker(const std::string& worker, std::int64_t until_ms, std::int64_t now_ms,
                       leftover_runs leftover = leftover_runs::keep);
     drain_state drain_of(const std::string& worker, std::int64_t now_ms) const;
+    /// A poll that shows whether an owner with a higher epoch has reached @p worker. It renews no lease and
+    /// acknowledges no end.
+    /// @return nothing if the worker is not known, or does not answer
+    std::optional<poll_effect> ownership_check(const std::string& worker) const;
 
 private:
     struct job_entry;
--- a/src/node/host_keeper.cpp
+++ b/src/node/host_keeper.cpp
@@ -15,21 +15,17 @@
 namespace {
 
 constexpr std::int64_t owner_timeout_ms = 400;
+// The owner may ask the worker, for up to 400 ms, or the store before it answers.
+constexpr std::int64_t drain_timeout_ms = 900;
 constexpr std::int64_t move_cooldown_ms = 4'000;  // minimum time between two attempts to move a host
 constexpr std::int64_t pool_log_interval_ms = 1'000;
 constexpr std::int64_t ms_per_s = 1'000;
 constexpr double move_share = 0.75;  // of the orders that the host service takes; the rest is for maintenance
 
-/// Decodes the answer to a drain request.
-/// @return nothing if no owner answered. Values that cannot be read default to a worker that is in use, so
-///         that it is not taken away.
-std::optional<drain_state> decode_drain_state(const owner_reply& answer)
+/// Decodes the answer to a drain request. Values that cannot be read default to a worker that is in use, so
+/// that it is not taken away.
+drain_state decode_drain_state(const nlohmann::json& body)
 {
-    if (!answer.answered || answer.status != 200) {
-        return std::nullopt;
-    }
-    const auto document = read_json(answer.body);
-    const nlohmann::json body = document ? document.value() : nlohmann::json();
     return drain_state{.known = bool_or(body, "known"),
                        .runs =
                            static_cast<std::size_t>(std::max<std::int64_t>(integer_or(body, "runs", 1), 0)),
@@ -148,6 +144,8 @@
                         }
                         const auto document = read_json(answer.body);
                         if (answer.answered && answer.status == 200 && document) {
+                            std::int64_t& newest = newest_epochs_[node_.shard_of(name)];
+                            newest = std::max(newest, integer_or(document.value(), "epoch"));
                             decode_load(document.value(), survey->loads[name]);
                         }
                         if (--survey->open == 0) {
@@ -300,21 +298,40 @@
 /// Asks the owner of @p pool to place no new work on @p worker for @p for_ms, and to move
 /// long-running tasks off it.
 /// @param leftover what becomes of its short runs
-/// @param done receives what is left on the worker; nothing if no owner answered
+/// @param done receives what is left on the worker; nothing if no owner answered that is known to be the
+///        newest
 void host_manager::request_drain(const std::string& pool, const std::string& worker, std::int64_t for_ms,
                                  leftover_runs leftover,
                                  std::function<void(const std::optional<drain_state>&)> done)
 {
     const std::string path = "/shard/close?worker=" + worker + "&ms=" + std::to_string(for_ms) +
                              (leftover == leftover_runs::stop ? "&stop=1" : "");
-    query_owner(node_, "POST", node_.shard_of(pool), path, owner_timeout_ms,
-                [done = std::move(done), alive = alive_](const owner_reply& answer) {
+    const int shard = node_.shard_of(pool);
+    query_owner(node_, "POST", shard, path, drain_timeout_ms,
+                [this, shard, done = std::move(done), alive = alive_](const owner_reply& answer) {
                     if (*alive) {
-                        done(decode_drain_state(answer));
+                        done(accept_drain_answer(shard, answer));
                     }
                 });
 }
 
+/// @return nothing without an answer of the newest owner that has answered so far
+std::optional<drain_state> host_manager::accept_drain_answer(int shard, const owner_reply& answer)
+{
+    if (!answer.answered || answer.status != 200) {
+        return std::nullopt;
+    }
+    const auto document = read_json(answer.body);
+    const nlohmann::json body = document ? document.value() : nlohmann::json();
+    const std::int64_t epoch = integer_or(body, "epoch", 0);  // owners of earlier versions name none
+    std::int64_t& newest = newest_epochs_[shard];
+    newest = std::max(newest, epoch);
+    if (epoch < newest) {
+        return std::nullopt;
+    }
+    return decode_drain_state(body);
+}
+
 void host_manager::order_move(const pool_move& planned)
 {
     move_target_[planned.host] = planned.to;
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -8,6 +8,7 @@
 #include "waxwingnotch/base/log.hpp"
 #include "waxwingnotch/base/rejected_input.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <limits>
 
@@ -41,6 +42,98 @@
     return {};
 }
 
+/// Answers a query that needs no other call.
+owner_reply answer_from_books(const shard_owner& owner, const std::string& path,
+                              const std::function<std::string(std::string_view)>& query)
+{
+    if (path == "/shard/job") {
+        const std::string id = query("id");
+        if (const std::optional<int> other = owner.core().forwarded_to(id)) {
+            return {true, status_other_shard, std::to_string(*other)};
+        }
+        const std::optional<job_state> state = owner.core().state_of(id);
+        if (state) {
+            return {true, 200, adapter::encode_job_state(*state)};
+        }
+        // From the age of this node's knowledge, the querying node sees whether the job may have been stored
+        // since.
+        return {true, 404, std::to_string(monotonic_ms() - owner.complete_until_ms())};
+    }
+    if (path == "/shard/pending") {
+        if (!owner.up_to_date()) {
+            return {true, status_not_owner, {}};
+        }
+        return {true, 200, std::to_string(owner.core().pending(query("queue")))};
+    }
+    if (path == "/shard/load") {
+        const service_demand demand = owner.core().demand_of(query("service"));
+        const nlohmann::json body{{"epoch", owner.epoch()},
+                                  {"waiting_cpu_ms", demand.waiting_cpu_ms},
+                                  {"running_cpu_milli", demand.running_cpu_milli},
+                                  {"running_memory_mb", demand.running_memory_mb},
+                                  {"min_workers", demand.min_workers},
+                                  {"busy", demand.busy}};
+        return {true, 200, write_json(body)};
+    }
+    return {true, 404, {}};
+}
+
+owner_reply encode_drain_state(const shard_owner& owner, const drain_state& state)
+{
+    const nlohmann::json body{{"epoch", owner.epoch()},     {"known", state.known},
+                              {"runs", state.runs},         {"serving", state.serving},
+                              {"unstored", state.unstored}, {"stopping_ms", state.stopping_ms}};
+    return {true, 200, write_json(body)};
+}
+
+/// Confirms by the store that this node owns the shard, for a worker that cannot be asked.
+void confirm_by_store(node_state& node, int shard, std::function<void(bool)> done)
+{
+    node.store->owners(
+        shard_group::options().group, [&node, shard, done = std::move(done)](const owners_result& answer) {
+            done(answer.status == store_status::ok &&
+                 std::any_of(answer.rows.begin(), answer.rows.end(), [&](const owner_row& row) {
+                     return row.partition == shard &&
+                            row.member.substr(0, row.member.find('/')) == node.settings.internal_address;
+                 }));
+        });
+}
+
+/// Answers what is left on a worker. Its host may be taken on this answer, so the ownership is confirmed
+/// first, by a call that is sent after the question arrived: an owner that has been replaced knows nothing of
+/// the runs of the next one.
+void answer_drain_query(node_state& node, int shard, const std::string& worker,
+                        std::function<void(const owner_reply&)> done)
+{
+    const shard_owner& owner = *node.loaded_shard(shard);
+    const drain_state state = owner.core().drain_of(worker, monotonic_ms());
+    if (!may_take_host(state) && !state.empty()) {
+        done(encode_drain_state(owner, state));
+        return;
+    }
+    const auto answer = [&node, shard, worker, epoch = owner.epoch(),
+                         done = std::move(done)](bool confirmed, std::size_t listed_runs) {
+        const shard_owner* present = node.loaded_shard(shard);
+        if (!confirmed || present == nullptr || present->epoch() != epoch) {
+            log_event(log_level::info, "drain_unconfirmed",
+                      {{"shard", shard}, {"epoch", epoch}, {"worker", worker}});
+            done({true, status_not_owner, {}});
+            return;
+        }
+        drain_state confirmed_state = present->core().drain_of(worker, monotonic_ms());
+        confirmed_state.runs = std::max(confirmed_state.runs, listed_runs);
+        done(encode_drain_state(*present, confirmed_state));
+    };
+    const std::optional<poll_effect> check = owner.core().ownership_check(worker);
+    if (!check) {
+        confirm_by_store(node, shard, [answer](bool confirmed) { answer(confirmed, 0); });
+        return;
+    }
+    node.workers->poll(check->worker, check->order, [answer](const poll_answer& list) {
+        answer(list.outcome == order_result::ok, list.running.size());
+    });
+}
+
 }  // namespace
 
 node_state::node_state(node_settings settings_in)
@@ -64,56 +157,24 @@
     return found != shards.end() && found->second->loaded() ? found->second.get() : nullptr;
 }
 
-owner_reply answer_shard_query(node_state& node, int shard, const std::string& path,
-                               const std::function<std::string(std::string_view)>& query)
+void answer_shard_query(node_state& node, int shard, const std::string& path,
+                        const std::function<std::string(std::string_view)>& query,
+                        std::function<void(const owner_reply&)> done)
 {
     shard_owner* owner = node.loaded_shard(shard);
     if (owner == nullptr) {
-        return {true, status_not_owner, {}};
-    }
-    if (path == "/shard/job") {
-        const std::string id = query("id");
-        if (const std::optional<int> other = owner->core().forwarded_to(id)) {
-            return {true, status_other_shard, std::to_string(*other)};
-        }
-        const std::optional<job_state> state = owner->core().state_of(id);
-        if (state) {
-            return {true, 200, adapter::encode_job_state(*state)};
-        }
-        // From the age of this node's knowledge, the querying node sees whether the job may have been stored
-        // since.
-        return {true, 404, std::to_string(monotonic_ms() - owner->complete_until_ms())};
-    }
-    if (path == "/shard/pending") {
-        if (!owner->up_to_date()) {
-            return {true, status_not_owner, {}};
-        }
-        return {true, 200, std::to_string(owner->core().pending(query("queue")))};
+        done({true, status_not_owner, {}});
+        return;
     }
-    if (path == "/shard/load") {
-        const service_demand demand = owner->core().demand_of(query("service"));
-        const nlohmann::json body{{"waiting_cpu_ms", demand.waiting_cpu_ms},
-                                  {"running_cpu_milli", demand.running_cpu_milli},
-                                  {"running_memory_mb", demand.running_memory_mb},
-                                  {"min_workers", demand.min_workers},
-                                  {"busy", demand.busy}};
-        return {true, 200, write_json(body)};
+    if (path != "/shard/close") {
+        done(answer_from_books(*owner, path, query));
+        return;
     }
-    if (path == "/shard/close") {
-        const std::string worker = query("worker");
-        if (const std::int64_t for_ms = parse_integer(query("ms"), 0); for_ms > 0) {
-            owner->drain_worker(worker, for_ms,
-                                query("stop") == "1" ? leftover_runs::stop : leftover_runs::keep);
-        }
-        const drain_state state = owner->core().drain_of(worker, monotonic_ms());
-        const nlohmann::json body{{"known", state.known},
-                                  {"runs", state.runs},
-                                  {"serving", state.serving},
-                                  {"unstored", state.unstored},
-                                  {"stopping_ms", state.stopping_ms}};
-        return {true, 200, write_json(body)};
+    const std::string worker = query("worker");
+    if (const std::int64_t for_ms = parse_integer(query("ms"), 0); for_ms > 0) {
+        owner->drain_worker(worker, for_ms, query("stop") == "1" ? leftover_runs::stop : leftover_runs::keep);
     }
-    return {true, 404, {}};
+    answer_drain_query(node, shard, worker, std::move(done));
 }
 
 void query_owner(node_state& node, const std::string& method, int shard, const std::string& path,
@@ -121,8 +182,9 @@
 {
     if (node.shards.contains(shard)) {
         const std::string path_only = path.substr(0, path.find('?'));
-        done(answer_shard_query(node, shard, path_only,
-                                [&](std::string_view name) { return query_value(path, name); }));
+        answer_shard_query(
+            node, shard, path_only, [&](std::string_view name) { return query_value(path, name); },
+            std::move(done));
         return;
     }
     const std::string address = node.group ? node.group->owner_of(shard) : std::string();
@@ -332,10 +394,12 @@
         send_ends(node_, shard, exchange->query("owner").value_or(""));
         return;
     }
-    const owner_reply answer = answer_shard_query(node_, shard, exchange->path(), [&](std::string_view name) {
-        return exchange->query(name).value_or("");
-    });
-    exchange->reply(answer.status, {{"Content-Type", "application/json"}}, answer.body);
+    answer_shard_query(
+        node_, shard, exchange->path(),
+        [&](std::string_view name) { return exchange->query(name).value_or(""); },
+        [exchange](const owner_reply& answer) {
+            exchange->reply(answer.status, {{"Content-Type", "application/json"}}, answer.body);
+        });
 }
 
 void internal_api::relay(const http_exchange_ptr& exchange)
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -148,9 +148,11 @@
                  std::int64_t timeout_ms, std::function<void(const owner_reply&)> done);
 
 /// Answers a query about a shard. The status is status_not_owner if this node does not own the shard or
-/// has not loaded it.
-owner_reply answer_shard_query(node_state& node, int shard, const std::string& path,
-                               const std::function<std::string(std::string_view)>& query);
+/// has not loaded it, and if the answer would let a host be taken and the ownership is not confirmed.
+/// @param done is called at once, or after a call of the worker or of the store that confirms the ownership
+void answer_shard_query(node_state& node, int shard, const std::string& path,
+                        const std::function<std::string(std::string_view)>& query,
+                        std::function<void(const owner_reply&)> done);
 
 /// Path of the internal interface at which an owner takes records of jobs and cancels.
 constexpr const char* submit_path = "/shard/submit";
@@ -257,6 +259,7 @@
     void keep_closed(const std::string& pool, const std::string& worker);
     void request_drain(const std::string& pool, const std::string& worker, std::int64_t for_ms,
                        leftover_runs leftover, std::function<void(const std::optional<drain_state>&)> done);
+    std::optional<drain_state> accept_drain_answer(int shard, const owner_reply& answer);
     std::set<std::string> leaving_hosts() const;
     bool recently_moved(const std::string& host) const;
     std::vector<std::string> idle_hosts_first(const maintenance_wave& wave,
@@ -280,6 +283,7 @@
     std::map<std::string, std::string> move_target_;       // by host: pool of the latest move
     std::map<std::string, std::string> host_workers_;      // by host: id of its worker
     std::set<std::string> busy_workers_;                   // workers with runs in the latest survey
+    std::map<int, std::int64_t> newest_epochs_;            // by shard: highest one that an owner has named
     balance_policy policy_;
     burst_reserve reserve_;
     std::int64_t last_pool_log_ms_ = 0;
--- a/src/shard/core_drain.cpp
+++ b/src/shard/core_drain.cpp
@@ -127,4 +127,16 @@
     return state;
 }
 
+std::optional<poll_effect> shard_core::ownership_check(const std::string& id) const
+{
+    const auto found = workers_.find(id);
+    if (found == workers_.end() || found->second->entry.address.empty() ||
+        found->second->silent_since_ms != 0) {
+        return std::nullopt;
+    }
+    const worker_state& worker = *found->second;
+    return poll_effect{
+        .worker = worker.target(), .order = {.fencing_token = token_of(worker)}, .extra = true};
+}
+
 }  // namespace waxwingnotch
--- a/tests/node/host_manager_test.cpp
+++ b/tests/node/host_manager_test.cpp
@@ -18,15 +18,21 @@
 class memory_workers final : public worker_api {
 public:
     explicit memory_workers(event_loop& loop) : loop_(loop) { worker.stop_ms = stop_ms; }
+    /// Another way to the worker of @p other, on which polls that wait for an end are not answered.
+    memory_workers(event_loop& loop, memory_workers& other)
+        : loop_(loop), worker_(&other.worker), holds_waiting_polls_(true)
+    {
+    }
 
     void start(const worker_target& /*target*/, const start_order& order, handler<order_answer> done) override
     {
-        loop_.defer(
-            [done, answer = worker.start(order, monotonic_ms(), task_ms, end_kind::done)] { done(answer); });
+        loop_.defer([done, answer = worker_->start(order, monotonic_ms(), task_ms, end_kind::done)] {
+            done(answer);
+        });
     }
     void stop(const worker_target& /*target*/, const stop_order& order, handler<order_answer> done) override
     {
-        loop_.defer([done, answer = worker.stop(order, monotonic_ms())] { done(answer); });
+        loop_.defer([done, answer = worker_->stop(order, monotonic_ms())] { done(answer); });
     }
     void pace(const worker_target& /*target*/, const pace_order& /*order*/,
               handler<order_answer> done) override
@@ -35,15 +41,22 @@
     }
     void poll(const worker_target& /*target*/, const poll_order& order, handler<poll_answer> done) override
     {
+        if (holds_waiting_polls_ && order.wait_ms > 0) {
+            return;
+        }
         constexpr std::int64_t wait_ms = 5;
-        polls_.push_back(
-            loop_.after(wait_ms, [this, order, done] { done(worker.poll(order, monotonic_ms())); }));
+        polls_.push_back(loop_.after(wait_ms, [this, order, done] {
+            done(silent ? poll_answer{} : worker_->poll(order, monotonic_ms()));
+        }));
     }
 
     fake_worker worker;
+    bool silent = false;  // no poll is answered
 
 private:
     event_loop& loop_;
+    fake_worker* worker_ = &worker;
+    bool holds_waiting_polls_ = false;
     std::vector<timer> polls_;
 };
 
@@ -105,6 +118,7 @@
         node.upgrade->run(node.config, {.done = [this] { node.loop.stop(); }, .unsupported = nullptr});
         node.loop.run();
         node.hosts = std::make_unique<memory_hosts>(node.loop, *workers);
+        store().assigned[0] = node.settings.internal_address + "/1/1000";
         take_over(1);
     }
 
@@ -112,15 +126,30 @@
     void take_over(std::int64_t epoch)
     {
         node.shards.erase(0);
+        node.shards[0] = make_owner(epoch, *workers, *node.store);
+    }
+    std::unique_ptr<shard_owner> make_owner(std::int64_t epoch, worker_api& way, log_store& store)
+    {
         auto owner = std::make_unique<shard_owner>(
-            shard_owner::parts{
-                .loop = &node.loop, .store = node.store.get(), .workers = workers.get(), .address = "node"},
-            0, shard_options{.epoch = epoch}, [] { FAIL() << "the owner was replaced"; });
+            shard_owner::parts{.loop = &node.loop, .store = &store, .workers = &way, .address = "node"}, 0,
+            shard_options{.epoch = epoch}, [] { FAIL() << "the owner was replaced"; });
         owner->set_config(node.config);
         owner->put_worker(workers->worker.entry);
         owner->start();
-        node.shards[0] = std::move(owner);
+        return owner;
+    }
+    /// Lets another node take the shard over and run three tasks. The owner of this node does not notice: its
+    /// store shows it nothing new, and its polls wait at the worker.
+    void replace_unnoticed()
+    {
+        node.shards[0] = make_owner(2, *stale_way, silent_store);
+        run_until([&] { return node.shards[0]->loaded(); });
+        run_for(100);
+        next_owner = make_owner(3, *workers, *node.store);
+        submit();
+        run_until([&] { return workers->worker.running.size() == 3; });
     }
+    fake_store& store() { return static_cast<fake_store&>(*node.store); }
 
     static node_settings settings()
     {
@@ -175,8 +204,20 @@
     }
 
     node_state node{settings()};
-    std::unique_ptr<memory_workers> workers = std::make_unique<memory_workers>(node.loop);
+    // The first is the worker itself.
+    memory_workers* workers = add_way(std::make_unique<memory_workers>(node.loop));
+    std::unique_ptr<memory_workers> stale_way = std::make_unique<memory_workers>(node.loop, *workers);
+    fake_store silent_store{node.loop};  // of an owner that learns of nothing
+    std::unique_ptr<shard_owner> next_owner;
     std::unique_ptr<host_manager> manager;
+
+private:
+    memory_workers* add_way(std::unique_ptr<memory_workers> way)
+    {
+        memory_workers* added = way.get();
+        node.workers = std::move(way);
+        return added;
+    }
 };
 
 // A wave that was late ordered the maintenance of hosts with runs, whose ends were lost.
@@ -218,5 +259,58 @@
     EXPECT_EQ(hosts().runs_at_orders, 0U);
 }
 
+// An owner that had been replaced without its knowledge said that a worker was empty, and the host was
+// taken with the runs of the new owner.
+TEST_F(host_manager_test, an_owner_that_has_been_replaced_gives_no_host_away)
+{
+    replace_unnoticed();
+    start_late_wave();
+    run_for(1'000);
+    EXPECT_EQ(hosts().orders, 0);
+    next_owner.reset();
+    take_over(4);
+    run_until([&] { return hosts().orders > 0; });
+    EXPECT_EQ(hosts().runs_at_orders, 0U);
+}
+
+// The same with an owner that cannot reach the worker: only the store can tell.
+TEST_F(host_manager_test, an_owner_that_has_been_replaced_gives_no_host_of_a_silent_worker_away)
+{
+    stale_way->silent = true;
+    store().assigned[0] = "10.0.0.9:1/1/1000";
+    replace_unnoticed();
+    start_late_wave();
+    run_for(1'000);
+    EXPECT_EQ(hosts().orders, 0);
+}
+
+// An earlier owner answered from the network after a later one had, and the host was taken.
+TEST_F(host_manager_test, an_owner_is_not_believed_after_a_later_one_has_answered)
+{
+    workers->worker.stop_ms = task_ms;  // so that the later owner does not give the host away
+    submit();
+    run_until([&] { return workers->worker.running.size() == 3; });
+    start_late_wave();
+    run_for(1'000);
+    EXPECT_EQ(hosts().orders, 0);
+    node.shards.erase(0);
+    run_for(100);
+    workers->worker.running.clear();  // neither the worker nor the store shows that there is a later owner
+    workers->worker.token = 0;
+    node.shards[0] = make_owner(0, *stale_way, silent_store);
+    run_for(1'000);
+    EXPECT_EQ(hosts().orders, 0);
+}
+
+// The host of a worker that has ended was never maintained, as nothing could confirm the ownership.
+TEST_F(host_manager_test, the_host_of_a_silent_worker_is_taken_by_the_owner_that_the_store_names)
+{
+    run_until([&] { return node.shards[0]->loaded(); });
+    run_for(100);
+    workers->silent = true;
+    start_late_wave();
+    run_until([&] { return hosts().orders > 0; });
+}
+
 }  // namespace
 }  // namespace waxwingnotch
