Count an end `failed` of a run that its owner had given up as an attempt

Cause: an owner that gives a run up forgets it. When the worker lists its end `failed` after all, the end was acknowledged and changed nothing. It could not simply be counted: an end that was counted and is not yet acknowledged is listed again to the next owner, and nothing told the two cases apart.

Change: the progress of a task keeps the numbers of its newest 8 given-up runs. A run joins them when it is requeued after its start was ordered, and leaves them when its end `failed` counts, when it is taken up again, or with the end of the task. An end `failed` of such a run, or of one beyond the last that the record knows, counts as an attempt and fails the task at the limit, which stops later runs. The end is stored with the new count before it is acknowledged, and passed to the next owner until then. Second copies count as they do when their runs are known; long-running tasks have no attempts.

Why it works: the count and the number of the run change in one record, so whoever reads the record knows whether the end has counted. A run that was never given up is not in the list, so its end counts where it is read and nowhere else.

--- a/include/waxwingnotch/job/progress.hpp
+++ b/include/waxwingnotch/job/progress.hpp
@@ -5,6 +5,7 @@
 
 #include "waxwingnotch/job/spec.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -46,6 +47,10 @@
     bool operator==(const crash_history&) const = default;
 };
 
+/// The newest runs of a task that were given up and may still end. With 8 they take at most 13 bytes of a
+/// record while their numbers are close to the last one; 4,000 active tasks leave 21 bytes each.
+constexpr std::size_t max_given_up_runs = 8;
+
 /// One task of an occurrence.
 struct task_progress {
     task_phase phase = task_phase::waiting;
@@ -54,10 +59,18 @@
     std::vector<active_run> runs;
     std::string checkpoint;
     crash_history crashes;
+    // Runs whose starts were ordered and that were given up before their ends were known. An end `failed` of
+    // one of them has not been counted yet; see add_given_up().
+    std::vector<std::uint32_t> given_up;
 
     bool operator==(const task_progress&) const = default;
 };
 
+/// Notes that @p run has been given up; drops the oldest of more than max_given_up_runs.
+void add_given_up(task_progress& task, std::uint32_t run);
+/// @return whether @p run was among the given-up runs of the task, to which it does not belong any more
+bool remove_given_up(task_progress& task, std::uint32_t run);
+
 /// Progress of one occurrence of a job.
 struct occurrence_progress {
     std::vector<std::vector<task_progress>> steps;
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -319,6 +319,8 @@
     void report_held_starts(std::int64_t now_ms);
     void stop_task(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
                    std::int64_t now_ms);
+    bool count_failure(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
+                       const std::string& worker, std::int64_t now_ms);
     void complete_task(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
                        std::int64_t now_ms);
     void complete_gang(occurrence_entry& occurrence, std::uint32_t step, std::int64_t now_ms);
@@ -329,7 +331,7 @@
     run_entry* adopt_run(worker_state& worker, const running_row& row, std::int64_t now_ms);
     run_entry* find_unordered_run(const occurrence_entry& occurrence, std::uint32_t step,
                                   std::uint32_t index);
-    bool adopt_end(const ended_row& row, std::int64_t now_ms);
+    const char* adopt_end(const std::string& worker, const ended_row& row, std::int64_t now_ms);
     void handle_unknown_end(const std::string& worker, const ended_row& row, const char* heard,
                             std::int64_t now_ms);
 
--- a/src/job/codec.cpp
+++ b/src/job/codec.cpp
@@ -75,9 +75,16 @@
     }
     json row =
         json::array({task.last_run, task.failures, static_cast<int>(task.phase), runs, task.checkpoint});
-    if (task.crashes != crash_history{}) {
+    // Earlier versions read the crashes wherever a sixth field is there.
+    if (task.crashes != crash_history{} || !task.given_up.empty()) {
         row.push_back(json::array({task.crashes.shared, task.crashes.alone, task.crashes.likely}));
     }
+    if (!task.given_up.empty()) {
+        json& distances = row.emplace_back(json::array());  // shorter than the numbers
+        for (const std::uint32_t run : task.given_up) {
+            distances.push_back(task.last_run - run);
+        }
+    }
     return row;
 }
 
@@ -115,6 +122,15 @@
         task.crashes = {crashes.at(0).get<std::uint32_t>(), crashes.at(1).get<std::uint32_t>(),
                         crashes.at(2).get<bool>()};
     }
+    if (row.size() > 6) {
+        for (const json& distance : row.at(6)) {
+            const auto runs_before_last = distance.get<std::uint32_t>();
+            if (runs_before_last >= task.last_run) {
+                throw json::other_error::create(500, "a given-up run has no number", &row);
+            }
+            task.given_up.push_back(task.last_run - runs_before_last);
+        }
+    }
     return task;
 }
 
--- a/src/job/progress.cpp
+++ b/src/job/progress.cpp
@@ -4,6 +4,20 @@
 
 namespace waxwingnotch {
 
+void add_given_up(task_progress& task, std::uint32_t run)
+{
+    remove_given_up(task, run);
+    task.given_up.push_back(run);
+    if (task.given_up.size() > max_given_up_runs) {
+        task.given_up.erase(task.given_up.begin());
+    }
+}
+
+bool remove_given_up(task_progress& task, std::uint32_t run)
+{
+    return std::erase(task.given_up, run) > 0;
+}
+
 bool occurrence_progress::step_done(std::size_t step) const
 {
     return std::all_of(steps[step].begin(), steps[step].end(),
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -159,22 +159,9 @@
         complete_task(occurrence, step, index, now_ms);
         return;
     }
-    if (kind == end_kind::failed && !spec.long_running) {
-        ++task.failures;
-        occurrence.failed_on[{step, index}].insert(worker);
-        std::uint32_t failures = task.failures;
-        if (spec.gang) {
-            failures = 0;
-            for (const task_progress& member : occurrence.progress.steps[step]) {
-                failures += member.failures;
-            }
-        }
-        if (failures >= attempt_limit(*occurrence.job)) {
-            task.phase = task_phase::failed;
-            stop_task(occurrence, step, index, now_ms);
-            finish_occurrence(occurrence, now_ms);
-            return;
-        }
+    if (kind == end_kind::failed && !spec.long_running &&
+        count_failure(occurrence, step, index, worker, now_ms)) {
+        return;
     }
     if (task.runs.empty()) {
         task.phase = task_phase::waiting;
@@ -182,6 +169,34 @@
     }
 }
 
+/// Counts an end `failed` of a task. At the limit of attempts the task fails, and its other runs are stopped.
+/// @param worker on which the run has failed; empty: not known
+/// @return whether the task has failed
+bool shard_core::count_failure(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
+                               const std::string& worker, std::int64_t now_ms)
+{
+    task_progress& task = occurrence.task(step, index);
+    ++task.failures;
+    if (!worker.empty()) {
+        occurrence.failed_on[{step, index}].insert(worker);
+    }
+    std::uint32_t failures = task.failures;
+    if (occurrence.step(step).gang) {
+        failures = 0;
+        for (const task_progress& member : occurrence.progress.steps[step]) {
+            failures += member.failures;
+        }
+    }
+    if (failures < attempt_limit(*occurrence.job)) {
+        return false;
+    }
+    occurrence.waiting_tasks -= task.phase == task_phase::waiting ? 1 : 0;
+    task.phase = task_phase::failed;
+    stop_task(occurrence, step, index, now_ms);
+    finish_occurrence(occurrence, now_ms);
+    return true;
+}
+
 /// Ends a task that one of its runs has done, and stops the others. The members of a gang end together.
 void shard_core::complete_task(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
                                std::int64_t now_ms)
@@ -190,6 +205,7 @@
     occurrence.waiting_tasks -= task.phase == task_phase::waiting ? 1 : 0;
     task.phase = task_phase::done;
     task.checkpoint.clear();
+    task.given_up.clear();
     stop_task(occurrence, step, index, now_ms);
     if (occurrence.step(step).gang) {
         complete_gang(occurrence, step, now_ms);
@@ -226,9 +242,13 @@
         run.worker->suspected.push_back(
             {{occurrence.job->spec.id, occurrence.number, step, index}, run.suspicion});
     }
+    task_progress& task = occurrence.task(step, index);
+    const bool open = task.phase == task_phase::active || task.phase == task_phase::waiting;
+    if (open && run.stage != run_stage::writing && !occurrence.step(step).long_running) {
+        add_given_up(task, run.number);  // its end counts if it is listed after all
+    }
     remove_run(run);
     mark_changed(occurrence);
-    task_progress& task = occurrence.task(step, index);
     if (task.phase == task_phase::active && task.runs.empty()) {
         task.phase = task_phase::waiting;
         ++occurrence.waiting_tasks;
--- a/src/shard/core_tasks.cpp
+++ b/src/shard/core_tasks.cpp
@@ -176,6 +176,7 @@
     occurrence->waiting_tasks -= task.phase == task_phase::waiting ? 1 : 0;
     task.phase = task_phase::active;
     task.last_run = std::max(task.last_run, row.run);
+    remove_given_up(task, row.run);
     run_entry& run = add_run(*occurrence, step, index, row.run, worker);
     run.stage = run_stage::running;
     run.inherited = true;
@@ -203,49 +204,63 @@
     return unordered ? found->second.get() : nullptr;
 }
 
-/// Counts a task as done by an end `done` of a run that no record assigns any more: the run was given up, and
-/// has ended well all the same. Otherwise the task would start again after an end that its worker is told to
-/// forget.
-/// @return whether the task was not done before
-bool shard_core::adopt_end(const ended_row& row, std::int64_t now_ms)
+/// Counts the end of a run that no record assigns any more: the run was given up, and has ended well or
+/// failed all the same. Otherwise the task would start again after an end, or have an attempt too many, as
+/// the worker is told to forget the end.
+/// @param worker that lists the end; empty: not known
+/// @return what has become of the task, for the log; null: the end does not count
+const char* shard_core::adopt_end(const std::string& worker, const ended_row& row, std::int64_t now_ms)
 {
+    const bool done = row.kind == end_kind::done;
     const auto name = parse_task_name(row.task);
-    occurrence_entry* occurrence = name && row.kind == end_kind::done ? find_open(name.value()) : nullptr;
+    occurrence_entry* occurrence =
+        name && (done || row.kind == end_kind::failed) ? find_open(name.value()) : nullptr;
     if (occurrence == nullptr) {
-        return false;
+        return nullptr;
     }
     const auto [step, index] = std::pair(name.value().step, name.value().index);
     std::vector<std::vector<task_progress>>& steps = occurrence->progress.steps;
     if (step >= steps.size() || index >= steps[step].size() || occurrence->step(step).long_running) {
-        return false;
+        return nullptr;
     }
     task_progress& task = steps[step][index];
     if (task.phase != task_phase::waiting && task.phase != task_phase::active) {
-        return false;
+        return nullptr;
+    }
+    // A worker lists a failed run again to the next owner if its end was counted and not acknowledged.
+    const bool not_counted = remove_given_up(task, row.run) || row.run > task.last_run;
+    if (!done && !not_counted) {
+        return nullptr;
     }
     task.last_run = std::max(task.last_run, row.run);
     mark_changed(*occurrence);
-    complete_task(*occurrence, step, index, now_ms);
-    ++counts_.ends_adopted;
-    return true;
+    if (done) {
+        ++counts_.ends_adopted;
+        complete_task(*occurrence, step, index, now_ms);
+        return "the task is done";
+    }
+    ++counts_.ends_failed;
+    const bool failed = count_failure(*occurrence, step, index, worker, now_ms);
+    return failed ? "the task has failed" : "counts as an attempt";
 }
 
-/// Handles the end of a run that no record assigns to its worker, and reports it unless the state of its task
-/// explains it.
+/// Handles the end of a run that no record assigns to its worker, and reports it if it counts, or if the
+/// state of its task does not explain it.
 /// @param worker that lists the end; empty if a previous owner has read it
 /// @param heard as in record_end()
 void shard_core::handle_unknown_end(const std::string& worker, const ended_row& row, const char* heard,
                                     std::int64_t now_ms)
 {
     const task_report known = report_task(row.task, row.run);
-    const bool adopted = adopt_end(row, now_ms);
-    if (adopted) {
+    const char* adopted = adopt_end(worker, row, now_ms);
+    if (adopted != nullptr) {
         unstored_ends_.push_back({.batch = batch_ + 1, .read_ms = now_ms, .row = row});
     }
-    if (!unexplained(known, row)) {
+    const bool reported = unexplained(known, row);
+    counts_.ends_unknown += reported ? 1 : 0;
+    if (!reported && adopted == nullptr) {
         return;
     }
-    ++counts_.ends_unknown;
     unknown_lines& bound = row.kind == end_kind::done ? unknown_done_lines_ : unknown_end_lines_;
     if (!bound.take(now_ms)) {
         return;
@@ -263,7 +278,7 @@
                {"active_run", known.active_run},
                {"active_worker", known.active_worker},
                {"left_out", std::exchange(bound.left_out, 0)},
-               {"outcome", adopted ? "the task is done" : "ignored"}});
+               {"outcome", adopted != nullptr ? adopted : "ignored"}});
 }
 
 std::vector<ended_row> shard_core::unstored_ends() const
--- a/tests/fuzz/seeds.cpp
+++ b/tests/fuzz/seeds.cpp
@@ -63,6 +63,7 @@
     progress.steps[0][0].phase = task_phase::done;
     progress.steps[0][0].last_run = 1;
     progress.steps[0][1] = {task_phase::active, 2, 1, {{2, {"w", 5}, true}}, "checkpoint", {1, 0, true}};
+    add_given_up(progress.steps[0][1], 1);
     return encode_progress(progress);
 }
 
--- a/tests/job/job_test.cpp
+++ b/tests/job/job_test.cpp
@@ -2,8 +2,13 @@
 #include "waxwingnotch/job/progress.hpp"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
 
+#include <cstdint>
+#include <string>
+#include <vector>
+
 namespace waxwingnotch {
 namespace {
 
@@ -77,6 +82,10 @@
         task.last_run = 12;
         task.runs = {{12, {"i-7f3a91c2", 1'700'000'000'000}, false}};
         task.checkpoint = "00000bb87a21d94b";
+        for (std::uint32_t run = 1; run <= 9; ++run) {
+            add_given_up(task, run);
+        }
+        ASSERT_EQ(task.given_up.size(), max_given_up_runs);
     }
     EXPECT_LT(encode_progress(progress).size(), record_bytes);
 }
@@ -107,6 +116,31 @@
     EXPECT_TRUE(decode_progress("\x81\x81\x85\x01" + std::string(1, '\0') + "\x01\x80\x60"));
 }
 
+// An earlier version that reads the record would take a crash for what is none, or not read the job at all.
+TEST(progress, given_up_runs_stand_behind_the_fields_that_earlier_versions_read)
+{
+    occurrence_progress progress{{{{.phase = task_phase::waiting, .last_run = 7}}}};
+    const std::string without = encode_progress(progress);
+    add_given_up(progress.steps[0][0], 3);
+    const nlohmann::json row = nlohmann::json::from_cbor(encode_progress(progress))[0][0];
+    EXPECT_EQ(row, nlohmann::json::parse(R"([7, 0, 0, [], "", [0, 0, false], [4]])"));
+    EXPECT_TRUE(remove_given_up(progress.steps[0][0], 3));
+    EXPECT_FALSE(remove_given_up(progress.steps[0][0], 3));
+    EXPECT_EQ(encode_progress(progress), without);
+}
+
+TEST(progress, a_given_up_run_without_a_number_is_refused)
+{
+    const auto record = [](const char* row) {
+        const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(nlohmann::json::parse(row));
+        return std::string(bytes.begin(), bytes.end());
+    };
+    EXPECT_TRUE(decode_progress(record(R"([[[7, 0, 0, [], "", [0, 0, false], [6]]]])")));
+    EXPECT_FALSE(decode_progress(record(R"([[[7, 0, 0, [], "", [0, 0, false], [7]]]])")));
+    EXPECT_FALSE(decode_progress(record(R"([[[7, 0, 0, [], "", [0, 0, false], [-1]]]])")));
+    EXPECT_FALSE(decode_progress(record(R"([[[7, 0, 0, [], "", [0, 0, false], ["6"]]]])")));
+}
+
 TEST(job, checks_the_form_of_an_id)
 {
     EXPECT_TRUE(is_job_id("0123456789abcdef"));
@@ -204,6 +238,11 @@
             if (task.phase != task_phase::done) {
                 task.crashes = {*rc::gen::inRange<std::uint32_t>(0, 3),
                                 *rc::gen::inRange<std::uint32_t>(0, 2), *rc::gen::arbitrary<bool>()};
+                for (std::uint32_t run = 1; run <= task.last_run; ++run) {
+                    if (*rc::gen::arbitrary<bool>()) {
+                        add_given_up(task, run);
+                    }
+                }
             }
             task.checkpoint =
                 task.phase == task_phase::done ? "" : *rc::gen::element<std::string>("", "0000beef");
