Keep the room of runs that are being stopped on workers that list them without a record

What callers would see: a start brings a worker that does not guard its capacity over it, or beyond `maxPerServer` (LIMIT, ROUTE): what is being stopped still counts.

Cause: a run that a worker lists and that no record assigns to it (its job or task has ended, is not known, or runs elsewhere) is stopped, which takes up to 0.9 s. It has no entry, so its room was free to the next scheduling round. The same held for runs of jobs that another shard hands over, which are not stopped.

Change: such a run takes what its task reserves, and counts for the limit of tasks per worker, as long as the newest list of its worker shows it. Assignments that do not fit beside it and whose starts were not ordered yet are withdrawn. If the need is not known (no record of the job), the worker gets no task meanwhile.

Why the wait ends: a run ends within 0.9 s of a stop, which is repeated with each list, at least once a second. The list after that does not show it, and a list of the worker's next life starts anew. A worker that goes on listing a run of unknown need gets tasks again after 5 s of lists, in which its silence counts for a second at most (run_not_stopped); otherwise a row that no stop ends would close it for good. Room that is known is kept for as long as it is listed.

The call in apply_running is needed as rows of jobs that are handed over do not reach handle_unknown_run.

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -328,6 +328,9 @@
                     std::int64_t now_ms);
     bool handle_unknown_run(worker_state& worker, const running_row& row, bool known_elsewhere,
                             std::int64_t now_ms);
+    std::optional<resources> reserved_by(const task_name& name) const;
+    void note_unassigned_run(worker_state& worker, const running_row& row, std::int64_t now_ms);
+    void withdraw_unfitting(worker_state& worker, std::int64_t now_ms);
     run_entry* adopt_run(worker_state& worker, const running_row& row, std::int64_t now_ms);
     run_entry* find_unordered_run(const occurrence_entry& occurrence, std::uint32_t step,
                                   std::uint32_t index);
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -112,14 +112,25 @@
 
 /// A worker and its runs.
 struct shard_core::worker_state {
+    /// A run that it lists and that has no entry. It takes its room until a newer list does not show it.
+    struct unassigned_run {
+        std::int64_t list_clock_ms = -1;    // of the newest list that shows it, on the worker's clock
+        std::int64_t restarts = 0;          // of the worker before that list
+        std::int64_t listed_ms = 0;         // when that list was handled
+        std::int64_t waited_ms = 0;         // since the first such list, without the silence of the worker
+        std::optional<resources> reserved;  // what its task reserves; none: its job is not known
+        std::string step;                   // JOB.OCCURRENCE.STEP
+    };
+
     worker_entry entry;
     std::int64_t registered_life_ms = 0;  // start of the process that wrote its registration; 0: not said
     bool registered = false;
     bool synced = false;  // has answered a poll of this owner
     std::set<run_entry*> runs;
-    resources used;
-    std::int64_t clock_ms = -1;     // its steady clock when it last answered; -1: never
-    std::int64_t clock_at_ms = 0;   // this process's steady clock then
+    resources used;                                    // by `runs`
+    std::map<std::string, unassigned_run> unassigned;  // by task and number
+    std::int64_t clock_ms = -1;                        // its steady clock when it last answered; -1: never
+    std::int64_t clock_at_ms = 0;                      // this process's steady clock then
     std::int64_t lease_end_ms = 0;  // this process's steady clock; all its leases have lapsed by then
     bool poll_in_flight = false;
     std::int64_t poll_sent_ms = 0;
@@ -143,6 +154,15 @@
 
     worker_target target() const { return {entry.id, entry.address}; }
     worker_incarnation incarnation() const { return {entry.id, entry.started_ms}; }
+    /// Whether its newest list shows the run.
+    bool lists(const unassigned_run& run) const
+    {
+        return run.list_clock_ms == list_clock_ms && run.restarts == restarts;
+    }
+    /// @return the room that unassigned runs take; none while that is not known
+    std::optional<resources> unassigned_resources() const;
+    /// @return how many unassigned runs are of @p step (JOB.OCCURRENCE.STEP)
+    std::uint32_t unassigned_tasks(const std::string& step) const;
 };
 
 /// What the policy service has said about the workers for a step. Whether a worker is allowed does not change
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -118,9 +118,13 @@
             worker->closed_until_ms > now_ms || worker->clock_ms < 0) {
             continue;
         }
+        const std::optional<resources> unassigned = worker->unassigned_resources();
+        if (!unassigned) {
+            continue;  // what is being stopped there takes room that is not known
+        }
         placement_view& view = round.views.emplace_back();
         view.worker = worker.get();
-        view.free = worker->entry.capacity - worker->used;
+        view.free = worker->entry.capacity - worker->used - *unassigned;
     }
     if (!suspects_.empty()) {
         reserve_isolation(service, round, now_ms);
@@ -254,6 +258,9 @@
             candidate.same_step = on_this_worker == on_worker.end() ? 0 : on_this_worker->second;
             candidate.same_step_rack = on_this_rack == on_rack.end() ? 0 : on_this_rack->second;
         }
+        if (spec.max_per_worker > 0 && !worker.unassigned.empty()) {
+            candidate.same_step += worker.unassigned_tasks(occurrence.key() + "." + std::to_string(step));
+        }
         candidate.failure_rate = worker.failure_rate;
         candidate.failed_task =
             failed != occurrence.failed_on.end() && failed->second.contains(worker.entry.id);
@@ -399,6 +406,12 @@
     if (fenced_ || !loaded_) {
         return out;
     }
+    // The room of runs that their workers do not list any more is free again.
+    for (auto& [id, worker] : workers_) {
+        const auto gone = std::erase_if(
+            worker->unassigned, [&state = *worker](const auto& run) { return !state.lists(run.second); });
+        schedule_needed_ = schedule_needed_ || gone > 0;
+    }
     const bool scheduling = (schedule_needed_ || copies_needed_) && may_start(now_ms);
     if (schedule_needed_ && scheduling) {
         schedule_needed_ = false;
--- a/src/shard/core_tasks.cpp
+++ b/src/shard/core_tasks.cpp
@@ -14,6 +14,10 @@
 constexpr int max_unknown_lines = 20;
 constexpr std::int64_t unknown_lines_interval_ms = 1'000;
 
+// A worker that lists a run of unknown need gets no task for this long. Stops take at most 0.9 s and are
+// repeated with each list, at least once a second, so a run that is listed for longer will not stop at all.
+constexpr std::int64_t max_unknown_need_wait_ms = 5'000;
+
 /// Whether the state of the task leaves open why the run is not known. A run that ended before, or that was
 /// requeued by this owner or an earlier one, explains itself: its worker lists the end until it is
 /// acknowledged.
@@ -122,6 +126,7 @@
     run_entry* adopted = known_elsewhere ? nullptr : adopt_run(worker, row, now_ms);
     if (adopted == nullptr) {
         stops_.push_back({worker.target(), {row.task, row.run, token_of(worker)}});
+        note_unassigned_run(worker, row, now_ms);
     }
     const bool goes_on = adopted != nullptr && !adopted->stopping;
     ++counts_.runs_unknown;
@@ -145,6 +150,102 @@
     return adopted != nullptr;
 }
 
+/// @return what the task reserves on its worker; none if its job is not known here
+std::optional<resources> shard_core::reserved_by(const task_name& name) const
+{
+    const auto job = jobs_.find(name.job);
+    const auto forward = forwards_.find(name.job);
+    if (job == jobs_.end() && forward == forwards_.end()) {
+        return std::nullopt;
+    }
+    const std::vector<step_spec>& steps =
+        (job != jobs_.end() ? job->second->spec : forward->second->spec).steps;
+    return name.step < steps.size() ? std::optional(steps[name.step].reserved()) : std::nullopt;
+}
+
+/// Notes the room that a run without an entry takes on @p worker, whose newest list shows it.
+void shard_core::note_unassigned_run(worker_state& worker, const running_row& row, std::int64_t now_ms)
+{
+    worker_state::unassigned_run& run = worker.unassigned[row.task + "#" + std::to_string(row.run)];
+    if (run.list_clock_ms < 0 || run.restarts != worker.restarts) {
+        run = {.listed_ms = now_ms};
+    }
+    const bool awaited = run.waited_ms < max_unknown_need_wait_ms;
+    run.waited_ms += std::min(now_ms - run.listed_ms, options_.poll_wait_ms);
+    run.listed_ms = now_ms;
+    run.list_clock_ms = worker.list_clock_ms;
+    run.restarts = worker.restarts;
+    const auto name = parse_task_name(row.task);
+    if (name) {
+        run.reserved = reserved_by(name.value());
+        run.step = row.task.substr(0, row.task.rfind('.'));
+    }
+    withdraw_unfitting(worker, now_ms);
+    if (!awaited || run.waited_ms < max_unknown_need_wait_ms) {
+        return;
+    }
+    schedule_needed_ = true;
+    if (unknown_run_lines_.take(now_ms)) {
+        log_event(log_level::warning, "run_not_stopped",
+                  {{"shard", options_.shard},
+                   {"epoch", options_.epoch},
+                   {"task", row.task},
+                   {"run", row.run},
+                   {"worker", worker.entry.id},
+                   {"need_known", run.reserved.has_value()},
+                   {"listed_ms", run.waited_ms},
+                   {"left_out", std::exchange(unknown_run_lines_.left_out, 0)}});
+    }
+}
+
+/// Takes back the assignments to @p worker that were not ordered yet, as far as unassigned runs take their
+/// room.
+void shard_core::withdraw_unfitting(worker_state& worker, std::int64_t now_ms)
+{
+    const std::vector<run_entry*> runs(worker.runs.begin(), worker.runs.end());
+    for (run_entry* run : runs) {
+        if (run->stage != run_stage::writing) {
+            continue;
+        }
+        const step_spec& spec = run->occurrence->step(run->step);
+        const std::optional<resources> taken = worker.unassigned_resources();
+        resources free = worker.entry.capacity - worker.used - taken.value_or(resources{});
+        free += spec.reserved();
+        const auto of_step = static_cast<std::uint32_t>(
+            std::count_if(worker.runs.begin(), worker.runs.end(), [run](const run_entry* other) {
+                return other->occurrence == run->occurrence && other->step == run->step;
+            }));
+        const std::string step = run->occurrence->key() + "." + std::to_string(run->step);
+        const bool over_limit =
+            spec.max_per_worker > 0 && of_step + worker.unassigned_tasks(step) > spec.max_per_worker;
+        if (!taken || over_limit || !fits(spec, free)) {
+            requeue(*run, "a run that is being stopped takes its room", now_ms);
+        }
+    }
+}
+
+std::optional<resources> shard_core::worker_state::unassigned_resources() const
+{
+    resources total;
+    for (const auto& [key, run] : unassigned) {
+        if (!lists(run)) {
+            continue;
+        }
+        if (!run.reserved && run.waited_ms < max_unknown_need_wait_ms) {
+            return std::nullopt;
+        }
+        total += run.reserved.value_or(resources{});
+    }
+    return total;
+}
+
+std::uint32_t shard_core::worker_state::unassigned_tasks(const std::string& step) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(unassigned.begin(), unassigned.end(),
+                      [&](const auto& run) { return run.second.step == step && lists(run.second); }));
+}
+
 /// Takes up a run that @p worker lists and that no record assigns any more: an earlier owner or this one has
 /// given it up. It goes on if its task has no other run that was ordered; else it is stopped, and the task
 /// does not start again before its end is listed.
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -288,6 +288,9 @@
         present.insert(key);
         const auto found = runs_.find(key);
         if (found == runs_.end() && expected(row.task, now_ms)) {
+            if (newest) {
+                note_unassigned_run(worker, row, now_ms);
+            }
             continue;
         }
         if (found == runs_.end() || found->second->worker != &worker) {
