--- a/src/shard/core_tasks.cpp
+++ b/src/shard/core_tasks.cpp
@@ -14,6 +14,10 @@
 constexpr int max_unknown_lines = 20;
 constexpr std::int64_t unknown_lines_interval_ms = 1'000;
 
+// A worker that lists a run of unknown need gets no task for this long. Stops take at most 0.9 s and are
+// repeated with each list, at least once a second, so a run that is listed for longer will not stop at all.
+constexpr std::int64_t max_unknown_need_wait_ms = 5'000;
+
 /// Whether the state of the task leaves open why the run is not known. A run that ended before, or that was
 /// requeued by this owner or an earlier one, explains itself: its worker lists the end until it is
 /// acknowledged.
@@ -122,6 +126,7 @@
     run_entry* adopted = known_elsewhere ? nullptr : adopt_run(worker, row, now_ms);
     if (adopted == nullptr) {
         stops_.push_back({worker.target(), {row.task, row.run, token_of(worker)}});
+        note_unassigned_run(worker, row, now_ms);
     }
     const bool goes_on = adopted != nullptr && !adopted->stopping;
     ++counts_.runs_unknown;
@@ -145,6 +150,102 @@
     return adopted != nullptr;
 }
 
+/// @return what the task reserves on its worker; none if its job is not known here
+std::optional<resources> shard_core::reserved_by(const task_name& name) const
+{
+    const auto job = jobs_.find(name.job);
+    const auto forward = forwards_.find(name.job);
+    if (job == jobs_.end() && forward == forwards_.end()) {
+        return std::nullopt;
+    }
+    const std::vector<step_spec>& steps =
+        (job != jobs_.end() ? job->second->spec : forward->second->spec).steps;
+    return name.step < steps.size() ? std::optional(steps[name.step].reserved()) : std::nullopt;
+}
+
+/// Notes the room that a run without an entry takes on @p worker, whose newest list shows it.
+void shard_core::note_unassigned_run(worker_state& worker, const running_row& row, std::int64_t now_ms)
+{
+    worker_state::unassigned_run& run = worker.unassigned[row.task + "#" + std::to_string(row.run)];
+    if (run.list_clock_ms < 0 || run.restarts != worker.restarts) {
+        run = {.listed_ms = now_ms};
+    }
+    const bool awaited = run.waited_ms < max_unknown_need_wait_ms;
+    run.waited_ms += std::min(now_ms - run.listed_ms, options_.poll_wait_ms);
+    run.listed_ms = now_ms;
+    run.list_clock_ms = worker.list_clock_ms;
+    run.restarts = worker.restarts;
+    const auto name = parse_task_name(row.task);
+    if (name) {
+        run.reserved = reserved_by(name.value());
+        run.step = row.task.substr(0, row.task.rfind('.'));
+    }
+    withdraw_unfitting(worker, now_ms);
+    if (!awaited || run.waited_ms < max_unknown_need_wait_ms) {
+        return;
+    }
+    schedule_needed_ = true;
+    if (unknown_run_lines_.take(now_ms)) {
+        log_event(log_level::warning, "run_not_stopped",
+                  {{"shard", options_.shard},
+                   {"epoch", options_.epoch},
+                   {"task", row.task},
+                   {"run", row.run},
+                   {"worker", worker.entry.id},
+                   {"need_known", run.reserved.has_value()},
+                   {"listed_ms", run.waited_ms},
+                   {"left_out", std::exchange(unknown_run_lines_.left_out, 0)}});
+    }
+}
+
+/// Takes back the assignments to @p worker that were not ordered yet, as far as unassigned runs take their
+/// room.
+void shard_core::withdraw_unfitting(worker_state& worker, std::int64_t now_ms)
+{
+    const std::vector<run_entry*> runs(worker.runs.begin(), worker.runs.end());
+    for (run_entry* run : runs) {
+        if (run->stage != run_stage::writing) {
+            continue;
+        }
+        const step_spec& spec = run->occurrence->step(run->step);
+        const std::optional<resources> taken = worker.unassigned_resources();
+        resources free = worker.entry.capacity - worker.used - taken.value_or(resources{});
+        free += spec.reserved();
+        const auto of_step = static_cast<std::uint32_t>(
+            std::count_if(worker.runs.begin(), worker.runs.end(), [run](const run_entry* other) {
+                return other->occurrence == run->occurrence && other->step == run->step;
+            }));
+        const std::string step = run->occurrence->key() + "." + std::to_string(run->step);
+        const bool over_limit =
+            spec.max_per_worker > 0 && of_step + worker.unassigned_tasks(step) > spec.max_per_worker;
+        if (!taken || over_limit || !fits(spec, free)) {
+            requeue(*run, "a run that is being stopped takes its room", now_ms);
+        }
+    }
+}
+
+std::optional<resources> shard_core::worker_state::unassigned_resources() const
+{
+    resources total;
+    for (const auto& [key, run] : unassigned) {
+        if (!lists(run)) {
+            continue;
+        }
+        if (!run.reserved && run.waited_ms < max_unknown_need_wait_ms) {
+            return std::nullopt;
+        }
+        total += run.reserved.value_or(resources{});
+    }
+    return total;
+}
+
+std::uint32_t shard_core::worker_state::unassigned_tasks(const std::string& step) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(unassigned.begin(), unassigned.end(),
+                      [&](const auto& run) { return run.second.step == step && lists(run.second); }));
+}
+
 /// Takes up a run that @p worker lists and that no record assigns any more: an earlier owner or this one has
 /// given it up. It goes on if its task has no other run that was ordered; else it is stopped, and the task
 /// does not start again before its end is listed.
@@ -176,6 +277,7 @@
     occurrence->waiting_tasks -= task.phase == task_phase::waiting ? 1 : 0;
     task.phase = task_phase::active;
     task.last_run = std::max(task.last_run, row.run);
+    remove_given_up(task, row.run);
     run_entry& run = add_run(*occurrence, step, index, row.run, worker);
     run.stage = run_stage::running;
     run.inherited = true;
@@ -203,49 +305,63 @@
     return unordered ? found->second.get() : nullptr;
 }
 
-/// Counts a task as done by an end `done` of a run that no record assigns any more: the run was given up, and
-/// has ended well all the same. Otherwise the task would start again after an end that its worker is told to
-/// forget.
-/// @return whether the task was not done before
-bool shard_core::adopt_end(const ended_row& row, std::int64_t now_ms)
+/// Counts the end of a run that no record assigns any more: the run was given up, and has ended well or
+/// failed all the same. Otherwise the task would start again after an end, or have an attempt too many, as
+/// the worker is told to forget the end.
+/// @param worker that lists the end; empty: not known
+/// @return what has become of the task, for the log; null: the end does not count
+const char* shard_core::adopt_end(const std::string& worker, const ended_row& row, std::int64_t now_ms)
 {
+    const bool done = row.kind == end_kind::done;
     const auto name = parse_task_name(row.task);
-    occurrence_entry* occurrence = name && row.kind == end_kind::done ? find_open(name.value()) : nullptr;
+    occurrence_entry* occurrence =
+        name && (done || row.kind == end_kind::failed) ? find_open(name.value()) : nullptr;
     if (occurrence == nullptr) {
-        return false;
+        return nullptr;
     }
     const auto [step, index] = std::pair(name.value().step, name.value().index);
     std::vector<std::vector<task_progress>>& steps = occurrence->progress.steps;
     if (step >= steps.size() || index >= steps[step].size() || occurrence->step(step).long_running) {
-        return false;
+        return nullptr;
     }
     task_progress& task = steps[step][index];
     if (task.phase != task_phase::waiting && task.phase != task_phase::active) {
-        return false;
+        return nullptr;
+    }
+    // A worker lists a failed run again to the next owner if its end was counted and not acknowledged.
+    const bool not_counted = remove_given_up(task, row.run) || row.run > task.last_run;
+    if (!done && !not_counted) {
+        return nullptr;
     }
     task.last_run = std::max(task.last_run, row.run);
     mark_changed(*occurrence);
-    complete_task(*occurrence, step, index, now_ms);
-    ++counts_.ends_adopted;
-    return true;
+    if (done) {
+        ++counts_.ends_adopted;
+        complete_task(*occurrence, step, index, now_ms);
+        return "the task is done";
+    }
+    ++counts_.ends_failed;
+    const bool failed = count_failure(*occurrence, step, index, worker, now_ms);
+    return failed ? "the task has failed" : "counts as an attempt";
 }
 
-/// Handles the end of a run that no record assigns to its worker, and reports it unless the state of its task
-/// explains it.
+/// Handles the end of a run that no record assigns to its worker, and reports it if it counts, or if the
+/// state of its task does not explain it.
 /// @param worker that lists the end; empty if a previous owner has read it
 /// @param heard as in record_end()
 void shard_core::handle_unknown_end(const std::string& worker, const ended_row& row, const char* heard,
                                     std::int64_t now_ms)
 {
     const task_report known = report_task(row.task, row.run);
-    const bool adopted = adopt_end(row, now_ms);
-    if (adopted) {
+    const char* adopted = adopt_end(worker, row, now_ms);
+    if (adopted != nullptr) {
         unstored_ends_.push_back({.batch = batch_ + 1, .read_ms = now_ms, .row = row});
     }
-    if (!unexplained(known, row)) {
+    const bool reported = unexplained(known, row);
+    counts_.ends_unknown += reported ? 1 : 0;
+    if (!reported && adopted == nullptr) {
         return;
     }
-    ++counts_.ends_unknown;
     unknown_lines& bound = row.kind == end_kind::done ? unknown_done_lines_ : unknown_end_lines_;
     if (!bound.take(now_ms)) {
         return;
@@ -263,7 +379,7 @@
                {"active_run", known.active_run},
                {"active_worker", known.active_worker},
                {"left_out", std::exchange(bound.left_out, 0)},
-               {"outcome", adopted ? "the task is done" : "ignored"}});
+               {"outcome", adopted != nullptr ? adopted : "ignored"}});
 }
 
 std::vector<ended_row> shard_core::unstored_ends() const
