Order starts only while the ownership is known to be recent

An owner that was held up (a process that was frozen or short of processor time) read the answer to a stored assignment seconds after the store had given it, and ordered the start, although another node had claimed the shard meanwhile. A worker that the new owner reaches refuses the old token.

The ownership had no age that a start had to keep. It has one now: the time at which the latest accepted append of the progress was first sent. Starts wait while that is more than 2.6 s ago. The next owner's claim can only come after that sending, and a start within 2.6 s of it has lapsed with its lease before the next owner gives up workers that it does not reach, 8 s after its load. Answers to joins do not count: a node can get a partition back in a later generation, after another owner has started tasks. An owner that holds starts makes one append, so a store that was away costs no start.

Tests: shard_owner_test.an_owner_that_was_replaced_while_it_was_held_up_starts_ nothing, .an_owner_that_was_held_up_and_not_replaced_starts_its_tasks and shard_staleness.stored_starts_wait_until_the_ownership_is_confirmed failed with the check switched off. starts_held and the gauge ownership_age_ms report it.

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -53,6 +53,9 @@
     // older than this. 0: no limit.
     std::int64_t max_registrations_age_ms = 0;
     std::int64_t max_jobs_age_ms = 0;
+    // Starts wait while the latest confirmation of this ownership was sent longer ago than this: with its
+    // lease, a later one could outlast what the next owner assumes, `inherited_lease_ms`.
+    std::int64_t max_ownership_age_ms = 2'600;
 };
 
 /// Orders to workers.
@@ -218,6 +221,8 @@
     /// Tells up to when this owner knows the registrations of the workers, and the jobs and cancels. Until
     /// the first call it counts as up to date.
     void set_known_until(std::int64_t registrations_ms, std::int64_t jobs_ms);
+    /// Tells when the latest append was sent by which the store has confirmed this ownership.
+    void set_ownership_confirmed(std::int64_t sent_ms) { ownership_confirmed_ms_ = sent_ms; }
     /// Applies ends that a previous owner has read and could not store. Ignores runs that are not active.
     /// @return the number of ends that were applied
     std::size_t report_ends(const std::vector<ended_row>& ends, std::int64_t now_ms);
@@ -313,6 +318,8 @@
     void request_stop(run_entry& run, std::int64_t now_ms);
     static resources ordered_resources(const worker_state& worker);
     bool may_start(std::int64_t now_ms);
+    bool ownership_is_recent(std::int64_t now_ms) const;
+    bool stored_starts_wait() const;
     void order_stored_starts(std::int64_t now_ms);
     const char* obstacle_to_start(const run_entry& run, std::int64_t now_ms) const;
     static bool at_limit(const run_entry& run);
@@ -481,6 +488,7 @@
         std::int64_t jobs_ms = 0;
     };
     std::optional<known_until> known_until_;
+    std::optional<std::int64_t> ownership_confirmed_ms_;  // see set_ownership_confirmed()
     bool holds_starts_ = false;
     std::int64_t last_held_report_ms_ = 0;
     std::int64_t wall_offset_ms_ = 0;  // time of day minus steady time
--- a/include/waxwingnotch/shard/shard_group.hpp
+++ b/include/waxwingnotch/shard/shard_group.hpp
@@ -81,6 +81,8 @@
     /// Internal addresses of all owners but this node.
     std::vector<std::string> peers() const;
     bool left() const { return role_ == role::left; }
+    /// Monotonic time in ms at which the latest successful join was sent; 0: none yet.
+    std::int64_t last_join_ms() const { return last_join_ms_; }
     /// Whether this node stays out of the group because larger hosts can own all partitions.
     bool reserve() const { return role_ == role::reserve; }
 
--- a/include/waxwingnotch/shard/shard_owner.hpp
+++ b/include/waxwingnotch/shard/shard_owner.hpp
@@ -86,6 +86,8 @@
     std::size_t report_ends(const std::vector<ended_row>& ends);
     /// As journal::stalled_since_ms(), of the journal of the progress.
     std::int64_t stalled_since_ms() const { return journal_.stalled_since_ms(); }
+    /// As journal::confirmed_ms(), of the journal of the progress.
+    std::int64_t confirmed_ms() const { return journal_.confirmed_ms(); }
     const shard_core& core() const { return core_; }
 
 private:
--- a/include/waxwingnotch/store/journal.hpp
+++ b/include/waxwingnotch/store/journal.hpp
@@ -62,6 +62,9 @@
     /// @return the offset behind the newest record that this writer knows of: of its latest append, or what
     ///         the store held when it accepted the epoch, with the claim; -1 before that
     std::int64_t end_offset() const { return end_offset_; }
+    /// Monotonic time in ms at which the latest append that the store has accepted was first sent; 0: none
+    /// yet. No other writer had registered a higher epoch by then.
+    std::int64_t confirmed_ms() const { return confirmed_ms_; }
     /// Monotonic time in ms at which the pending append first failed; 0: no append is failing.
     std::int64_t stalled_since_ms() const { return stalled_since_ms_; }
 
@@ -91,6 +94,7 @@
     std::int64_t end_offset_ = -1;
     std::int64_t last_append_ms_ = 0;
     std::int64_t first_attempt_ms_ = 0;  // of the append in flight
+    std::int64_t confirmed_ms_ = 0;
     int attempts_ = 0;
     std::int64_t stalled_since_ms_ = 0;
     timer timer_;
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -40,7 +40,10 @@
     {"runs_presumed_lost",
      "Of these, runs that were given up as their workers counted as gone, since the same time",
      &shard_counts::presumed_lost},
-    {"starts_held", "Times that owners ceased to start tasks until they know newer registrations or jobs",
+    {"starts_held",
+     "Times that owners ceased to start tasks until they know newer registrations or jobs, or that they "
+     "still "
+     "own their shards",
      &shard_counts::starts_held},
 };
 
@@ -55,6 +58,7 @@
     std::int64_t runs = 0;
     std::int64_t suspects = 0;
     std::int64_t jobs_age_ms = 0;
+    std::int64_t ownership_age_ms = 0;
     const std::int64_t now = monotonic_ms();
     std::array<std::int64_t, wait_reason_count> waiting{};
     for (const auto& [shard, owner] : node.shards) {
@@ -65,6 +69,8 @@
         runs += static_cast<std::int64_t>(owner->core().runs());
         suspects += static_cast<std::int64_t>(owner->core().suspected_occurrences());
         jobs_age_ms = std::max(jobs_age_ms, owner->loaded() ? now - owner->complete_until_ms() : 0);
+        const std::int64_t confirmed_ms = std::max(owner->confirmed_ms(), node.group->last_join_ms());
+        ownership_age_ms = std::max(ownership_age_ms, now - confirmed_ms);
     }
     set("shards_owned", "Shards that this node owns", static_cast<std::int64_t>(node.shards.size()));
     set("jobs_known", "Jobs in the shards of this node", jobs);
@@ -83,6 +89,9 @@
         registrations_ms == 0 ? 0 : now - registrations_ms);
     set("jobs_age_ms", "Greatest age of what an owner of this node knows of the jobs of its shard",
         jobs_age_ms);
+    set("ownership_age_ms",
+        "Greatest time since the latest call by which the store confirmed a shard of this node was sent",
+        ownership_age_ms);
     constexpr std::pair<wait_reason, const char*> waiting_names[] = {
         {wait_reason::no_worker, "tasks_waiting_no_worker"},
         {wait_reason::no_room, "tasks_waiting_no_room"},
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -304,13 +304,24 @@
     const bool current =
         !known_until_ || (within(known_until_->registrations_ms, options_.max_registrations_age_ms) &&
                           within(known_until_->jobs_ms, options_.max_jobs_age_ms));
-    if (!current && (!holds_starts_ || now_ms - last_held_report_ms_ >= held_report_interval_ms)) {
+    const bool held = !current || (stored_starts_wait() && !ownership_is_recent(now_ms));
+    if (held && (!holds_starts_ || now_ms - last_held_report_ms_ >= held_report_interval_ms)) {
         report_held_starts(now_ms);
     }
-    holds_starts_ = !current;
+    holds_starts_ = held;
     return current;
 }
 
+bool shard_core::ownership_is_recent(std::int64_t now_ms) const
+{
+    return !ownership_confirmed_ms_ || now_ms - *ownership_confirmed_ms_ <= options_.max_ownership_age_ms;
+}
+
+bool shard_core::stored_starts_wait() const
+{
+    return !writing_.empty() && writing_.begin()->first <= stored_batch_;
+}
+
 /// Says that nothing starts until this owner is up to date.
 void shard_core::report_held_starts(std::int64_t now_ms)
 {
@@ -319,8 +330,9 @@
     log_event(log_level::warning, "starts_held",
               {{"shard", options_.shard},
                {"epoch", options_.epoch},
-               {"registrations_age_ms", now_ms - known_until_->registrations_ms},
-               {"jobs_age_ms", now_ms - known_until_->jobs_ms},
+               {"registrations_age_ms", known_until_ ? now_ms - known_until_->registrations_ms : 0},
+               {"jobs_age_ms", known_until_ ? now_ms - known_until_->jobs_ms : 0},
+               {"ownership_age_ms", now_ms - ownership_confirmed_ms_.value_or(now_ms)},
                {"stored", writing_.size()}});
 }
 
@@ -358,13 +370,16 @@
     return nullptr;
 }
 
-/// Orders the starts whose assignments are stored, unless this owner is not up to date; then they wait.
+/// Orders the starts whose assignments are stored. They wait while this owner is not up to date, or may have
+/// been replaced.
 void shard_core::order_stored_starts(std::int64_t now_ms)
 {
-    if (writing_.empty() || writing_.begin()->first > stored_batch_) {
+    if (!stored_starts_wait() || !may_start(now_ms)) {
         return;
     }
-    if (!may_start(now_ms)) {
+    if (!ownership_is_recent(now_ms)) {
+        // Only an append shows whether a newer owner has claimed the shard; any one does.
+        batch_needed_ = batch_needed_ || batch_ == stored_batch_;
         return;
     }
     std::vector<std::string> ready;
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -348,9 +348,11 @@
     });
 }
 
-/// Passes the age of the owner's knowledge to the core, which starts nothing while that is too old.
+/// Passes the age of the owner's knowledge and of its ownership to the core, which starts nothing while they
+/// are too old.
 void shard_owner::update_known_until()
 {
+    core_.set_ownership_confirmed(journal_.confirmed_ms());
     if (!parts_.registrations_until || !jobs_follower_) {
         return;
     }
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -183,6 +183,8 @@
     const std::shared_ptr<bool> alive = alive_;
     in_flight_ = false;
     stalled_since_ms_ = 0;
+    // A retry may get the answer that the store gave to an earlier attempt.
+    confirmed_ms_ = first_attempt_ms_;
     end_offset_ = answer.end_offset;
     if (now - first_attempt_ms_ > slow_append_ms) {
         log_event(log_level::info, "journal_slow",
--- a/tests/fakes/fake_store.hpp
+++ b/tests/fakes/fake_store.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <limits>
 #include <map>
 #include <string>
@@ -25,6 +26,7 @@
     // Faults
     bool refuse = false;                       // refuses every call
     int lose_answers = 0;                      // number of appends to execute and to report as unanswered
+    bool hold_append_answers = false;          // keeps the answers to appends until release_append_answers()
     int hang_appends = 0;                      // number of appends whose handler is never called
     std::deque<append_result> forged_answers;  // to the next appends, which are not executed
     std::size_t page_size = 500;               // maximum of records in a page of read_newest()
@@ -88,8 +90,20 @@
             --lose_answers;
             outcome = {};
         }
+        if (hold_append_answers) {
+            held_answers_.push_back([done = std::move(done), outcome] { done(outcome); });
+            return;
+        }
         answer(std::move(done), outcome);
     }
+    /// Delivers the answers that were kept, as to a process that was held up and reads them now.
+    void release_append_answers()
+    {
+        hold_append_answers = false;
+        for (std::function<void()>& held : std::exchange(held_answers_, {})) {
+            loop_.defer(std::move(held));
+        }
+    }
 
     void read(const read_request& request, handler<read_result> done) override
     {
@@ -266,6 +280,7 @@
     }
 
     event_loop& loop_;
+    std::vector<std::function<void()>> held_answers_;
 };
 
 }  // namespace waxwingnotch
--- a/tests/shard/shard_owner_test.cpp
+++ b/tests/shard/shard_owner_test.cpp
@@ -127,7 +127,8 @@
     }
     /// Makes an owner beside `owner`, with its own address and worker.
     std::unique_ptr<shard_owner> owner_beside(memory_workers& others, const std::string& address,
-                                              std::int64_t epoch, std::function<void()> lost)
+                                              std::int64_t epoch, std::function<void()> lost,
+                                              std::int64_t max_ownership_age_ms = 2'600)
     {
         shard_owner::parts parts{.loop = &loop, .store = &store, .workers = &others, .address = address};
         parts.release = [this](const std::string& previous, int /*shard*/, std::int64_t /*epoch*/,
@@ -135,7 +136,8 @@
             asked_to_release.push_back(previous);
             loop.defer([done = std::move(done)] { done(true); });
         };
-        auto made = std::make_unique<shard_owner>(parts, 0, shard_options{.epoch = epoch}, std::move(lost));
+        const shard_options options{.epoch = epoch, .max_ownership_age_ms = max_ownership_age_ms};
+        auto made = std::make_unique<shard_owner>(parts, 0, options, std::move(lost));
         auto config = std::make_shared<cluster_config>();
         config->queues.push_back({.name = "q", .service = "svc", .max_attempts = 4});
         config->services.push_back({.name = "svc"});
@@ -273,6 +275,46 @@
     EXPECT_TRUE(workers.started.empty());
 }
 
+// An owner that was held up ordered the starts of a stored assignment though another owner had claimed the
+// shard meanwhile, and a worker that the other one does not reach took them.
+TEST_F(shard_owner_test, an_owner_that_was_replaced_while_it_was_held_up_starts_nothing)
+{
+    constexpr std::int64_t limit_ms = 200;
+    bool lost = false;
+    owner = owner_beside(
+        workers, "node-1", 1, [&] { lost = true; }, limit_ms);
+    owner->start();
+    run_until([&] { return owner->loaded() && owner->core().runs() == 0; });
+    run_for(100);  // until the append of the owner's address is answered
+    store.hold_append_answers = true;
+    submit(1);
+    run_until([&] { return owner->core().runs() == 1; });
+    run_for(limit_ms + 100);
+    store.append({.topic = runs_topic, .writer = "owner", .epoch = 2, .sequence = 5}, [](const auto&) {});
+    store.release_append_answers();
+    run_until([&] { return lost; });
+    EXPECT_TRUE(workers.started.empty());
+}
+
+// Guards against an owner that holds starts for good: the append that took too long is no recent
+// confirmation, but the next one is.
+TEST_F(shard_owner_test, an_owner_that_was_held_up_and_not_replaced_starts_its_tasks)
+{
+    constexpr std::int64_t limit_ms = 200;
+    owner = owner_beside(
+        workers, "node-1", 1, [] { FAIL(); }, limit_ms);
+    owner->start();
+    run_until([&] { return owner->loaded(); });
+    run_for(100);
+    store.hold_append_answers = true;
+    submit(1);
+    run_until([&] { return owner->core().runs() == 1; });
+    run_for(limit_ms + 100);
+    store.release_append_answers();
+    run_until([&] { return workers.started.size() == 1; });
+    EXPECT_EQ(owner->core().counts().starts_held, 1U);
+}
+
 // A second owner with the same epoch gets the answer to the first one's call as a repeat. It went on beside
 // the first one.
 TEST_F(shard_owner_test, an_owner_whose_epoch_is_in_use_ends)
--- a/tests/shard/shard_staleness_test.cpp
+++ b/tests/shard/shard_staleness_test.cpp
@@ -64,6 +64,37 @@
     EXPECT_TRUE(owner.step(2'810).starts.empty());
 }
 
+// The same for the ownership: a newer owner may have claimed the shard, and does not wait for a start of this
+// age on a worker that it cannot reach.
+TEST(shard_staleness, stored_starts_wait_until_the_ownership_is_confirmed)
+{
+    constexpr std::int64_t limit_ms = shard_options{}.max_ownership_age_ms;
+    loaded_core owner({});
+    const std::uint64_t batch = owner.assign("a", 110);
+    owner.core.set_ownership_confirmed(110);
+    const std::int64_t late = 110 + limit_ms + 1;
+    owner.core.on_stored(batch, late);
+    const shard_effects held = owner.core.take_effects(late);
+    EXPECT_TRUE(held.starts.empty());
+    EXPECT_EQ(owner.core.counts().starts_held, 1U);
+    ASSERT_NE(held.batch, 0U) << "no append that could confirm the ownership";
+    owner.core.tick(late + 50, late + 50);
+    EXPECT_EQ(owner.core.take_effects(late + 50).batch, 0U) << "a second append beside the first";
+    owner.core.set_ownership_confirmed(late);
+    owner.core.on_stored(held.batch, late + 60);
+    EXPECT_EQ(owner.core.take_effects(late + 60).starts.size(), 1U);
+    EXPECT_EQ(owner.core.counts().starts_held, 1U);
+}
+
+// Guards against an owner that had nothing to store for a while and assigns nothing more: an assignment is
+// what its ownership is confirmed by.
+TEST(shard_staleness, an_owner_that_was_idle_assigns_tasks)
+{
+    loaded_core owner({});
+    owner.core.set_ownership_confirmed(100);
+    EXPECT_NE(owner.assign("a", 60'000), 0U);
+}
+
 // A new assignment would only wait in the store.
 TEST(shard_staleness, nothing_is_assigned_while_the_registrations_are_old)
 {
