Renew leases only for as long as the next owner assumes

An owner kept its shards, and renewed the leases of their runs, for 12 s while the store did not answer and any peer did. A new owner that cannot ask it assumes 3 s. The limits were checked only when a join failed, which may take seconds, and an owner that was frozen could renew leases before it had heard from the store.

Leases are renewed up to 3 s after the sending of the latest accepted join. That holds for 12 s only while every known peer (owners in the latest list, and seeds) has answered within 3 s that it owns none of these shards and that the store has not answered it for 1.5 s either. What such a peer takes over, it takes over later than the question, and it counts its 3 s from then on. A peer that is silent, reaches the store or has one of the shards ends it. A timer checks the limits. A partition that is kept across a possible lapse of the membership is confirmed by an append.

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -21,6 +21,7 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -223,6 +224,8 @@
     void set_known_until(std::int64_t registrations_ms, std::int64_t jobs_ms);
     /// Tells when the latest append was sent by which the store has confirmed this ownership.
     void set_ownership_confirmed(std::int64_t sent_ms) { ownership_confirmed_ms_ = sent_ms; }
+    /// @param until_ms no lease is renewed later
+    void set_renew_until(std::int64_t until_ms) { renew_until_ms_ = until_ms; }
     /// Applies ends that a previous owner has read and could not store. Ignores runs that are not active.
     /// @return the number of ends that were applied
     std::size_t report_ends(const std::vector<ended_row>& ends, std::int64_t now_ms);
@@ -489,6 +492,7 @@
     };
     std::optional<known_until> known_until_;
     std::optional<std::int64_t> ownership_confirmed_ms_;  // see set_ownership_confirmed()
+    std::int64_t renew_until_ms_ = std::numeric_limits<std::int64_t>::max();
     bool holds_starts_ = false;
     std::int64_t last_held_report_ms_ = 0;
     std::int64_t wall_offset_ms_ = 0;  // time of day minus steady time
--- a/include/waxwingnotch/shard/shard_group.hpp
+++ b/include/waxwingnotch/shard/shard_group.hpp
@@ -37,7 +37,7 @@
         std::int64_t join_interval_ms = 150;
         std::int64_t owners_interval_ms = 1'000;  // time between polls of the owners
         // How long this node keeps its partitions while the store is unreachable. `outage_keep_ms` applies
-        // while other nodes answer: they do not reach the store either, so none can take a partition over.
+        // while other nodes answer; leases are renewed for that long only while renew_until_ms() allows it.
         std::int64_t isolated_keep_ms = 3'000;
         std::int64_t outage_keep_ms = 12'000;
         // A partition that other owners take from this node again and again within one generation is taken
@@ -46,6 +46,17 @@
         std::int64_t retake_delay_ms = 200;
         std::int64_t max_retake_delay_ms = 3'000;
         std::int64_t peer_contact_ms = 2'000;  // a node is isolated if no peer has answered it for this long
+        std::int64_t check_interval_ms = 250;  // between checks of these limits
+        // From this age of the latest join on, the peers are asked whether they reach the store.
+        std::int64_t ask_after_ms = 1'000;
+        // A peer misses the store if nothing has been answered to it for this long; longer than the owners'
+        // polls, which are the only calls of a reserve to the group.
+        std::int64_t store_missed_ms = 1'500;
+    };
+    /// What a node says about itself to a peer that does not reach the store.
+    struct peer_report {
+        std::int64_t store_silent_ms = 0;  // since the store has last answered it
+        std::set<int> owned;               // its partitions
     };
     struct handlers {
         /// The epoch is higher than any that this node had for the partition before.
@@ -56,6 +67,14 @@
         std::function<void(bool reserve)> role_changed;  // also called by start(); may be null
         // Monotonic time of a peer's last answer; may be null.
         std::function<std::int64_t()> last_peer_answer_ms;
+        /// Internal addresses of the nodes that can take a partition over, as far as they are known here; may
+        /// be null.
+        std::function<std::vector<std::string>()> known_peers = nullptr;
+        /// Asks a peer for its report(); @p done receives nothing without an answer. May be null.
+        std::function<void(const std::string& address, std::function<void(std::optional<peer_report>)> done)>
+            ask_peer = nullptr;
+        /// The membership may have ended, and the partition may have had another owner since; may be null.
+        std::function<void(int partition)> confirm = nullptr;
     };
 
     shard_group(event_loop& loop, log_store& store, options options, handlers handlers);
@@ -83,6 +102,12 @@
     bool left() const { return role_ == role::left; }
     /// Monotonic time in ms at which the latest successful join was sent; 0: none yet.
     std::int64_t last_join_ms() const { return last_join_ms_; }
+    /// @return monotonic time up to which leases may be renewed for the partitions of this node: a next owner
+    ///         that cannot ask this one assumes that they were not renewed later than `isolated_keep_ms`
+    ///         after its take-over
+    std::int64_t renew_until_ms() const;
+    /// What this node answers to peers that do not reach the store.
+    peer_report report() const;
     /// Whether this node stays out of the group because larger hosts can own all partitions.
     bool reserve() const { return role_ == role::reserve; }
 
@@ -96,6 +121,9 @@
     };
 
     void join();
+    void check_limits();
+    void ask_peers(std::int64_t now_ms);
+    void on_report(const std::string& peer, std::int64_t sent_ms, const std::optional<peer_report>& report);
     void on_owners(const owners_result& answer);
     void review_role(const std::map<std::string, int>& owners, int owned);
     void become_reserve();
@@ -112,7 +140,12 @@
     handlers handlers_;
     std::string member_;
     std::int64_t generation_ = 0;
-    std::int64_t last_join_ms_ = 0;  // when the last successful join was sent
+    std::int64_t last_join_ms_ = 0;     // when the last successful join was sent
+    bool renewals_ended_ = false;       // has been logged
+    std::int64_t last_contact_ms_ = 0;  // when the store has last answered; 0: not yet
+    // By peer: when the latest question was sent to which it has said that it has no partition of this node
+    // and misses the store.
+    std::map<std::string, std::int64_t> peers_without_store_;
     std::set<int> owned_;
     std::map<int, std::int64_t> epochs_;  // the latest epoch of each partition that this node has owned
     std::map<int, retake> retakes_;
@@ -124,6 +157,7 @@
     bool join_pending_ = false;              // a join is in flight
     timer join_timer_;
     timer owners_timer_;
+    timer check_timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/waxwingnotch/shard/shard_owner.hpp
+++ b/include/waxwingnotch/shard/shard_owner.hpp
@@ -53,6 +53,8 @@
         /// Tells up to when the registrations of the workers are known, in monotonic time; the present while
         /// the store does not answer. Empty: they count as up to date.
         std::function<std::int64_t()> registrations_until;
+        /// As shard_group::renew_until_ms(). Empty: no limit.
+        std::function<std::int64_t()> renew_until = nullptr;
     };
 
     /// @param lost called once, when another owner has replaced this one
@@ -67,6 +69,11 @@
     /// the store held by then at least. The ownership ends if the newest claim is another owner's.
     void start();
     bool loaded() const { return core_.loaded(); }
+    /// Finds out by an append whether another owner has claimed the shard since.
+    void confirm()
+    {
+        journal_.when_stored([] {});
+    }
     int partition() const { return partition_; }
     std::int64_t epoch() const { return options_.epoch; }
     /// Whether the shard is loaded and its accepted jobs were read within the last 3 s.
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -338,9 +338,51 @@
     exchange->reply(answer.status, {{"Content-Type", "application/json"}}, answer.body);
 }
 
+void ask_peer_report(node_state& node, const std::string& address,
+                     std::function<void(std::optional<shard_group::peer_report>)> done)
+{
+    const http_call call{.method = "POST",
+                         .address = address,
+                         .path = store_transport::relay_path,
+                         .headers = {},
+                         .body = {},
+                         .timeout_ms = peer_timeout_ms,
+                         .reuse_connection = true};
+    node.client.send(call, [done = std::move(done)](const http_answer& answer) {
+        if (answer.outcome != call_outcome::answered || answer.status != 200) {
+            done(std::nullopt);
+            return;
+        }
+        const auto document = read_json(answer.body);
+        const nlohmann::json body = document ? document.value() : nlohmann::json();
+        const auto silent_ms = integer_or(body, "store_silent_ms", -1);
+        if (silent_ms < 0 || !body.contains("owned") || !body["owned"].is_array()) {
+            done(std::nullopt);
+            return;
+        }
+        shard_group::peer_report report{.store_silent_ms = silent_ms, .owned = {}};
+        for (const nlohmann::json& shard : body["owned"]) {
+            const auto number = integer_within(shard, 0, std::numeric_limits<int>::max());
+            if (!number) {
+                done(std::nullopt);
+                return;
+            }
+            report.owned.insert(static_cast<int>(*number));
+        }
+        done(report);
+    });
+}
+
+/// Passes a call on to the store. Without a call, answers whether this node reaches the store.
 void internal_api::relay(const http_exchange_ptr& exchange)
 {
     const std::string target = exchange->header(store_transport::relay_target).value_or("");
+    if (target.empty()) {
+        const shard_group::peer_report report = node_.group->report();
+        const nlohmann::json body{{"store_silent_ms", report.store_silent_ms}, {"owned", report.owned}};
+        exchange->reply(200, {}, write_json(body));
+        return;
+    }
     const std::size_t space = target.find(' ');
     if (space == std::string::npos || !node_.transport.direct_path_usable()) {
         // The call is malformed, or this node cannot reach the store either; nothing was sent.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -367,15 +367,22 @@
                              .partitions = state_.settings.partitions,
                              .processor_milli = state_.settings.processor_milli,
                              .ttl_ms = std::max<std::int64_t>(1'500, state_.settings.min_ttl_ms)},
-        shard_group::handlers{.gained = [this](int shard, std::int64_t epoch) { take_shard(shard, epoch); },
-                              .lost = [this](int shard) { drop_shard(shard); },
-                              .owners_changed = [this] { update_peers(); },
-                              .left = [this] { request_peer_joins(); },
-                              .role_changed = [this](bool reserve) { enable_registry_follower(!reserve); },
-                              .last_peer_answer_ms =
-                                  [this] {
-                                      return state_.transport.last_peer_answer_ms();
-                                  }});
+        shard_group::handlers{
+            .gained = [this](int shard, std::int64_t epoch) { take_shard(shard, epoch); },
+            .lost = [this](int shard) { drop_shard(shard); },
+            .owners_changed = [this] { update_peers(); },
+            .left = [this] { request_peer_joins(); },
+            .role_changed = [this](bool reserve) { enable_registry_follower(!reserve); },
+            .last_peer_answer_ms = [this] { return state_.transport.last_peer_answer_ms(); },
+            .known_peers = [this] { return state_.transport.peers(); },
+            .ask_peer = [this](const std::string& address,
+                               auto done) { ask_peer_report(state_, address, std::move(done)); },
+            .confirm =
+                [this](int shard) {
+                    if (shard_owner* owner = state_.loaded_shard(shard)) {
+                        owner->confirm();
+                    }
+                }});
     state_.group->start();
 }
 
@@ -401,7 +408,10 @@
             [this](int other, const std::string& id, std::function<void(std::optional<bool>)> done) {
                 ask_for_job(other, id, std::move(done));
             },
-            [this](const stored_job& job) { state_.upgrade->add_late(job); }, state_.registrations_until},
+            [this](const stored_job& job) { state_.upgrade->add_late(job); }, state_.registrations_until,
+            [this] {
+                return state_.group->renew_until_ms();
+            }},
         shard, options, [this, shard, epoch] { state_.release_shard(shard, epoch + 1); });
     if (state_.config) {
         configure_shard(shard, *owner);
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -131,6 +131,11 @@
 void post_to_peer(node_state& node, const std::string& address, const std::string& path, std::string body,
                   std::function<void(bool)> done);
 
+/// Asks another node whether it reaches the store and which shards it owns.
+/// @param done receives nothing without an answer, or from a node of a version that does not tell
+void ask_peer_report(node_state& node, const std::string& address,
+                     std::function<void(std::optional<shard_group::peer_report>)> done);
+
 /// Keeps the ends that the owner of a shard has read and not stored, for the next owner.
 void keep_unstored_ends(node_state& node, int shard, const shard_owner& owner);
 
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -412,8 +412,9 @@
     // The lease of a worker that does not answer is not renewed: it would be unknown whether the renewal
     // arrived, and so whether its runs continue or have lapsed.
     // Nor is any lease renewed before the next owner would learn of this one: it waits for the renewals of
-    // the last owner that it knows of.
-    if (confirmed_ && worker.clock_ms >= 0 && !worker.runs.empty() && worker.silent_since_ms == 0) {
+    // the last owner that it knows of. Nor later than the next owner assumes.
+    if (confirmed_ && now_ms <= renew_until_ms_ && worker.clock_ms >= 0 && !worker.runs.empty() &&
+        worker.silent_since_ms == 0) {
         order.lease_until_ms = renew_lease(worker, now_ms);
     }
     return order;
--- a/src/shard/shard_group.cpp
+++ b/src/shard/shard_group.cpp
@@ -60,6 +60,7 @@
     join();
     refresh_owners();
     owners_timer_ = loop_.every(options_.owners_interval_ms, [this] { refresh_owners(); });
+    check_timer_ = loop_.every(options_.check_interval_ms, [this] { check_limits(); });
 }
 
 void shard_group::join()
@@ -88,18 +89,13 @@
     if (role_ != role::member) {
         return;
     }
-    const std::int64_t now = monotonic_ms();
     if (answer.status != store_status::ok) {
-        const std::int64_t contact = handlers_.last_peer_answer_ms ? handlers_.last_peer_answer_ms() : 0;
-        const bool isolated = now - contact > options_.peer_contact_ms;
-        const std::int64_t limit = isolated ? options_.isolated_keep_ms : options_.outage_keep_ms;
-        if (last_join_ms_ != 0 && !owned_.empty() && now - last_join_ms_ > limit) {
-            release_all(isolated ? "neither the store nor another node answers"
-                                 : "the store has been unreachable for too long");
-        }
+        check_limits();
         join_timer_ = loop_.after(join_retry_ms, [this] { join(); });
         return;
     }
+    last_contact_ms_ = monotonic_ms();
+    const bool lapsed = sent_ms - last_join_ms_ > options_.ttl_ms;
     last_join_ms_ = sent_ms;
     const bool changed = generation_ != answer.generation;
     generation_ = answer.generation;
@@ -115,6 +111,9 @@
         }
     }
     for (const int partition : assigned) {
+        if (*alive && changed && lapsed && owned_.contains(partition) && handlers_.confirm) {
+            handlers_.confirm(partition);
+        }
         if (!*alive || owned_.contains(partition) || retake_is_delayed(partition)) {
             continue;
         }
@@ -139,6 +138,90 @@
     join_timer_ = loop_.after(released ? 1 : options_.join_interval_ms, [this] { join(); });
 }
 
+/// Releases the partitions when the store has not accepted a join for too long. A timer checks it as well,
+/// since a join without an answer is open for as long as it takes to fail.
+void shard_group::check_limits()
+{
+    if (last_join_ms_ == 0 || owned_.empty()) {
+        return;
+    }
+    const std::int64_t now = monotonic_ms();
+    const std::int64_t contact = handlers_.last_peer_answer_ms ? handlers_.last_peer_answer_ms() : 0;
+    const bool isolated = now - contact > options_.peer_contact_ms;
+    const std::int64_t limit = isolated ? options_.isolated_keep_ms : options_.outage_keep_ms;
+    if (now - last_join_ms_ > limit) {
+        release_all(isolated ? "neither the store nor another node answers"
+                             : "the store has been unreachable for too long");
+        return;
+    }
+    if (now - last_join_ms_ >= options_.ask_after_ms) {
+        ask_peers(now);
+    }
+    const bool ended = now > renew_until_ms();
+    if (ended && !renewals_ended_) {
+        log_event(log_level::warning, "renewals_end",
+                  {{"shards", owned_.size()},
+                   {"ownership_age_ms", now - last_join_ms_},
+                   {"known_peers", handlers_.known_peers ? handlers_.known_peers().size() : 0},
+                   {"without_store", peers_without_store_.size()}});
+    }
+    renewals_ended_ = ended;
+}
+
+void shard_group::ask_peers(std::int64_t now_ms)
+{
+    if (!handlers_.known_peers || !handlers_.ask_peer) {
+        return;
+    }
+    for (const std::string& peer : handlers_.known_peers()) {
+        handlers_.ask_peer(peer,
+                           [this, peer, now_ms, alive = alive_](const std::optional<peer_report>& report) {
+                               if (*alive) {
+                                   on_report(peer, now_ms, report);
+                               }
+                           });
+    }
+}
+
+/// @param sent_ms when the question was sent. What the peer takes over, it takes over later than that.
+void shard_group::on_report(const std::string& peer, std::int64_t sent_ms,
+                            const std::optional<peer_report>& report)
+{
+    if (!report) {
+        return;
+    }
+    const bool owns_none_of_these =
+        std::ranges::none_of(report->owned, [this](int partition) { return owned_.contains(partition); });
+    if (owns_none_of_these && report->store_silent_ms >= options_.store_missed_ms) {
+        std::int64_t& latest = peers_without_store_[peer];
+        latest = std::max(latest, sent_ms);
+        return;
+    }
+    peers_without_store_.erase(peer);
+}
+
+std::int64_t shard_group::renew_until_ms() const
+{
+    const std::int64_t own_ms = last_join_ms_ + options_.isolated_keep_ms;
+    const std::vector<std::string> known =
+        handlers_.known_peers ? handlers_.known_peers() : std::vector<std::string>();
+    if (known.empty()) {
+        return own_ms;
+    }
+    std::int64_t peers_ms = last_join_ms_ + options_.outage_keep_ms;
+    for (const std::string& peer : known) {
+        const auto found = peers_without_store_.find(peer);
+        const std::int64_t said_ms = found == peers_without_store_.end() ? 0 : found->second;
+        peers_ms = std::min(peers_ms, said_ms + options_.isolated_keep_ms);
+    }
+    return std::max(own_ms, peers_ms);
+}
+
+shard_group::peer_report shard_group::report() const
+{
+    return {.store_silent_ms = monotonic_ms() - last_contact_ms_, .owned = owned_};
+}
+
 /// With an epoch that this node had before, the store takes the first appends of the new owner for repeats of
 /// earlier ones: it answers them as stored and drops their records.
 /// @return nothing if the generation has no higher epoch left
@@ -231,6 +314,7 @@
         }
         owners_pending_ = false;
         if (answer.status == store_status::ok) {
+            last_contact_ms_ = monotonic_ms();
             on_owners(answer);
         }
     });
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -353,6 +353,9 @@
 void shard_owner::update_known_until()
 {
     core_.set_ownership_confirmed(journal_.confirmed_ms());
+    if (parts_.renew_until) {
+        core_.set_renew_until(parts_.renew_until());
+    }
     if (!parts_.registrations_until || !jobs_follower_) {
         return;
     }
--- a/tests/fakes/fake_store.hpp
+++ b/tests/fakes/fake_store.hpp
@@ -25,6 +25,7 @@
 
     // Faults
     bool refuse = false;                       // refuses every call
+    bool hang_joins = false;                   // never answers a join
     int lose_answers = 0;                      // number of appends to execute and to report as unanswered
     bool hold_append_answers = false;          // keeps the answers to appends until release_append_answers()
     int hang_appends = 0;                      // number of appends whose handler is never called
@@ -188,6 +189,9 @@
             answer(std::move(done), join_result{.status = store_status::refused});
             return;
         }
+        if (hang_joins) {
+            return;
+        }
         join_result outcome{.status = store_status::ok, .generation = generation, .partitions = {}};
         for (const auto& [number, member] : assigned) {
             if (assign_to_all || member == request.member) {
--- a/tests/shard/shard_group_test.cpp
+++ b/tests/shard/shard_group_test.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::int64_t timeout_ms = 20'000;  // fails a test that hangs
+constexpr const char* own_member = "127.0.0.1:1/7/500";
 
 class shard_group_test : public testing::Test {
 protected:
@@ -129,8 +130,6 @@
     EXPECT_EQ(roles, (std::vector<bool>{true, false, true}));
 }
 
-constexpr const char* own_member = "127.0.0.1:1/7/500";
-
 // A node that was cut off took its partitions again with the epoch that it had. The store took the first
 // appends of the new owner for repeats of the old one's and dropped them.
 TEST_F(shard_group_test, partitions_are_taken_with_a_higher_epoch_after_an_outage)
@@ -148,6 +147,119 @@
     expect_rising_epochs();
 }
 
+// A join that the store did not answer was open for longer than the limit, which was checked only when it
+// failed.
+TEST_F(shard_group_test, an_isolated_node_releases_its_partitions_while_a_join_is_open)
+{
+    assign_all_to(own_member);
+    shard_group::options impatient = options(500);
+    impatient.isolated_keep_ms = 40;
+    impatient.check_interval_ms = 10;
+    shard_group group(loop, store, impatient, handlers());
+    group.start();
+    run_until([this] { return gained.size() == 2; });
+    store.hang_joins = true;
+    run_until([this] { return lost.size() == 2; });
+}
+
+// Leases were renewed for 12 s while any peer answered, also one that reached the store. The next owner,
+// which could not ask this one, assumed 3 s.
+class shard_group_outage_test : public shard_group_test {
+protected:
+    using report = shard_group::peer_report;
+    static constexpr std::int64_t alone_ms = 100;
+    static constexpr std::int64_t outage_ms = 5'000;
+    const report without_store{.store_silent_ms = 60'000, .owned = {}};
+
+    /// Lets the store refuse all calls for a while.
+    /// @return for how long after the latest join leases may be renewed then
+    std::int64_t renewed_for(std::map<std::string, std::optional<report>> peers)
+    {
+        assign_all_to(own_member);
+        shard_group::options quick = options(500);
+        quick.isolated_keep_ms = alone_ms;
+        quick.outage_keep_ms = outage_ms;
+        quick.check_interval_ms = 10;
+        quick.ask_after_ms = 20;
+        shard_group::handlers asking = handlers();
+        asking.last_peer_answer_ms = [] {
+            return monotonic_ms();
+        };
+        asking.known_peers = [peers] {
+            std::vector<std::string> addresses;
+            for (const auto& [address, answer] : peers) {
+                addresses.push_back(address);
+            }
+            return addresses;
+        };
+        asking.ask_peer = [this, peers](const std::string& address, auto done) {
+            loop.defer([done, answer = peers.at(address)] { done(answer); });
+        };
+        shard_group group(loop, store, quick, asking);
+        group.start();
+        run_until([this] { return gained.size() == 2; });
+        store.refuse = true;
+        const std::int64_t end_ms = monotonic_ms() + 4 * alone_ms;
+        run_until([&] { return monotonic_ms() >= end_ms; });
+        EXPECT_TRUE(lost.empty());
+        return group.renew_until_ms() - group.last_join_ms();
+    }
+};
+
+TEST_F(shard_group_outage_test, leases_are_renewed_while_no_known_peer_reaches_the_store)
+{
+    const std::int64_t renewed_ms = renewed_for({{"peer-1", without_store}, {"peer-2", without_store}});
+    EXPECT_GT(renewed_ms, 4 * alone_ms);
+    EXPECT_LE(renewed_ms, outage_ms);
+}
+
+TEST_F(shard_group_outage_test, leases_are_renewed_no_longer_if_a_peer_reaches_the_store)
+{
+    EXPECT_EQ(renewed_for({{"peer-1", without_store}, {"peer-2", report{.store_silent_ms = 100}}}), alone_ms);
+}
+
+TEST_F(shard_group_outage_test, leases_are_renewed_no_longer_if_a_peer_does_not_answer)
+{
+    EXPECT_EQ(renewed_for({{"peer-1", without_store}, {"peer-2", std::nullopt}}), alone_ms);
+}
+
+TEST_F(shard_group_outage_test, leases_are_renewed_no_longer_if_a_peer_has_taken_a_partition)
+{
+    EXPECT_EQ(
+        renewed_for({{"peer-1", without_store}, {"peer-2", report{.store_silent_ms = 60'000, .owned = {1}}}}),
+        alone_ms);
+}
+
+TEST_F(shard_group_outage_test, leases_are_renewed_no_longer_if_no_peer_is_known)
+{
+    EXPECT_EQ(renewed_for({}), alone_ms);
+}
+
+// A node whose membership had ended got its partition back in a later generation, and went on with what it
+// had known before the owner in between.
+TEST_F(shard_group_test, partitions_that_are_kept_across_a_lapse_of_the_membership_are_confirmed)
+{
+    assign_all_to(own_member);
+    shard_group::options brief = options(500);
+    brief.ttl_ms = 50;
+    shard_group::handlers confirming = handlers();
+    std::vector<int> confirmed;
+    confirming.confirm = [&](int partition) {
+        confirmed.push_back(partition);
+    };
+    shard_group group(loop, store, brief, confirming);
+    group.start();
+    run_until([this] { return gained.size() == 2; });
+    store.refuse = true;
+    const std::int64_t end_ms = monotonic_ms() + 3 * brief.ttl_ms;
+    run_until([&] { return monotonic_ms() >= end_ms; });
+    EXPECT_TRUE(confirmed.empty());
+    ++store.generation;
+    store.refuse = false;
+    run_until([&] { return confirmed.size() == 2; });
+    EXPECT_TRUE(lost.empty());
+}
+
 // The same for an answer that did not list the partitions, within one generation.
 TEST_F(shard_group_test, partitions_are_taken_with_a_higher_epoch_after_an_answer_without_them)
 {
--- a/tests/shard/shard_staleness_test.cpp
+++ b/tests/shard/shard_staleness_test.cpp
@@ -95,6 +95,25 @@
     EXPECT_NE(owner.assign("a", 60'000), 0U);
 }
 
+// An owner that the store did not reach renewed leases for longer than the next owner assumed.
+TEST(shard_staleness, no_lease_is_renewed_after_the_ownership_has_become_uncertain)
+{
+    loaded_core owner(
+        {.phase = task_phase::active, .last_run = 1, .runs = {{.number = 1, .worker = {"a", 5}}}});
+    owner.core.on_owner_stored();
+    owner.answer("a", {{.task = task_of(1), .run = 1}}, {}, 110);
+    owner.core.set_renew_until(1'000);
+    const auto renews = [&](std::int64_t now_ms) {
+        const shard_effects effects = owner.core.take_effects(now_ms);
+        return std::ranges::any_of(effects.polls, [](const poll_effect& poll) {
+            return poll.worker.id == "a" && poll.order.lease_until_ms.has_value();
+        });
+    };
+    EXPECT_TRUE(renews(1'000));
+    owner.answer("a", {{.task = task_of(1), .run = 1}}, {}, 1'000);
+    EXPECT_FALSE(renews(1'001));
+}
+
 // A new assignment would only wait in the store.
 TEST(shard_staleness, nothing_is_assigned_while_the_registrations_are_old)
 {
