--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -21,6 +21,7 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -53,6 +54,9 @@
     // older than this. 0: no limit.
     std::int64_t max_registrations_age_ms = 0;
     std::int64_t max_jobs_age_ms = 0;
+    // Starts wait while the latest confirmation of this ownership was sent longer ago than this: with its
+    // lease, a later one could outlast what the next owner assumes, `inherited_lease_ms`.
+    std::int64_t max_ownership_age_ms = 2'600;
 };
 
 /// Demand of a service on its pool, for decisions on moves of hosts.
@@ -178,6 +182,10 @@
     /// Tells up to when this owner knows the registrations of the workers, and the jobs and cancels. Until
     /// the first call it counts as up to date.
     void set_known_until(std::int64_t registrations_ms, std::int64_t jobs_ms);
+    /// Tells when the latest append was sent by which the store has confirmed this ownership.
+    void set_ownership_confirmed(std::int64_t sent_ms) { ownership_confirmed_ms_ = sent_ms; }
+    /// @param until_ms no lease is renewed later
+    void set_renew_until(std::int64_t until_ms) { renew_until_ms_ = until_ms; }
     /// Applies ends that a previous owner has read and could not store. Ignores runs that are not active.
     /// @return the number of ends that were applied
     std::size_t report_ends(const std::vector<ended_row>& ends, std::int64_t now_ms);
@@ -277,6 +285,8 @@
     void request_stop(run_entry& run, std::int64_t now_ms);
     static resources ordered_resources(const worker_state& worker);
     bool may_start(std::int64_t now_ms);
+    bool ownership_is_recent(std::int64_t now_ms) const;
+    bool stored_starts_wait() const;
     void order_stored_starts(std::int64_t now_ms);
     const char* obstacle_to_start(const run_entry& run, std::int64_t now_ms) const;
     static bool at_limit(const run_entry& run);
@@ -456,6 +466,8 @@
     };
     std::optional<known_until> known_until_;
     std::int64_t registrations_current_since_ms_ = 0;  // read without a gap since then
+    std::optional<std::int64_t> ownership_confirmed_ms_;  // see set_ownership_confirmed()
+    std::int64_t renew_until_ms_ = std::numeric_limits<std::int64_t>::max();
     bool holds_starts_ = false;
     std::int64_t last_held_report_ms_ = 0;
     std::int64_t wall_offset_ms_ = 0;  // time of day minus steady time
--- a/include/waxwingnotch/shard/shard_owner.hpp
+++ b/include/waxwingnotch/shard/shard_owner.hpp
@@ -61,6 +61,8 @@
         std::function<void(const relay_route& route, const worker_target& worker, const stop_order& order,
                            worker_api::handler<order_answer> done)>
             relay_stop;
+        /// As shard_group::renew_until_ms(). Empty: no limit.
+        std::function<std::int64_t()> renew_until = nullptr;
     };
 
     /// @param lost called once, when another owner has replaced this one
@@ -75,6 +77,11 @@
     /// the store held by then at least. The ownership ends if the newest claim is another owner's.
     void start();
     bool loaded() const { return core_.loaded(); }
+    /// Finds out by an append whether another owner has claimed the shard since.
+    void confirm()
+    {
+        journal_.when_stored([] {});
+    }
     int partition() const { return partition_; }
     std::int64_t epoch() const { return options_.epoch; }
     /// Whether the shard is loaded and its accepted jobs were read within the last 3 s.
@@ -95,6 +102,8 @@
     std::size_t report_ends(const std::vector<ended_row>& ends);
     /// As journal::stalled_since_ms(), of the journal of the progress.
     std::int64_t stalled_since_ms() const { return journal_.stalled_since_ms(); }
+    /// As journal::confirmed_ms(), of the journal of the progress.
+    std::int64_t confirmed_ms() const { return journal_.confirmed_ms(); }
     const shard_core& core() const { return core_; }
 
 private:
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -377,15 +377,22 @@
                              .partitions = state_.settings.partitions,
                              .processor_milli = state_.settings.processor_milli,
                              .ttl_ms = std::max<std::int64_t>(1'500, state_.settings.min_ttl_ms)},
-        shard_group::handlers{.gained = [this](int shard, std::int64_t epoch) { take_shard(shard, epoch); },
-                              .lost = [this](int shard) { drop_shard(shard); },
-                              .owners_changed = [this] { update_peers(); },
-                              .left = [this] { request_peer_joins(); },
-                              .role_changed = [this](bool reserve) { enable_registry_follower(!reserve); },
-                              .last_peer_answer_ms =
-                                  [this] {
-                                      return state_.transport.last_peer_answer_ms();
-                                  }});
+        shard_group::handlers{
+            .gained = [this](int shard, std::int64_t epoch) { take_shard(shard, epoch); },
+            .lost = [this](int shard) { drop_shard(shard); },
+            .owners_changed = [this] { update_peers(); },
+            .left = [this] { request_peer_joins(); },
+            .role_changed = [this](bool reserve) { enable_registry_follower(!reserve); },
+            .last_peer_answer_ms = [this] { return state_.transport.last_peer_answer_ms(); },
+            .known_peers = [this] { return state_.transport.peers(); },
+            .ask_peer = [this](const std::string& address,
+                               auto done) { ask_peer_report(state_, address, std::move(done)); },
+            .confirm =
+                [this](int shard) {
+                    if (shard_owner* owner = state_.loaded_shard(shard)) {
+                        owner->confirm();
+                    }
+                }});
     state_.group->start();
 }
 
@@ -419,6 +426,9 @@
             [this](const relay_route& route, const worker_target& worker, const stop_order& order,
                    worker_api::handler<order_answer> done) {
                 relay_stop(state_, route, worker, order, std::move(done));
+            },
+            [this] {
+                return state_.group->renew_until_ms();
             }},
         shard, options, [this, shard, epoch] { state_.release_shard(shard, epoch + 1); });
     if (state_.config) {
--- a/tests/fakes/fake_store.hpp
+++ b/tests/fakes/fake_store.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <limits>
 #include <map>
 #include <string>
@@ -24,7 +25,9 @@
 
     // Faults
     bool refuse = false;                       // refuses every call
+    bool hang_joins = false;                   // never answers a join
     int lose_answers = 0;                      // number of appends to execute and to report as unanswered
+    bool hold_append_answers = false;          // keeps the answers to appends until release_append_answers()
     int hang_appends = 0;                      // number of appends whose handler is never called
     std::deque<append_result> forged_answers;  // to the next appends, which are not executed
     std::size_t page_size = 500;               // maximum of records in a page of read_newest()
@@ -88,8 +91,20 @@
             --lose_answers;
             outcome = {};
         }
+        if (hold_append_answers) {
+            held_answers_.push_back([done = std::move(done), outcome] { done(outcome); });
+            return;
+        }
         answer(std::move(done), outcome);
     }
+    /// Delivers the answers that were kept, as to a process that was held up and reads them now.
+    void release_append_answers()
+    {
+        hold_append_answers = false;
+        for (std::function<void()>& held : std::exchange(held_answers_, {})) {
+            loop_.defer(std::move(held));
+        }
+    }
 
     void read(const read_request& request, handler<read_result> done) override
     {
@@ -174,6 +189,9 @@
             answer(std::move(done), join_result{.status = store_status::refused});
             return;
         }
+        if (hang_joins) {
+            return;
+        }
         join_result outcome{.status = store_status::ok, .generation = generation, .partitions = {}};
         for (const auto& [number, member] : assigned) {
             if (assign_to_all || member == request.member) {
@@ -266,6 +284,7 @@
     }
 
     event_loop& loop_;
+    std::vector<std::function<void()>> held_answers_;
 };
 
 }  // namespace waxwingnotch
