--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -465,7 +465,7 @@
         std::int64_t jobs_ms = 0;
     };
     std::optional<known_until> known_until_;
-    std::int64_t registrations_current_since_ms_ = 0;  // read without a gap since then
+    std::int64_t registrations_current_since_ms_ = 0;     // read without a gap since then
     std::optional<std::int64_t> ownership_confirmed_ms_;  // see set_ownership_confirmed()
     std::int64_t renew_until_ms_ = std::numeric_limits<std::int64_t>::max();
     bool holds_starts_ = false;
--- a/tests/shard/shard_relayed_poll_test.cpp
+++ b/tests/shard/shard_relayed_poll_test.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::int64_t lapsed_ms = 4'400;  // a lease of 4 s has lapsed, also on a slow clock
+constexpr std::int64_t interval_ms = 500;  // between polls through other nodes
 
 /// A job of one short task that has started on worker `a`. Then the owner is cut off from `a`, which the
 /// other nodes reach. Worker `b` joins.
@@ -61,7 +62,7 @@
     world.passes_on = [](const std::string&, std::uint64_t turn) {
         return turn % 4 == 3;
     };
-    world.run(lapsed_ms + 4 * 500);
+    world.run(lapsed_ms + 4 * interval_ms);
     EXPECT_EQ(world.core().state_of(id_of(1)), job_state::completed);
 }
 
