Hold a job with a record that cannot be decoded instead of taking the record for absent

What callers would see: after a return to an earlier version, or with a damaged record, an accepted job is answered 410, or its tasks run again. The progress of a job whose record could not be decoded was deleted as an orphan 30 s after a take-over; a job whose progress could not be decoded started anew beside its runs; a rerouted job was decided anew, or its records were deleted as those of a deletion that had begun.

Cause: the owner logged what it could not decode and went on as if it were not stored.

Evidence: the 14 tests of shard_unreadable_test, with real records that are cut, have an unknown phase, another shape or any one damaged byte.

Change: such a job is held (shard/core_unreadable.cpp). Nothing of it starts, callers see it as running, a cancel works, and the record stays as it is. Runs at work go on. Their ends are stored in the progress if that can be decoded, else in notes under a key of their own, which the first owner that can decode the progress adds to it: the worker forgets an end that is acknowledged. Counted by shard_counts::records_unreadable, logged once for each take-over. The demand of a pool counts at most what a worker has, as the need of such runs is not known. A record whose key is not its job's id counts as unreadable, too.

shard_limits.a_record_with_another_number_of_tasks_is_not_used expected the state `queued`, which is the fault: the job began anew. It expects `running` now, and that nothing starts and nothing is written for a minute.

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -132,6 +132,7 @@
     std::uint64_t runs_adopted = 0;    // of runs_unknown: went on, as their tasks were waiting
     std::uint64_t starts_held = 0;     // times that this owner ceased to start tasks until it is up to date
     std::uint64_t ends_adopted = 0;    // ends `done` of runs that had been given up, which ended their tasks
+    std::uint64_t records_unreadable = 0;  // of jobs and their progress that this version cannot decode
 };
 
 /// What an owner knows of a task.
@@ -180,6 +181,9 @@
     // of the takeover.
     /// @param job runs here unless it names another shard; then it is forwarded, unless it is known already
     void add_job(const job_spec& job, std::int64_t age_ms, std::int64_t now_ms);
+    /// The record of a job, or the decision about it, cannot be decoded. Nothing of the job starts, and its
+    /// records stay in the store; the ends of its runs are noted.
+    void add_unreadable_job(const std::string& id, std::int64_t now_ms);
     void cancel_job(const std::string& id, std::int64_t now_ms);
     /// The record of a job has been deleted from the store. Its progress is deleted only now: a record
     /// without progress would be a new job to the next owner, and its tasks would run again.
@@ -272,6 +276,7 @@
     struct suspected_task;
     struct placement_view;
     struct placement_round;
+    struct held_job;
 
     // Jobs
     void open_occurrences(job_entry& job, std::int64_t now_ms);
@@ -285,6 +290,20 @@
     void drop_job(job_entry& job);
     job_entry* insert_job(const job_spec& spec, std::int64_t age_ms, std::int64_t now_ms);
 
+    // Jobs with a record that cannot be decoded
+    bool held(const std::string& job) const;
+    bool lacks_record(const std::string& job) const;
+    held_job& hold(job_entry& job);
+    void load_unreadable_jobs(std::int64_t now_ms);
+    void insert_unreadable_job(const std::string& id, std::int64_t now_ms);
+    void open_unreadable_job(job_entry& job, std::int64_t now_ms);
+    void report_unreadable(const std::string& key);
+    void hold_occurrence(occurrence_entry& occurrence);
+    void apply_notes(occurrence_entry& occurrence);
+    occurrence_entry* update_notes(const occurrence_entry& occurrence);
+    void update_all_notes();
+    void release_held(const std::string& job);
+
     // Jobs of services that another shard runs, stored here by an earlier version
     void hand_over_jobs(std::int64_t now_ms);
     void hand_over(job_entry& job, int shard, std::int64_t now_ms);
@@ -417,7 +436,10 @@
     shard_options options_;
     std::shared_ptr<const cluster_config> config_;
     std::unordered_map<std::string, std::unique_ptr<job_entry>> jobs_;
-    std::map<std::string, std::string> loaded_progress_;  // by key, until finish_load()
+    std::map<std::string, std::string> loaded_progress_;          // by key, until finish_load()
+    std::map<std::string, std::unique_ptr<held_job>> held_jobs_;  // by job; part of jobs_
+    std::set<std::string> unreadable_jobs_;                       // until finish_load()
+    std::set<std::string> unreadable_routes_;  // until finish_load(); part of unreadable_jobs_
     struct rerouted_job {
         job_spec spec;
         std::int64_t age_ms = 0;
--- a/src/shard/core_jobs.cpp
+++ b/src/shard/core_jobs.cpp
@@ -1,5 +1,6 @@
 /// Jobs of a shard: arrival, occurrences, cancelling, completion, retention.
 #include "shard/core_parts.hpp"
+#include "shard/held_job.hpp"
 
 #include "waxwingnotch/base/log.hpp"
 
@@ -14,13 +15,6 @@
 // itself is over.
 constexpr std::int64_t orphan_retention_ms = 30'000;
 
-/// Whether both have the same steps with as many tasks.
-bool same_shape(const occurrence_progress& a, const occurrence_progress& b)
-{
-    return std::equal(a.steps.begin(), a.steps.end(), b.steps.begin(), b.steps.end(),
-                      [](const auto& left, const auto& right) { return left.size() == right.size(); });
-}
-
 }  // namespace
 
 shard_core::shard_core(shard_options options) : options_(options) {}
@@ -35,6 +29,7 @@
             return;
         }
         log_event(log_level::error, "route_unreadable", {{"key", key}});
+        unreadable_routes_.insert(key.substr(0, key.size() - 1));
         return;
     }
     loaded_progress_[key] = std::string(bytes);
@@ -47,6 +42,7 @@
     for (auto& [id, worker] : workers_) {
         worker->lease_end_ms = now_ms + options_.inherited_lease_ms;
     }
+    load_unreadable_jobs(now_ms);
     load_rerouted_jobs(now_ms);
     for (auto& [id, job] : jobs_) {
         open_occurrences(*job, now_ms);
@@ -76,7 +72,7 @@
 {
     config_ = std::move(config);
     for (auto& [id, job] : jobs_) {
-        if (const queue_config* queue = config_->queue(job->spec.queue)) {
+        if (const queue_config* queue = held(id) ? nullptr : config_->queue(job->spec.queue)) {
             job->max_attempts = queue->max_attempts;
         }
     }
@@ -103,6 +99,9 @@
         decide_route(spec, age_ms, now_ms);
         return;
     }
+    if (!loaded_) {
+        unreadable_jobs_.erase(spec.id);  // this record has replaced one that could not be decoded
+    }
     insert_job(spec, age_ms, now_ms);
     expected_jobs_.erase(spec.id);
     if (loaded_ && !spec.has_home) {
@@ -138,6 +137,10 @@
 
 void shard_core::open_occurrences(job_entry& job, std::int64_t now_ms)
 {
+    if (lacks_record(job.spec.id)) {
+        open_unreadable_job(job, now_ms);
+        return;
+    }
     while (job.next_occurrence < job.spec.occurrences()) {
         const std::uint32_t number = job.next_occurrence;
         std::int64_t due_ms = job.arrived_ms;
@@ -147,7 +150,7 @@
             const bool has_progress = loaded_progress_.contains(key) || handed_progress_.contains(key);
             const std::uint64_t open = job.next_occurrence - job.completed_occurrences;
             const bool full = open > 0 && (open + 1) * job.spec.tasks() > options_.max_open_tasks;
-            if (!has_progress && (due_ms > now_ms || full)) {
+            if (!has_progress && (due_ms > now_ms || full || held(job.spec.id))) {
                 return;
             }
         }
@@ -163,7 +166,7 @@
     occurrence_entry& occurrence = *entry;
     occurrence.job = &job;
     occurrence.number = number;
-    occurrence.due_ms = due_ms;
+    occurrence.due_ms = held(job.spec.id) ? never_ms : due_ms;
     occurrence.progress = make_occurrence(job.spec);
     job.occurrences[number] = std::move(entry);
     // What this shard has stored itself is newer than what another one has handed over.
@@ -174,9 +177,10 @@
         auto progress = decode_progress(saved->second);
         if (progress && same_shape(progress.value(), occurrence.progress)) {
             occurrence.progress = std::move(progress.value());
+            apply_notes(occurrence);
         }
         else {
-            log_event(log_level::error, "progress_unreadable", {{"job", occurrence.key()}});
+            hold_occurrence(occurrence);
         }
     }
     job.started = job.started || occurrence.progress.started();
@@ -213,7 +217,7 @@
         suspects_[occurrence.key()] = &occurrence;
     }
     schedule_needed_ = true;
-    if (!own && saved != source.end()) {
+    if (!own && saved != source.end() && !held(job.spec.id)) {
         mark_changed(occurrence);
     }
     finish_occurrence(occurrence, now_ms);
@@ -264,6 +268,10 @@
 
 void shard_core::finish_occurrence(occurrence_entry& occurrence, std::int64_t now_ms)
 {
+    if (held(occurrence.job->spec.id)) {
+        update_notes(occurrence);
+        return;
+    }
     if (!open_.contains(&occurrence)) {
         return;
     }
@@ -318,13 +326,16 @@
 
 void shard_core::mark_changed(occurrence_entry& occurrence)
 {
-    dirty_.insert(&occurrence);
+    if (update_notes(occurrence) == nullptr) {
+        dirty_.insert(&occurrence);
+    }
     occurrence.ranking_until_ms = 0;
     batch_needed_ = true;
 }
 
 void shard_core::forget_ended_jobs(std::int64_t now_ms)
 {
+    update_all_notes();
     if (now_ms - last_forget_ms_ < forget_interval_ms) {
         return;
     }
@@ -336,7 +347,8 @@
             it = jobs_.erase(it);
             continue;
         }
-        const bool expired = job.ended() && now_ms - job.ended_ms > options_.ended_job_retention_ms;
+        const bool expired = job.ended() && !lacks_record(job.spec.id) &&
+                             now_ms - job.ended_ms > options_.ended_job_retention_ms;
         // The next owner must learn of the end from the store.
         if (expired && job.runs == 0 && job.end_batch <= stored_batch_ && !job.deleting) {
             job.deleting = true;
@@ -353,13 +365,14 @@
 void shard_core::remove_job(const std::string& id)
 {
     cancels_without_job_.erase(id);
+    unreadable_jobs_.erase(id);
     remove_forward(id);
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) {
         return;
     }
     job_entry& job = *found->second;
-    if (loaded_ && !job.ended()) {
+    if (loaded_ && !job.ended() && !lacks_record(id)) {
         log_event(log_level::error, "job_deleted", {{"job", id}, {"reason", "its record was deleted early"}});
         return;
     }
@@ -373,6 +386,7 @@
 /// Forgets the occurrences of a job whose record is deleted, and deletes their progress.
 void shard_core::drop_job(job_entry& job)
 {
+    release_held(job.spec.id);
     if (job.route) {
         deleted_progress_.insert(rerouted_key(job.spec.id));
         batch_needed_ = true;
@@ -449,7 +463,7 @@
 {
     service_demand total;
     for (const occurrence_entry* occurrence : open_) {
-        if (occurrence->job->spec.service != service) {
+        if (occurrence->job->spec.service != service || held(occurrence->job->spec.id)) {
             continue;
         }
         total.min_workers = std::max(total.min_workers, min_workers(*occurrence));
@@ -463,8 +477,9 @@
     }
     for (const auto& [id, worker] : workers_) {
         if (worker->entry.service == service && (!worker->runs.empty() || worker->end_batch != 0)) {
-            total.running_cpu_milli += worker->used.cpu_milli;
-            total.running_memory_mb += worker->used.memory_mb;
+            // What the runs of a job without a readable record take counts as more than a worker has.
+            total.running_cpu_milli += std::min(worker->used.cpu_milli, worker->entry.capacity.cpu_milli);
+            total.running_memory_mb += std::min(worker->used.memory_mb, worker->entry.capacity.memory_mb);
             total.busy.push_back(id);
         }
     }
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -214,14 +214,17 @@
     }
     job_offsets_[record.key] = record.offset;
     auto job = decode_job(*record.value);
+    const bool rerouted = record.key.ends_with(rerouted_key_suffix);
+    const std::string id = rerouted ? record.key.substr(0, record.key.size() - 1) : record.key;
+    if (job && (rerouted != (job.value().shard >= 0) || job.value().id != id)) {
+        job = fail(error_code::malformed, "the key does not fit the id or the shard of the job");
+    }
     if (!job) {
         log_event(log_level::error, "job_unreadable", {{"key", record.key}, {"reason", job.error().message}});
-        return;
-    }
-    const bool rerouted = record.key.ends_with(rerouted_key_suffix);
-    if (rerouted != (job.value().shard >= 0)) {
-        log_event(log_level::error, "job_unreadable",
-                  {{"key", record.key}, {"reason", "the key does not fit the shard that runs the job"}});
+        if (is_job_id(id)) {
+            core_.add_unreadable_job(id, now);
+            pump_soon();
+        }
         return;
     }
     if (!job.value().has_home && parts_.found_without_home) {
