Begin the host duty only when the last shard is loaded

The fencing token of the host duty is the epoch of the last shard, and the host manager was made when the shard was assigned, before the owner's claim was stored.

shard_owner now reports once that it has taken the shard over: its claim is stored and is the newest that it has read. The node makes the host manager then. Of two owners with one epoch the store takes the claim of one, so only one of them gets that far.

Test: shard_owner_test.of_two_owners_of_one_epoch_one_takes_the_shard_over failed when the report was made at the start of the owner, as the node did.

--- a/include/waxwingnotch/shard/shard_owner.hpp
+++ b/include/waxwingnotch/shard/shard_owner.hpp
@@ -55,6 +55,8 @@
         std::function<std::int64_t()> registrations_until;
         /// As shard_group::renew_until_ms(). Empty: no limit.
         std::function<std::int64_t()> renew_until = nullptr;
+        /// Called once, when the shard is loaded: this owner's claim is stored and the newest. May be null.
+        std::function<void()> taken_over = nullptr;
     };
 
     /// @param lost called once, when another owner has replaced this one
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -409,8 +409,13 @@
                 ask_for_job(other, id, std::move(done));
             },
             [this](const stored_job& job) { state_.upgrade->add_late(job); }, state_.registrations_until,
-            [this] {
-                return state_.group->renew_until_ms();
+            [this] { return state_.group->renew_until_ms(); },
+            // Nodes that hold the shard in one generation have one epoch, which is the token; only the one
+            // whose claim is stored may act.
+            [this, shard, epoch] {
+                if (shard == state_.settings.partitions - 1) {
+                    host_manager_ = std::make_unique<host_manager>(state_, epoch);
+                }
             }},
         shard, options, [this, shard, epoch] { state_.release_shard(shard, epoch + 1); });
     if (state_.config) {
@@ -419,9 +424,6 @@
     shard_owner& started = *owner;
     state_.shards[shard] = std::move(owner);
     started.start();
-    if (shard == state_.settings.partitions - 1) {
-        host_manager_ = std::make_unique<host_manager>(state_, epoch);
-    }
 }
 
 /// Asks the owner of @p shard whether it knows a job; @p done receives nothing without a certain answer.
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -174,6 +174,13 @@
     journal_.put(owner_key, parts_.address);
     journal_.when_stored([this] { core_.on_owner_stored(); });
     request_release();
+    if (parts_.taken_over) {
+        parts_.loop->defer([this, alive = alive_] {
+            if (*alive && !ended_) {
+                parts_.taken_over();
+            }
+        });
+    }
     pump();
 }
 
--- a/tests/shard/shard_owner_test.cpp
+++ b/tests/shard/shard_owner_test.cpp
@@ -360,6 +360,30 @@
     EXPECT_NE(log.lines("shard_takeover")[0]["claim"], log.lines("shard_lost")[0]["claim"]);
 }
 
+// The host duty began when the shard was assigned. Two nodes that held it in one generation acted with one
+// token, the epoch.
+TEST_F(shard_owner_test, of_two_owners_of_one_epoch_one_takes_the_shard_over)
+{
+    int lost = 0;
+    std::vector<std::string> taken_over;
+    std::map<std::string, std::unique_ptr<shard_owner>> owners;
+    for (const std::string address : {"node-1", "node-2"}) {
+        shard_owner::parts parts{.loop = &loop, .store = &store, .workers = &workers, .address = address};
+        parts.taken_over = [&taken_over, &owners, address] {
+            EXPECT_TRUE(owners.at(address)->loaded());
+            taken_over.push_back(address);
+        };
+        owners[address] = std::make_unique<shard_owner>(parts, 0, shard_options{.epoch = 1}, [&] { ++lost; });
+    }
+    for (const auto& [address, made] : owners) {
+        made->start();
+        EXPECT_TRUE(taken_over.empty());
+    }
+    run_until([&] { return lost == 1 && !taken_over.empty(); });
+    run_for(100);
+    EXPECT_EQ(taken_over.size(), 1U);
+}
+
 // Guards against a store that takes the claim for a repeat all the same: the offsets fit, and only the
 // identity in the newest claim tells that it is another owner's.
 TEST_F(shard_owner_test, an_owner_whose_claim_is_not_stored_ends)
