Let the delay of retakes end after a calm time

A partition that other owners took from a node within one generation of the group was taken back later each time, up to 3 s.

A partition that was not taken for 15 s counts as taken the first time now, and is taken back at the next join. Two nodes that both hold a partition, which the delay is for, take it from each other at least every 3 s, so the 15 s do not shorten their delays.

Test: shard_group_test.a_partition_is_taken_back_at_once_after_a_calm_time failed with the calm time switched off (taken back after 1208 ms).

--- a/include/waxwingnotch/shard/shard_group.hpp
+++ b/include/waxwingnotch/shard/shard_group.hpp
@@ -45,6 +45,9 @@
         // after that. Two nodes that both hold a partition would otherwise fence each other at each join.
         std::int64_t retake_delay_ms = 200;
         std::int64_t max_retake_delay_ms = 3'000;
+        // A partition that was not taken for this long counts as taken the first time: two nodes that both
+        // hold it would take it from each other at least every `max_retake_delay_ms`.
+        std::int64_t retake_calm_ms = 15'000;
         std::int64_t peer_contact_ms = 2'000;  // a node is isolated if no peer has answered it for this long
         std::int64_t check_interval_ms = 250;  // between checks of these limits
         // From this age of the latest join on, the peers are asked whether they reach the store.
@@ -117,7 +120,7 @@
     struct retake {
         std::int64_t generation = 0;   // in which they have
         std::int64_t delay_ms = 0;     // the latest one; 0: taken once
-        std::int64_t earliest_ms = 0;  // monotonic time; not taken back before
+        std::int64_t earliest_ms = 0;  // monotonic time; not taken back before. 0: was never taken
     };
 
     void join();
--- a/src/shard/shard_group.cpp
+++ b/src/shard/shard_group.cpp
@@ -264,13 +264,14 @@
         return;
     }
     retake& next = retakes_[partition];
-    if (next.generation != generation_) {
-        next = {.generation = generation_};
+    const std::int64_t now = monotonic_ms();
+    if (next.generation != generation_ || now - next.earliest_ms > options_.retake_calm_ms) {
+        next = {.generation = generation_, .earliest_ms = now};
         return;
     }
     next.delay_ms = next.delay_ms == 0 ? options_.retake_delay_ms
                                        : std::min(2 * next.delay_ms, options_.max_retake_delay_ms);
-    next.earliest_ms = monotonic_ms() + next.delay_ms;
+    next.earliest_ms = now + next.delay_ms;
     log_event(log_level::warning, "shard_retake",
               {{"shard", partition}, {"generation", generation_}, {"delay_ms", next.delay_ms}});
 }
--- a/tests/shard/shard_group_test.cpp
+++ b/tests/shard/shard_group_test.cpp
@@ -324,6 +324,32 @@
     EXPECT_GE(times_ms[takeovers - 1] - times_ms[takeovers - 2], shared.max_retake_delay_ms - 1);
 }
 
+// Within one generation, the delay never shrank: a partition that was taken by another owner twice a day came
+// back seconds late each time.
+TEST_F(shard_group_test, a_partition_is_taken_back_at_once_after_a_calm_time)
+{
+    store.assigned = {{0, own_member}};
+    shard_group::options calm = options(500);
+    calm.retake_delay_ms = 300;
+    calm.retake_calm_ms = 400;
+    shard_group group(loop, store, calm, handlers());
+    group.start();
+    const auto retaken_after_ms = [&] {
+        const std::size_t before = gained.size();
+        const std::int64_t released_ms = monotonic_ms();
+        group.release(0);
+        run_until([&] { return gained.size() > before; });
+        return monotonic_ms() - released_ms;
+    };
+    run_until([this] { return gained.size() == 1; });
+    retaken_after_ms();
+    EXPECT_GE(retaken_after_ms(), calm.retake_delay_ms - 1);
+    EXPECT_GE(retaken_after_ms(), 2 * calm.retake_delay_ms - 1);
+    const std::int64_t end_ms = monotonic_ms() + calm.retake_calm_ms + 50;
+    run_until([&] { return monotonic_ms() >= end_ms; });
+    EXPECT_LT(retaken_after_ms(), calm.retake_delay_ms);
+}
+
 // The count of releases was taken modulo the number of epochs in a generation: after the last epoch, the
 // partition was taken with the first one again.
 TEST_F(shard_group_test, a_node_without_a_higher_epoch_leaves_for_a_new_generation)
