--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -427,8 +427,13 @@
                    worker_api::handler<order_answer> done) {
                 relay_stop(state_, route, worker, order, std::move(done));
             },
-            [this] {
-                return state_.group->renew_until_ms();
+            [this] { return state_.group->renew_until_ms(); },
+            // Nodes that hold the shard in one generation have one epoch, which is the token; only the one
+            // whose claim is stored may act.
+            [this, shard, epoch] {
+                if (shard == state_.settings.partitions - 1) {
+                    host_manager_ = std::make_unique<host_manager>(state_, epoch);
+                }
             }},
         shard, options, [this, shard, epoch] { state_.release_shard(shard, epoch + 1); });
     if (state_.config) {
@@ -437,9 +442,6 @@
     shard_owner& started = *owner;
     state_.shards[shard] = std::move(owner);
     started.start();
-    if (shard == state_.settings.partitions - 1) {
-        host_manager_ = std::make_unique<host_manager>(state_, epoch);
-    }
 }
 
 /// Asks the owner of @p shard whether it knows a job; @p done receives nothing without a certain answer.
