Count runs without a record when a host is emptied

A host counted as empty while its worker still listed runs that no record assigns and that are being stopped; the order to the host lost their ends. Found by reading while their room was accounted for. They count as runs now, which the limit of 5 s for runs that do not stop bounds. shard_test: 254 passed.

--- a/src/shard/core_drain.cpp
+++ b/src/shard/core_drain.cpp
@@ -112,7 +112,7 @@
     if (found == workers_.end()) {
         return {};
     }
-    drain_state state{.known = true, .runs = found->second->runs.size()};
+    drain_state state{.known = true, .runs = found->second->runs.size() + found->second->unassigned.size()};
     // An order to the host would lose ends that a silent worker has not listed yet.
     const bool awaited = std::any_of(found->second->runs.begin(), found->second->runs.end(),
                                      [](const run_entry* run) { return run->awaited; });
