--- a/src/shard/core_silence.cpp
+++ b/src/shard/core_silence.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-// A living worker that is cut off from the store as well is missing for up to 5.5 s: its registration goes 3
-// s after the beginning of the cut at the earliest (the last of three heartbeats came up to 1.5 s before),
-// and returns within 2 s of the end of a cut of 6.5 s.
+// A living worker that is cut off from the store as well is missing for up to 5.5 s. Its registration goes at
+// the earliest 3 s after the beginning of the cut, as the last heartbeat came up to 1.5 s before, and returns
+// within 2 s of the end of a cut of 6.5 s.
 constexpr std::int64_t missing_limit_ms = 6'000;
 // Between polls of one worker through other nodes. Callers wait no more than this longer for a task that is
 // done, and a worker costs the other nodes two calls a second.
