--- a/tests/shard/shard_group_test.cpp
+++ b/tests/shard/shard_group_test.cpp
@@ -173,7 +173,7 @@
 
     /// Lets the store refuse all calls for a while.
     /// @return for how long after the latest join leases may be renewed then
-    std::int64_t renewed_for(std::map<std::string, std::optional<report>> peers)
+    std::int64_t renewed_for(const std::map<std::string, std::optional<report>>& peers)
     {
         assign_all_to(own_member);
         shard_group::options quick = options(500);
@@ -187,6 +187,7 @@
         };
         asking.known_peers = [peers] {
             std::vector<std::string> addresses;
+            addresses.reserve(peers.size());
             for (const auto& [address, answer] : peers) {
                 addresses.push_back(address);
             }
--- a/tests/shard/shard_unreadable_test.cpp
+++ b/tests/shard/shard_unreadable_test.cpp
@@ -76,7 +76,8 @@
     }
 
     /// Lets the workers answer, and executes the effects.
-    void round(std::int64_t now_ms, std::vector<running_row> running = {}, std::vector<ended_row> ended = {})
+    void round(std::int64_t now_ms, const std::vector<running_row>& running = {},
+               const std::vector<ended_row>& ended = {})
     {
         for (const char* worker : {"a", "b"}) {
             const bool first = worker == std::string("a");
