Count the bytes of each purpose and the use of the host's link

What operators saw: nodes whose calls time out for a minute, and no line that tells what fills their links, nor whether an owner has ever read the registrations.

--- a/include/waxwingnotch/net/http_client.hpp
+++ b/include/waxwingnotch/net/http_client.hpp
@@ -8,6 +8,7 @@
 
 #include "waxwingnotch/net/event_loop.hpp"
 #include "waxwingnotch/net/http_server.hpp"
+#include "waxwingnotch/net/traffic.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -29,6 +30,7 @@
     std::string body;
     std::int64_t timeout_ms = 5'000;
     bool reuse_connection = false;  // may use a kept-alive connection; otherwise sends Connection: close
+    traffic_class traffic = traffic_class::other;  // what its bytes count as
 };
 
 /// How a call ended.
@@ -76,6 +78,8 @@
     http_client& operator=(http_client&&) = delete;
 
     event_loop& loop() const { return loop_; }
+    /// Counts the bytes of all calls with @p meter, also of those that fail.
+    void count_traffic(traffic_meter& meter) { meter_ = &meter; }
 
     /// Sends @p call. Calls @p done once, from the loop, unless the client is destroyed first.
     call_id send(const http_call& call, answer_handler done);
@@ -97,6 +101,7 @@
 
     event_loop& loop_;
     std::size_t max_answer_bytes_;
+    traffic_meter* meter_ = nullptr;  // null: bytes are not counted
     call_id next_id_ = 1;
     std::map<call_id, std::shared_ptr<pending_call>> pending_;
     std::multimap<std::string, std::shared_ptr<connection>, std::less<>> idle_;
--- a/include/waxwingnotch/net/http_server.hpp
+++ b/include/waxwingnotch/net/http_server.hpp
@@ -9,6 +9,7 @@
 
 #include "waxwingnotch/base/result.hpp"
 #include "waxwingnotch/net/event_loop.hpp"
+#include "waxwingnotch/net/traffic.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -20,6 +21,8 @@
 #include <utility>
 #include <vector>
 
+struct bufferevent;
+struct event_base;
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_request;
@@ -100,12 +103,15 @@
     void limit_body(std::size_t max_bytes);
     /// Closes connections without traffic for this long. Applies to connections that are accepted later.
     void set_idle_timeout(std::int64_t timeout_ms);
+    /// Counts the bytes of all connections that are accepted later.
+    void count_traffic(traffic_meter& meter, traffic_class what);
     /// @return number of requests without a reply yet
     std::size_t open_exchanges() const { return open_exchanges_.size(); }
 
 private:
     friend class http_exchange;
     static void dispatch(evhttp_request* request, void* self);
+    static bufferevent* new_counted_connection(event_base* base, void* self);
     void pause_after_failed_accept();
     void update_listener();
 
@@ -114,6 +120,8 @@
     std::function<void(http_exchange_ptr)> handler_;
     event_loop& loop_;
     std::set<http_exchange*> open_exchanges_;
+    traffic_meter* meter_ = nullptr;  // null: bytes are not counted
+    traffic_class traffic_ = traffic_class::other;
     timer accept_pause_;
     // The reasons not to accept; accepts with neither.
     bool accept_failed_ = false;    // less than a short pause ago
--- a/include/waxwingnotch/node/settings.hpp
+++ b/include/waxwingnotch/node/settings.hpp
@@ -22,6 +22,7 @@
     std::string policy_address;              // of the policy service; empty: none
     int max_descriptors = 0;                 // open files that this process may have; 0: not told
     int processor_milli = 1'000;             // processor share of this host, thousandths of a core
+    std::int64_t link_kbps = 0;              // of this host's link, in each direction; 0: not told
     int partitions = 8;                      // per topic in the store
     std::int64_t min_ttl_ms = 1'000;         // shortest group membership TTL that the store allows
     std::int64_t max_lease_ms = 10'000;      // longest lease that a worker accepts
--- a/include/waxwingnotch/store/transport.hpp
+++ b/include/waxwingnotch/store/transport.hpp
@@ -23,6 +23,7 @@
     std::string body;
     std::int64_t timeout_ms = 0;
     std::int64_t wait_ms = 0;  // the store may delay its answer for this long; part of `timeout_ms`
+    traffic_class traffic = traffic_class::other;
 };
 
 class store_transport {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -81,7 +81,8 @@
     http_client* client = nullptr;
     evhttp_connection* handle = nullptr;
     std::string address;
-    bool bytes_sent = false;  // of the current call
+    bool bytes_sent = false;                       // of the current call
+    traffic_class traffic = traffic_class::other;  // of the current call
 
     connection() = default;
     connection(const connection&) = delete;
@@ -158,7 +159,22 @@
         [](evbuffer*, const evbuffer_cb_info* info, void* argument) {
             auto* self = static_cast<connection*>(argument);
             const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(self->handle));
-            self->bytes_sent = self->bytes_sent || (info->n_deleted > 0 && fd >= 0);
+            if (info->n_deleted == 0 || fd < 0) {
+                return;
+            }
+            self->bytes_sent = true;
+            if (self->client->meter_ != nullptr) {
+                self->client->meter_->add_sent(self->traffic, info->n_deleted);
+            }
+        },
+        link.get());
+    evbuffer_add_cb(
+        bufferevent_get_input(evhttp_connection_get_bufferevent(link->handle)),
+        [](evbuffer*, const evbuffer_cb_info* info, void* argument) {
+            const auto* self = static_cast<connection*>(argument);
+            if (info->n_added > 0 && self->client->meter_ != nullptr) {
+                self->client->meter_->add_received(self->traffic, info->n_added);
+            }
         },
         link.get());
     ++open_counts_[address];
@@ -197,6 +213,7 @@
     }
     connection& link = *item->link;
     link.bytes_sent = false;
+    link.traffic = call.traffic;
     evhttp_connection_set_closecb(link.handle, nullptr, nullptr);
     constexpr std::int64_t margin_s = 2;  // evhttp's timeout comes after the call's own timer
     evhttp_connection_set_timeout(link.handle, static_cast<int>(call.timeout_ms / 1000 + margin_s));
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -264,6 +264,36 @@
     evhttp_set_timeout_tv(http_, &timeout);
 }
 
+bufferevent* http_server::new_counted_connection(event_base* base, void* self)
+{
+    bufferevent* connection = bufferevent_socket_new(base, -1, 0);  // evhttp sets the descriptor and options
+    if (connection == nullptr) {
+        return nullptr;
+    }
+    evbuffer_add_cb(
+        bufferevent_get_input(connection),
+        [](evbuffer*, const evbuffer_cb_info* info, void* argument) {
+            const auto* server = static_cast<http_server*>(argument);
+            server->meter_->add_received(server->traffic_, info->n_added);
+        },
+        self);
+    evbuffer_add_cb(
+        bufferevent_get_output(connection),
+        [](evbuffer*, const evbuffer_cb_info* info, void* argument) {
+            const auto* server = static_cast<http_server*>(argument);
+            server->meter_->add_sent(server->traffic_, info->n_deleted);
+        },
+        self);
+    return connection;
+}
+
+void http_server::count_traffic(traffic_meter& meter, traffic_class what)
+{
+    meter_ = &meter;
+    traffic_ = what;
+    evhttp_set_bevcb(http_, new_counted_connection, this);
+}
+
 void http_server::stop_accepting()
 {
     accept_pause_.cancel();
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -137,8 +137,9 @@
 }  // namespace
 
 node_state::node_state(node_settings settings_in)
-    : settings(std::move(settings_in)), client(loop), transport(client)
+    : settings(std::move(settings_in)), link(settings.link_kbps), client(loop), transport(client)
 {
+    client.count_traffic(traffic);
     transport.set_address(settings.store_address);
 }
 
@@ -202,7 +203,8 @@
                          .headers = {},
                          .body = {},
                          .timeout_ms = timeout_ms,
-                         .reuse_connection = true};
+                         .reuse_connection = true,
+                         .traffic = traffic_class::peers};
     call_owner(node, call, [done = std::move(done)](const http_answer& answer) {
         done({answer.outcome == call_outcome::answered, answer.status, answer.body});
     });
@@ -255,7 +257,8 @@
                          .headers = {},
                          .body = std::move(body),
                          .timeout_ms = peer_timeout_ms,
-                         .reuse_connection = true};
+                         .reuse_connection = true,
+                         .traffic = traffic_class::peers};
     node.client.send(call, [done = std::move(done)](const http_answer& answer) {
         done(answer.outcome == call_outcome::answered && answer.status == 200);
     });
@@ -415,7 +418,8 @@
                          .headers = {},
                          .body = {},
                          .timeout_ms = peer_timeout_ms,
-                         .reuse_connection = true};
+                         .reuse_connection = true,
+                         .traffic = traffic_class::peers};
     node.client.send(call, [done = std::move(done)](const http_answer& answer) {
         if (answer.outcome != call_outcome::answered || answer.status != 200) {
             done(std::nullopt);
--- a/src/node/job_records.cpp
+++ b/src/node/job_records.cpp
@@ -57,7 +57,8 @@
                          .headers = {},
                          .body = record.value.value_or(""),
                          .timeout_ms = route.timeout_ms(),
-                         .reuse_connection = true};
+                         .reuse_connection = true,
+                         .traffic = traffic_class::peers};
     call_owner(
         *this, call,
         [this, shard, now, record = std::move(record), done = std::move(done)](const http_answer& answer) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -121,13 +121,15 @@
     timer descriptors_timer_;
     lost_host_watch lost_hosts_;
     timer lost_hosts_timer_;
+    traffic_log traffic_log_;
     bool descriptors_short_ = false;
 };
 
 node::node(node_settings settings, node_options options)
     : options_(std::move(options)), state_(std::move(settings)), callers_(state_), internal_(state_),
       caller_server_(state_.loop), ready_server_(state_.loop), internal_server_(state_.loop),
-      metrics_server_(state_.loop), metrics_listener_(state_.loop, metrics_server_), lost_hosts_(state_)
+      metrics_server_(state_.loop), metrics_listener_(state_.loop, metrics_server_), lost_hosts_(state_),
+      traffic_log_(state_)
 {
     state_.store = std::make_unique<adapter::store_client>(state_.transport);
     state_.homes = std::make_unique<job_homes>(*state_.store, state_.settings.partitions);
@@ -163,6 +165,10 @@
                              {{"version", build.version}, {"sources", build.sources}});
     caller_server_.limit_body(cluster_config().max_body_bytes);  // until a configuration is read
     internal_server_.limit_body(max_peer_body_bytes);
+    caller_server_.count_traffic(state_.traffic, traffic_class::callers);
+    internal_server_.count_traffic(state_.traffic, traffic_class::peers);
+    ready_server_.count_traffic(state_.traffic, traffic_class::other);
+    metrics_server_.count_traffic(state_.traffic, traffic_class::other);
     ready_server_.limit_body(0);
     metrics_server_.limit_body(max_metrics_body_bytes);
     caller_server_.handle([this](const http_exchange_ptr& exchange) { callers_.handle(exchange); });
@@ -572,6 +578,7 @@
     descriptors_timer_ = state_.loop.every(descriptors_check_ms, [this] { guard_descriptors(); });
     lost_hosts_timer_ = state_.loop.every(lost_hosts_check_ms, [this] { lost_hosts_.check(); });
     state_.watch.start();
+    traffic_log_.start();
     state_.loop.run();
     host_manager_.reset();
     state_.shards.clear();
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -38,6 +38,8 @@
     node_settings settings;
     event_loop loop;
     process_watch watch{loop};
+    traffic_meter traffic;
+    link_usage link;
     http_client client;
     store_transport transport;
     std::unique_ptr<log_store> store;
@@ -115,6 +117,21 @@
 /// Sets the gauges of the metrics page.
 void update_metrics(node_state& node);
 
+/// Logs what the bytes of a node are for, so that a record of a full link tells what has filled it.
+class traffic_log {
+public:
+    explicit traffic_log(node_state& node) : node_(node) {}
+    void start();
+
+private:
+    void update();
+
+    node_state& node_;
+    std::int64_t last_log_ms_ = 0;
+    traffic_meter last_;
+    timer timer_;
+};
+
 /// Status of the answer of a node that does not own the shard, or has not loaded it.
 constexpr int status_not_owner = 421;
 /// Status of the answer about a job that another shard runs; the body is its number.
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -357,6 +357,7 @@
     log_event(log_level::warning, "starts_held",
               {{"shard", options_.shard},
                {"epoch", options_.epoch},
+               {"registrations_read", known_until_ && known_until_->registrations_ms != 0},
                {"registrations_age_ms", known_until_ ? now_ms - known_until_->registrations_ms : 0},
                {"jobs_age_ms", known_until_ ? now_ms - known_until_->jobs_ms : 0},
                {"ownership_age_ms", now_ms - ownership_confirmed_ms_.value_or(now_ms)},
--- a/src/store/transport.cpp
+++ b/src/store/transport.cpp
@@ -91,7 +91,8 @@
                   .headers = {},
                   .body = call.body,
                   .timeout_ms = call.timeout_ms,
-                  .reuse_connection = true};
+                  .reuse_connection = true,
+                  .traffic = call.traffic};
     client_.send(out, [this, earliest_ms = monotonic_ms() + call.wait_ms,
                        done = std::move(done)](const http_answer& answer) {
         note_result({}, address_, earliest_ms, answer);
@@ -242,7 +243,8 @@
                               {relay_wait, std::to_string(call.wait_ms)}},
                   .body = call.body,
                   .timeout_ms = call.timeout_ms + relay_margin_ms,
-                  .reuse_connection = true};
+                  .reuse_connection = true,
+                  .traffic = traffic_class::relays};
     client_.send(out, [this, peer, earliest_ms = monotonic_ms() + call.wait_ms,
                        done = std::move(done)](const http_answer& answer) {
         if (answer.outcome == call_outcome::answered) {
