Let calls wait for room on the link of the host, the most urgent first

Cause: a peak of 120 starts in 0.25 s (1.2 KB each) queues 0.6 s of the link. All orders and lists then arrive later than the 400 ms after which they count as lost; each is repeated or followed by a stop on a new connection, and lists that nobody acknowledges grow. The queue never drains. Change: link_budget counts what the link has to carry in both directions, with the expected answers; http_client sends a call only if the backlog is below the limit of its class. Ownership never waits, then orders, lists, appends, peers, reads in bulk. Owners have no more open starts than the link carries in 130 ms. Without linkMbps, or with a wide link, nothing waits.

--- a/include/waxwingnotch/net/http_client.hpp
+++ b/include/waxwingnotch/net/http_client.hpp
@@ -8,13 +8,17 @@
 
 #include "waxwingnotch/net/event_loop.hpp"
 #include "waxwingnotch/net/http_server.hpp"
+#include "waxwingnotch/net/link_budget.hpp"
 #include "waxwingnotch/net/traffic.hpp"
 
+#include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,9 +32,12 @@
     std::string path = "/";      // including the query
     http_headers headers;
     std::string body;
-    std::int64_t timeout_ms = 5'000;
+    std::int64_t timeout_ms = 5'000;  // from the sending
+    // An answer that is arriving may take so much longer. Given up, it would cross the link a second time.
+    std::int64_t max_extension_ms = 0;
     bool reuse_connection = false;  // may use a kept-alive connection; otherwise sends Connection: close
     traffic_class traffic = traffic_class::other;  // what its bytes count as
+    std::int64_t max_wait_ms = 0;  // longest wait for room on the link; 0: as long as it takes
 };
 
 /// How a call ended.
@@ -38,6 +45,7 @@
     answered,   // status, headers and body are valid
     failed,     // connection refused, reset or closed
     timed_out,  // no complete answer within the timeout
+    not_sent,   // there was no room on the link within the longest wait
     cancelled,  // ended by cancel()
 };
 
@@ -81,7 +89,17 @@
     /// Counts the bytes of all calls with @p meter, also of those that fail.
     void count_traffic(traffic_meter& meter) { meter_ = &meter; }
 
-    /// Sends @p call. Calls @p done once, from the loop, unless the client is destroyed first.
+    /// Lets calls wait while @p budget does not admit them. It also counts the bytes of all calls.
+    void share_link(link_budget& budget) { budget_ = &budget; }
+    /// @return number of calls that wait for room on the link
+    std::size_t waiting() const;
+    /// Whether the call waits for room on the link.
+    bool is_waiting(call_id id) const { return waiting_ids_.contains(id); }
+    /// @return bytes of the answer so far; 0 for a call that has ended
+    std::size_t received(call_id id) const;
+
+    /// Sends @p call, or lets it wait for room on the link. Calls @p done once, from the loop, unless the
+    /// client is destroyed first.
     call_id send(const http_call& call, answer_handler done);
     /// Cancels a call; its handler is called with `cancelled`. Unknown ids are ignored.
     void cancel(call_id id);
@@ -93,7 +111,17 @@
 private:
     struct connection;
     struct pending_call;
-
+    /// A call that waits for room on the link.
+    struct waiting_call {
+        call_id id = 0;
+        std::int64_t since_ms = 0;
+        http_call call;
+        answer_handler done;
+    };
+
+    void dispatch(call_id id, const http_call& call, answer_handler done);
+    void send_waiting();
+    void on_timeout(call_id id);
     std::shared_ptr<connection> idle_connection(const std::string& address);
     std::shared_ptr<connection> new_connection(const std::string& address);
     void finish(call_id id, http_answer answer, bool keep_alive);
@@ -102,6 +130,10 @@
     event_loop& loop_;
     std::size_t max_answer_bytes_;
     traffic_meter* meter_ = nullptr;  // null: bytes are not counted
+    link_budget* budget_ = nullptr;   // null: no call waits
+    std::array<std::deque<waiting_call>, traffic_class_count> waiting_;
+    std::set<call_id> waiting_ids_;
+    timer waiting_timer_;
     call_id next_id_ = 1;
     std::map<call_id, std::shared_ptr<pending_call>> pending_;
     std::multimap<std::string, std::shared_ptr<connection>, std::less<>> idle_;
--- a/include/waxwingnotch/net/http_server.hpp
+++ b/include/waxwingnotch/net/http_server.hpp
@@ -9,6 +9,7 @@
 
 #include "waxwingnotch/base/result.hpp"
 #include "waxwingnotch/net/event_loop.hpp"
+#include "waxwingnotch/net/link_budget.hpp"
 #include "waxwingnotch/net/traffic.hpp"
 
 #include <cstdint>
@@ -104,7 +105,8 @@
     /// Closes connections without traffic for this long. Applies to connections that are accepted later.
     void set_idle_timeout(std::int64_t timeout_ms);
     /// Counts the bytes of all connections that are accepted later.
-    void count_traffic(traffic_meter& meter, traffic_class what);
+    /// @param budget of the link, which learns of them too; may be null
+    void count_traffic(traffic_meter& meter, traffic_class what, link_budget* budget = nullptr);
     /// @return number of requests without a reply yet
     std::size_t open_exchanges() const { return open_exchanges_.size(); }
 
@@ -121,6 +123,7 @@
     event_loop& loop_;
     std::set<http_exchange*> open_exchanges_;
     traffic_meter* meter_ = nullptr;  // null: bytes are not counted
+    link_budget* budget_ = nullptr;
     traffic_class traffic_ = traffic_class::other;
     timer accept_pause_;
     // The reasons not to accept; accepts with neither.
--- a/include/waxwingnotch/net/traffic.hpp
+++ b/include/waxwingnotch/net/traffic.hpp
@@ -11,7 +11,7 @@
 
 namespace waxwingnotch {
 
-/// What a call is for.
+/// What a call is for. Where several calls wait for the link, those of an earlier class go first.
 enum class traffic_class {
     ownership,      // joins and lists of owners, claims
     orders,         // starts, stops and paces of runs
@@ -23,9 +23,10 @@
     relays,         // calls to the store for another node, or through one
     peers,          // other calls between entry nodes
     callers,        // client accounts
+    hosts,          // lists and orders of the host service
     other,
 };
-inline constexpr std::size_t traffic_class_count = 11;
+inline constexpr std::size_t traffic_class_count = 12;
 const char* to_string(traffic_class what);
 
 /// Bytes since the start of the process.
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -57,6 +57,9 @@
     // Starts wait while the latest confirmation of this ownership was sent longer ago than this: with its
     // lease, a later one could outlast what the next owner assumes, `inherited_lease_ms`.
     std::int64_t max_ownership_age_ms = 2'600;
+    // Starts that are being stored or have not been answered may have so many bytes, so that those of a load
+    // peak do not wait in the queue of the link until they count as lost. 0: no limit.
+    std::int64_t max_open_start_bytes = 0;
 };
 
 /// Demand of a service on its pool, for decisions on moves of hosts.
@@ -394,6 +397,7 @@
     bool place(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index, placement_round& round,
                std::int64_t now_ms);
     void schedule_copies(std::int64_t now_ms);
+    std::int64_t open_start_bytes() const;
     placement_round make_round(std::string_view service, std::int64_t now_ms);
     std::vector<placement_candidate> make_candidates(const occurrence_entry& occurrence, std::uint32_t step,
                                                      std::uint32_t index,
@@ -487,6 +491,7 @@
         std::int64_t jobs_ms = 0;
     };
     std::optional<known_until> known_until_;
+    std::int64_t start_bytes_left_ = std::numeric_limits<std::int64_t>::max();  // see max_open_start_bytes
     std::int64_t registrations_current_since_ms_ = 0;     // read without a gap since then
     std::optional<std::int64_t> ownership_confirmed_ms_;  // see set_ownership_confirmed()
     std::int64_t renew_until_ms_ = std::numeric_limits<std::int64_t>::max();
--- a/include/waxwingnotch/shard/worker_api.hpp
+++ b/include/waxwingnotch/shard/worker_api.hpp
@@ -41,6 +41,7 @@
     no_answer,       // the order may have been executed, or may still be
     disconnected,    // the connection closed before an answer; the order may have been executed
     not_listening,   // a new connection was refused; nothing was done
+    not_sent,        // the link of this host had no room for it; nothing was done
 };
 const char* to_string(order_result outcome);
 /// @return true if the worker has not answered: it is dead, cut off or slow, or the answer was lost
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "waxwingnotch/net/http_client.hpp"
 
 #include "waxwingnotch/base/address.hpp"
+#include "waxwingnotch/base/clock.hpp"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -21,6 +22,7 @@
 // Per address. A burst of parallel calls, as at the takeover of several shards, would leave its connections
 // open for good, and with them the descriptors that callers need.
 constexpr std::size_t max_idle_connections = 8;
+constexpr std::int64_t waiting_check_ms = 5;  // between looks for room on the link while calls wait
 
 evhttp_cmd_type to_command(std::string_view method)
 {
@@ -83,6 +85,8 @@
     std::string address;
     bool bytes_sent = false;                       // of the current call
     traffic_class traffic = traffic_class::other;  // of the current call
+    std::size_t received = 0;                      // bytes of its answer
+    std::size_t expected = 0;  // of these, that the budget of the link has counted already
 
     connection() = default;
     connection(const connection&) = delete;
@@ -107,6 +111,9 @@
     bool reused = false;
     answer_handler done;
     timer timeout;
+    std::int64_t timeout_ms = 0;
+    std::int64_t extension_left_ms = 0;
+    std::size_t received_before = 0;  // bytes of the answer when the timer was started
 };
 
 http_client::http_client(event_loop& loop, std::size_t max_answer_bytes)
@@ -166,15 +173,28 @@
             if (self->client->meter_ != nullptr) {
                 self->client->meter_->add_sent(self->traffic, info->n_deleted);
             }
+            if (self->client->budget_ != nullptr) {
+                self->client->budget_->add({.sent = info->n_deleted, .received = 0}, monotonic_ms());
+            }
         },
         link.get());
     evbuffer_add_cb(
         bufferevent_get_input(evhttp_connection_get_bufferevent(link->handle)),
         [](evbuffer*, const evbuffer_cb_info* info, void* argument) {
-            const auto* self = static_cast<connection*>(argument);
-            if (info->n_added > 0 && self->client->meter_ != nullptr) {
+            auto* self = static_cast<connection*>(argument);
+            if (info->n_added == 0) {
+                return;
+            }
+            const std::size_t unexpected_before = self->received - std::min(self->received, self->expected);
+            self->received += info->n_added;
+            const std::size_t unexpected = self->received - std::min(self->received, self->expected);
+            if (self->client->meter_ != nullptr) {
                 self->client->meter_->add_received(self->traffic, info->n_added);
             }
+            if (self->client->budget_ != nullptr) {
+                self->client->budget_->add({.sent = 0, .received = unexpected - unexpected_before},
+                                           monotonic_ms());
+            }
         },
         link.get());
     ++open_counts_[address];
@@ -202,9 +222,73 @@
         });
         return next_id_++;
     }
+    const call_id id = next_id_++;
+    if (budget_ == nullptr || !budget_->limited() || call.traffic == traffic_class::ownership) {
+        dispatch(id, call, std::move(done));
+        return id;
+    }
+    auto& queue = waiting_[static_cast<std::size_t>(call.traffic)];
+    if (queue.empty() && budget_->admits(call.traffic, 0, monotonic_ms())) {
+        dispatch(id, call, std::move(done));
+        return id;
+    }
+    queue.push_back({.id = id, .since_ms = monotonic_ms(), .call = call, .done = std::move(done)});
+    waiting_ids_.insert(id);
+    if (waiting_ids_.size() == 1) {
+        waiting_timer_ = loop_.every(waiting_check_ms, [this] { send_waiting(); });
+    }
+    return id;
+}
+
+/// Sends the waiting calls that the budget admits, those of the most urgent class first.
+void http_client::send_waiting()
+{
+    const std::int64_t now = monotonic_ms();
+    for (std::deque<waiting_call>& queue : waiting_) {
+        while (!queue.empty()) {
+            const std::int64_t waited_ms = now - queue.front().since_ms;
+            const std::int64_t max_wait_ms = queue.front().call.max_wait_ms;
+            const bool expired = max_wait_ms > 0 && waited_ms > max_wait_ms;
+            if (!expired && !budget_->admits(queue.front().call.traffic, waited_ms, now)) {
+                break;
+            }
+            waiting_call next = std::move(queue.front());
+            queue.pop_front();
+            waiting_ids_.erase(next.id);
+            if (expired) {
+                loop_.defer([done = std::move(next.done), alive = alive_] {
+                    if (*alive) {
+                        done({.outcome = call_outcome::not_sent});
+                    }
+                });
+                continue;
+            }
+            dispatch(next.id, next.call, std::move(next.done));
+        }
+    }
+    if (waiting_ids_.empty()) {
+        waiting_timer_.cancel();
+    }
+}
+
+std::size_t http_client::waiting() const
+{
+    return waiting_ids_.size();
+}
+
+std::size_t http_client::received(call_id id) const
+{
+    const auto found = pending_.find(id);
+    return found == pending_.end() ? 0 : found->second->link->received;
+}
+
+void http_client::dispatch(call_id id, const http_call& call, answer_handler done)
+{
     auto item = std::make_shared<pending_call>();
     item->client = this;
-    item->id = next_id_++;
+    item->id = id;
+    item->timeout_ms = call.timeout_ms;
+    item->extension_left_ms = call.max_extension_ms;
     item->done = std::move(done);
     item->link = call.reuse_connection ? idle_connection(call.address) : nullptr;
     item->reused = item->link != nullptr;
@@ -214,6 +298,8 @@
     connection& link = *item->link;
     link.bytes_sent = false;
     link.traffic = call.traffic;
+    link.received = 0;
+    link.expected = budget_ == nullptr ? 0 : budget_->expect_answer(call.traffic, monotonic_ms());
     evhttp_connection_set_closecb(link.handle, nullptr, nullptr);
     constexpr std::int64_t margin_s = 2;  // evhttp's timeout comes after the call's own timer
     evhttp_connection_set_timeout(link.handle, static_cast<int>(call.timeout_ms / 1000 + margin_s));
@@ -243,19 +329,8 @@
     }
     evbuffer_add(evhttp_request_get_output_buffer(item->request), call.body.data(), call.body.size());
 
-    const call_id id = item->id;
     pending_[id] = item;
-    item->timeout = loop_.after(call.timeout_ms, [this, id] {
-        const auto found = pending_.find(id);
-        if (found == pending_.end()) {
-            return;
-        }
-        http_answer answer;
-        answer.outcome = call_outcome::timed_out;
-        answer.bytes_sent = found->second->link->bytes_sent;
-        answer.reused = found->second->reused;
-        finish(id, std::move(answer), false);
-    });
+    item->timeout = loop_.after(call.timeout_ms, [this, id] { on_timeout(id); });
     if (evhttp_make_request(link.handle, item->request, to_command(call.method), call.path.c_str()) != 0) {
         // evhttp has freed the request already.
         item->request = nullptr;
@@ -265,7 +340,28 @@
             }
         });
     }
-    return id;
+}
+
+/// Ends a call, unless its answer is arriving and may take longer.
+void http_client::on_timeout(call_id id)
+{
+    const auto found = pending_.find(id);
+    if (found == pending_.end()) {
+        return;
+    }
+    pending_call& call = *found->second;
+    if (call.link->received > call.received_before && call.extension_left_ms > 0) {
+        call.received_before = call.link->received;
+        const std::int64_t longer_ms = std::min(call.timeout_ms, call.extension_left_ms);
+        call.extension_left_ms -= longer_ms;
+        call.timeout = loop_.after(longer_ms, [this, id] { on_timeout(id); });
+        return;
+    }
+    http_answer answer;
+    answer.outcome = call_outcome::timed_out;
+    answer.bytes_sent = call.link->bytes_sent;
+    answer.reused = call.reused;
+    finish(id, std::move(answer), false);
 }
 
 void http_client::finish(call_id id, http_answer answer, bool keep_alive)
@@ -277,6 +373,9 @@
     const std::shared_ptr<pending_call> item = found->second;
     pending_.erase(found);
     item->timeout.cancel();
+    if (budget_ != nullptr && answer.outcome == call_outcome::answered) {
+        budget_->on_answer(item->link->traffic, item->link->expected, item->link->received, monotonic_ms());
+    }
     if (item->request != nullptr) {
         item->client = nullptr;
         evhttp_cancel_request(item->request);
@@ -318,6 +417,22 @@
 
 void http_client::cancel(call_id id)
 {
+    if (waiting_ids_.erase(id) > 0) {
+        for (std::deque<waiting_call>& queue : waiting_) {
+            const auto at = std::find_if(queue.begin(), queue.end(),
+                                         [id](const waiting_call& call) { return call.id == id; });
+            if (at == queue.end()) {
+                continue;
+            }
+            loop_.defer([done = std::move(at->done), alive = alive_] {
+                if (*alive) {
+                    done({.outcome = call_outcome::cancelled});
+                }
+            });
+            queue.erase(at);
+        }
+        return;
+    }
     const auto found = pending_.find(id);
     if (found == pending_.end()) {
         return;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "waxwingnotch/net/http_server.hpp"
 
+#include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/base/log.hpp"
 #include "waxwingnotch/net/http_client.hpp"
 
@@ -275,6 +276,9 @@
         [](evbuffer*, const evbuffer_cb_info* info, void* argument) {
             const auto* server = static_cast<http_server*>(argument);
             server->meter_->add_received(server->traffic_, info->n_added);
+            if (server->budget_ != nullptr) {
+                server->budget_->add({.sent = 0, .received = info->n_added}, monotonic_ms());
+            }
         },
         self);
     evbuffer_add_cb(
@@ -282,14 +286,18 @@
         [](evbuffer*, const evbuffer_cb_info* info, void* argument) {
             const auto* server = static_cast<http_server*>(argument);
             server->meter_->add_sent(server->traffic_, info->n_deleted);
+            if (server->budget_ != nullptr) {
+                server->budget_->add({.sent = info->n_deleted, .received = 0}, monotonic_ms());
+            }
         },
         self);
     return connection;
 }
 
-void http_server::count_traffic(traffic_meter& meter, traffic_class what)
+void http_server::count_traffic(traffic_meter& meter, traffic_class what, link_budget* budget)
 {
     meter_ = &meter;
+    budget_ = budget;
     traffic_ = what;
     evhttp_set_bevcb(http_, new_counted_connection, this);
 }
--- a/src/net/traffic.cpp
+++ b/src/net/traffic.cpp
@@ -9,7 +9,7 @@
 constexpr std::int64_t reading_interval_ms = 1'000;
 constexpr std::array<const char*, traffic_class_count> names = {
     "ownership",     "orders", "polls", "journal", "jobs",  "configuration",
-    "registrations", "relays", "peers", "callers", "other",
+    "registrations", "relays", "peers", "callers", "hosts", "other",
 };
 
 }  // namespace
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -137,9 +137,11 @@
 }  // namespace
 
 node_state::node_state(node_settings settings_in)
-    : settings(std::move(settings_in)), link(settings.link_kbps), client(loop), transport(client)
+    : settings(std::move(settings_in)), link(settings.link_kbps), budget(settings.link_kbps), client(loop),
+      transport(client)
 {
     client.count_traffic(traffic);
+    client.share_link(budget);
     transport.set_address(settings.store_address);
 }
 
@@ -468,7 +470,9 @@
                           .path = target.substr(space + 1),
                           .body = exchange->body(),
                           .timeout_ms = std::clamp<std::int64_t>(timeout_ms, 1, max_relay_ms),
-                          .wait_ms = std::clamp<std::int64_t>(wait_ms, 0, max_relay_ms)};
+                          .wait_ms = std::clamp<std::int64_t>(wait_ms, 0, max_relay_ms),
+                          .traffic =
+                              exchange->body().empty() ? traffic_class::relays : traffic_class::journal};
     node_.transport.send_direct(call, [exchange](const http_answer& answer) {
         if (answer.outcome != call_outcome::answered) {
             exchange->reply(status_bad_gateway, {}, "the store has not answered");
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -34,6 +34,7 @@
 // An order without an answer is followed by a stop after this time, so a task starts no later than this after
 // its order. What an owner knows must be younger than the bound for starts by that much.
 constexpr std::int64_t order_margin_ms = 400;
+constexpr std::int64_t open_starts_ms = 130;  // of the link; a third of order_margin_ms
 constexpr std::int64_t min_drain_ms = 1'500;  // open connections are served for at least this long
 constexpr std::int64_t kill_margin_ms = 700;  // the process ends this long before the platform kills it
 constexpr std::int64_t drain_check_ms = 100;
@@ -64,6 +65,13 @@
     return std::max(bound_ms - order_margin_ms, order_margin_ms);
 }
 
+/// @return bytes that the link carries within a fraction of the time after which an order counts as lost
+std::int64_t open_start_bytes(std::int64_t link_kbps)
+{
+    constexpr std::int64_t bits = 8;
+    return link_kbps * open_starts_ms / bits;  // 1 kbit/s is 1 bit a millisecond
+}
+
 /// Why a node ended.
 struct node_end {
     const char* reason;
@@ -165,10 +173,10 @@
                              {{"version", build.version}, {"sources", build.sources}});
     caller_server_.limit_body(cluster_config().max_body_bytes);  // until a configuration is read
     internal_server_.limit_body(max_peer_body_bytes);
-    caller_server_.count_traffic(state_.traffic, traffic_class::callers);
-    internal_server_.count_traffic(state_.traffic, traffic_class::peers);
-    ready_server_.count_traffic(state_.traffic, traffic_class::other);
-    metrics_server_.count_traffic(state_.traffic, traffic_class::other);
+    caller_server_.count_traffic(state_.traffic, traffic_class::callers, &state_.budget);
+    internal_server_.count_traffic(state_.traffic, traffic_class::peers, &state_.budget);
+    ready_server_.count_traffic(state_.traffic, traffic_class::other, &state_.budget);
+    metrics_server_.count_traffic(state_.traffic, traffic_class::other, &state_.budget);
     ready_server_.limit_body(0);
     metrics_server_.limit_body(max_metrics_body_bytes);
     caller_server_.handle([this](const http_exchange_ptr& exchange) { callers_.handle(exchange); });
@@ -409,7 +417,8 @@
                           .lease_ms = std::min(worker_lease_ms, state_.settings.max_lease_ms),
                           .ended_job_retention_ms = 2 * state_.settings.status_retention_ms,
                           .max_registrations_age_ms = age_limit_ms(state_.settings.worker_drain_ms),
-                          .max_jobs_age_ms = age_limit_ms(state_.settings.cancel_ms)};
+                          .max_jobs_age_ms = age_limit_ms(state_.settings.cancel_ms),
+                          .max_open_start_bytes = open_start_bytes(state_.settings.link_kbps)};
     auto owner = std::make_unique<shard_owner>(
         shard_owner::parts{
             &state_.loop, state_.store.get(), state_.workers.get(), state_.advice.get(),
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -40,6 +40,7 @@
     process_watch watch{loop};
     traffic_meter traffic;
     link_usage link;
+    link_budget budget;
     http_client client;
     store_transport transport;
     std::unique_ptr<log_store> store;
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -50,6 +50,8 @@
         return "connection closed";
     case order_result::not_listening:
         return "connection refused";
+    case order_result::not_sent:
+        return "the link of this host is full";
     }
     return "unnamed";
 }
@@ -458,6 +460,7 @@
     if (run.stage != run_stage::starting && run.stage != run_stage::unconfirmed) {
         return;
     }
+    schedule_needed_ = schedule_needed_ || options_.max_open_start_bytes > 0;
     log_event(log_level::info, "run_start",
               {{"shard", options_.shard},
                {"epoch", options_.epoch},
@@ -481,6 +484,9 @@
         worker.next_poll_ms = now_ms;
         requeue(run, to_string(answer.outcome), now_ms);
         return;
+    case order_result::not_sent:  // says nothing about the worker
+        requeue(run, to_string(answer.outcome), now_ms);
+        return;
     case order_result::no_answer:
     case order_result::disconnected:
     case order_result::unexplained:
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -16,7 +16,8 @@
 constexpr std::int64_t min_copy_delay_ms = 600;  // and not before
 constexpr std::int64_t ranking_valid_ms = 500;   // learned run times change by a few percent meanwhile
 constexpr double max_waiting_cpu_ms = 1e15;      // of one occurrence; the sum over all stays within 64 bits
-constexpr std::int64_t default_task_ms = 500;    // expected run time of a task without an estimate
+constexpr std::int64_t start_overhead_bytes = 450;  // of a start beside the payload: the call and its answer
+constexpr std::int64_t default_task_ms = 500;       // expected run time of a task without an estimate
 
 }  // namespace
 
@@ -154,6 +155,19 @@
     return ranking;
 }
 
+/// @return bytes of the starts that are being stored or have not been answered
+std::int64_t shard_core::open_start_bytes() const
+{
+    std::int64_t bytes = 0;
+    for (const auto& [key, run] : runs_) {
+        if (run->stage == run_stage::writing || run->stage == run_stage::starting) {
+            bytes +=
+                static_cast<std::int64_t>(run->occurrence->job->spec.payload.size()) + start_overhead_bytes;
+        }
+    }
+    return bytes;
+}
+
 void shard_core::schedule(std::int64_t now_ms)
 {
     struct queued {
@@ -182,7 +196,7 @@
 void shard_core::schedule_occurrence(occurrence_entry& occurrence, placement_round& round,
                                      std::int64_t now_ms)
 {
-    if (occurrence.job->spec.repeat_count > 0 && occurrence.due_ms > now_ms) {
+    if (start_bytes_left_ <= 0 || (occurrence.job->spec.repeat_count > 0 && occurrence.due_ms > now_ms)) {
         return;
     }
     for (std::uint32_t step = 0; step < occurrence.progress.steps.size(); ++step) {
@@ -208,6 +222,9 @@
             if (occurrence.task(step, index).phase != task_phase::waiting) {
                 continue;
             }
+            if (start_bytes_left_ <= 0) {
+                return;
+            }
             bool& full = no_worker[!suspects_.empty() && isolated(occurrence, step, index) ? 1 : 0];
             full = full || !place(occurrence, step, index, round, now_ms);
             if (no_worker[0] && (no_worker[1] || suspects_.empty())) {
@@ -314,6 +331,8 @@
     run.ordered_ms = now_ms;
     writing_[run.batch].push_back(run.key());
     view.reserve(occurrence, occurrence.step(step));
+    start_bytes_left_ -=
+        static_cast<std::int64_t>(occurrence.job->spec.payload.size()) + start_overhead_bytes;
     occurrence.job->started = true;
     mark_changed(occurrence);
     return true;
@@ -391,6 +410,9 @@
         }
     }
     for (run_entry* run : runs_to_copy) {
+        if (start_bytes_left_ <= 0) {
+            return;
+        }
         placement_round round = make_round(run->occurrence->job->spec.service, now_ms);
         if (place(*run->occurrence, run->step, run->index, round, now_ms)) {
             log_event(
@@ -413,6 +435,9 @@
         schedule_needed_ = schedule_needed_ || gone > 0;
     }
     const bool scheduling = (schedule_needed_ || copies_needed_) && may_start(now_ms);
+    if (scheduling && options_.max_open_start_bytes > 0) {
+        start_bytes_left_ = options_.max_open_start_bytes - open_start_bytes();
+    }
     if (schedule_needed_ && scheduling) {
         schedule_needed_ = false;
         schedule(now_ms);
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -204,6 +204,10 @@
         worker.next_poll_ms = now_ms;
         return;
     }
+    if (answer.outcome == order_result::not_sent) {
+        worker.next_poll_ms = now_ms + poll_retry_ms;
+        return;
+    }
     if (answer.outcome != order_result::ok) {
         note_silence(worker, answer.outcome, now_ms);
         worker.next_poll_ms = now_ms + poll_retry_ms;
--- /dev/null
+++ b/tests/net/link_budget_test.cpp
@@ -0,0 +1,180 @@
+/// Which calls wait for a full link, and in which order they go.
+#include "waxwingnotch/base/clock.hpp"
+#include "waxwingnotch/net/http_client.hpp"
+#include "waxwingnotch/net/http_server.hpp"
+#include "waxwingnotch/net/link_budget.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace waxwingnotch {
+namespace {
+
+constexpr std::int64_t narrow_kbps = 2'000;  // 250 bytes a millisecond
+
+}  // namespace
+
+TEST(link_budget, admits_all_calls_of_a_link_whose_rate_is_not_known)
+{
+    link_budget budget(0);
+    budget.add({.sent = 1'000'000'000, .received = 1'000'000'000}, 1'000);
+    EXPECT_FALSE(budget.limited());
+    EXPECT_TRUE(budget.admits(traffic_class::hosts, 0, 1'000));
+}
+
+// In a turn of demand the orders of an owner fill the link; a join that waits behind them comes too late.
+TEST(link_budget, ownership_does_not_wait_behind_a_load_peak)
+{
+    link_budget budget(narrow_kbps);
+    budget.add({.sent = 200'000, .received = 0}, 1'000);  // 0.9 s of the link
+    EXPECT_TRUE(budget.admits(traffic_class::ownership, 0, 1'000));
+    EXPECT_FALSE(budget.admits(traffic_class::orders, 0, 1'000));
+    EXPECT_FALSE(budget.admits(traffic_class::hosts, 10'000, 1'000));
+    EXPECT_TRUE(budget.admits(traffic_class::orders, 0, 1'800));
+    EXPECT_TRUE(budget.admits(traffic_class::hosts, 0, 2'000));
+}
+
+TEST(link_budget, expects_answers_as_long_as_earlier_ones_of_their_class)
+{
+    link_budget budget(narrow_kbps);
+    for (int call = 0; call < 100; ++call) {
+        budget.on_answer(traffic_class::polls, 0, 10'000, 1'000);
+    }
+    const std::size_t expected = budget.expect_answer(traffic_class::polls, 1'000);
+    EXPECT_NEAR(static_cast<double>(expected), 10'000, 10);
+    EXPECT_EQ(budget.expect_answer(traffic_class::orders, 1'000), 0U);
+    const std::int64_t before_ms = budget.backlog_ms(1'000);
+    budget.on_answer(traffic_class::polls, expected, 1'000, 1'000);
+    EXPECT_LT(budget.backlog_ms(1'000), before_ms);
+}
+
+// An answer that has not come in time may still cross the link. If its bytes counted as free, the repeated
+// call would add to a queue that is full already.
+TEST(link_budget, an_answer_that_has_not_come_keeps_its_room)
+{
+    link_budget budget(narrow_kbps);
+    for (int call = 0; call < 100; ++call) {
+        budget.on_answer(traffic_class::polls, 0, 100'000, 1'000);
+    }
+    const std::size_t expected = budget.expect_answer(traffic_class::polls, 1'000);
+    const std::int64_t before_ms = budget.backlog_ms(1'000);
+    budget.on_answer(traffic_class::polls, expected, 0, 1'000);
+    EXPECT_EQ(budget.backlog_ms(1'000), before_ms);
+}
+
+// What is admitted must stay below the rate of the link over any longer time, whatever is asked for; else
+// the queue of the link grows until every answer is late.
+RC_GTEST_PROP(link_budget, what_is_admitted_fits_the_link, ())
+{
+    link_budget budget(narrow_kbps);
+    std::uint64_t sent = 0;
+    constexpr std::int64_t length_ms = 10'000;
+    const auto call_bytes = *rc::gen::inRange<std::uint64_t>(100, 20'000);
+    for (std::int64_t now = 0; now < length_ms; now += 2) {
+        const auto what = static_cast<traffic_class>(*rc::gen::inRange<std::size_t>(1, traffic_class_count));
+        for (int call = 0; call < 5 && budget.admits(what, now, now); ++call) {
+            budget.add({.sent = call_bytes, .received = 0}, now);
+            sent += call_bytes;
+        }
+    }
+    constexpr std::int64_t bytes_per_ms = 250;
+    constexpr std::int64_t most_backlog_ms = 300;
+    RC_ASSERT(sent <= static_cast<std::uint64_t>((length_ms + most_backlog_ms) * bytes_per_ms) + call_bytes);
+}
+
+namespace {
+
+/// A client on a narrow link whose backlog is filled by hand.
+struct narrow_client {
+    event_loop loop;
+    link_budget budget{narrow_kbps};
+    http_server server{loop};
+    http_client client{loop};
+    std::string address;
+    std::vector<std::string> order;  // paths as they arrived
+
+    narrow_client()
+    {
+        client.share_link(budget);
+        server.handle([this](const http_exchange_ptr& exchange) {
+            order.push_back(exchange->path());
+            exchange->reply(200, {}, "");
+        });
+        address = "127.0.0.1:" + std::to_string(server.listen("127.0.0.1", 0).value());
+    }
+    void fill(std::int64_t ms)
+    {
+        budget.add({.sent = static_cast<std::uint64_t>(ms * 225), .received = 0}, monotonic_ms());
+    }
+    call_id send(traffic_class what, const std::string& path, answer_handler done,
+                 std::int64_t max_wait_ms = 0)
+    {
+        return client.send(
+            {.method = "GET", .address = address, .path = path, .traffic = what, .max_wait_ms = max_wait_ms},
+            std::move(done));
+    }
+};
+
+}  // namespace
+
+TEST(waiting_calls, go_by_urgency_and_not_by_arrival)
+{
+    narrow_client node;
+    node.fill(400);
+    int open = 3;
+    const auto done = [&](const http_answer& answer) {
+        EXPECT_EQ(answer.outcome, call_outcome::answered);
+        if (--open == 0) {
+            node.loop.stop();
+        }
+    };
+    node.send(traffic_class::hosts, "/hosts", done);
+    node.send(traffic_class::orders, "/order", done);
+    node.send(traffic_class::ownership, "/join", done);
+    EXPECT_EQ(node.client.waiting(), 2U);
+    node.loop.run();
+    EXPECT_EQ(node.order, (std::vector<std::string>{"/join", "/order", "/hosts"}));
+    EXPECT_EQ(node.client.waiting(), 0U);
+}
+
+// An order that leaves later than its owner has allowed for could start a task on a worker that has begun to
+// drain since.
+TEST(waiting_calls, an_order_that_cannot_be_sent_in_time_is_not_sent_at_all)
+{
+    narrow_client node;
+    node.fill(2'000);
+    http_answer result;
+    node.send(
+        traffic_class::orders, "/order",
+        [&](const http_answer& answer) {
+            result = answer;
+            node.loop.stop();
+        },
+        50);
+    node.loop.run();
+    EXPECT_EQ(result.outcome, call_outcome::not_sent);
+    EXPECT_FALSE(result.bytes_sent);
+    EXPECT_TRUE(node.order.empty());
+}
+
+TEST(waiting_calls, a_waiting_call_can_be_cancelled)
+{
+    narrow_client node;
+    node.fill(2'000);
+    http_answer result;
+    const call_id id = node.send(traffic_class::polls, "/list", [&](const http_answer& answer) {
+        result = answer;
+        node.loop.stop();
+    });
+    EXPECT_TRUE(node.client.is_waiting(id));
+    node.client.cancel(id);
+    node.loop.run();
+    EXPECT_EQ(result.outcome, call_outcome::cancelled);
+    EXPECT_EQ(node.client.waiting(), 0U);
+    EXPECT_TRUE(node.order.empty());
+}
+
+}  // namespace waxwingnotch
