Send a read of the store once while its answer is arriving

What callers saw: CONFIG and LOST where an answer takes longer than its timeout, as a configuration of 290 KB does at 2 Mbit/s. Cause: an answer that is on its way counted as none. The read was sent again every 120 ms over another route and given up at its timeout; each copy carries the same bytes over the same link. Evidence: slow_link.an_answer_that_is_arriving_is_not_requested_again failed with 4 requests to the store, 3 to the peer and no answer after 0.6 s. Change: the transport looks at the bytes of the latest attempt, and at whether it still waits for the link, before it repeats or gives up; the client extends the timeout of an answer that makes progress, by 12 s at most.

--- a/include/waxwingnotch/store/transport.hpp
+++ b/include/waxwingnotch/store/transport.hpp
@@ -42,7 +42,7 @@
     ///        an attempt that may have been carried out, or else a refusal.
     void send(const store_call& call, answer_handler done);
     /// Sends a call directly, without a fallback to peers; for calls that this node relays.
-    void send_direct(const store_call& call, answer_handler done);
+    call_id send_direct(const store_call& call, answer_handler done);
     /// False for a while after a direct call has failed.
     bool direct_path_usable() const;
     /// Monotonic time in ms of the latest answer from a peer, with any status; 0: none yet.
@@ -61,7 +61,9 @@
     void resend_later(const pending_ptr& send);
     void on_attempt_answer(const pending_ptr& send, const http_answer& answer);
     void finish(const pending_ptr& send, const http_answer& answer);
-    void send_via_peer(const store_call& call, const std::string& peer, answer_handler done);
+    call_id send_via_peer(const store_call& call, const std::string& peer, answer_handler done);
+    bool arriving(pending_send& send) const;
+    void expire_later(const pending_ptr& send, std::int64_t delay_ms);
     void probe(const store_call& call);
     void note_result(const store_route& route, const std::string& address, std::int64_t earliest_ms,
                      const http_answer& answer);
--- a/src/store/transport.cpp
+++ b/src/store/transport.cpp
@@ -13,9 +13,13 @@
 constexpr std::int64_t relay_margin_ms = 100;  // added for the hop through the peer
 constexpr std::int64_t log_delay_ms = 300;     // shorter losses and recoveries are not logged
 constexpr std::size_t max_attempts = 3;        // per call; a read that nobody answers gets more
+// Longest time that the answer to a read may take beyond its timeout while it is arriving; the largest
+// answer, 1.4 MB, takes 5.6 s over a link of 2 Mbit/s of which nothing else is in use.
+constexpr std::int64_t max_extension_ms = 12'000;
 // A store that was away for this long answers no read that was sent before; shorter failures, such as lost
 // answers, cost no repeats of all reads.
 constexpr std::int64_t outage_ms = 500;
+constexpr std::int64_t expiry_check_ms = 200;  // between looks at an answer that arrives after its timeout
 // A timer that fires this late shows that this process is short of processor time. Answers may wait unread.
 constexpr std::int64_t late_timer_ms = 50;
 constexpr int status_throttled = 429;
@@ -36,7 +40,9 @@
     answer_handler done;
     std::vector<store_route> tried;
     std::size_t attempts = 0;
-    std::size_t open = 0;  // attempts without an answer
+    std::size_t open = 0;             // attempts without an answer
+    call_id latest = 0;               // the latest attempt
+    std::size_t latest_received = 0;  // bytes of its answer at the latest look
     bool finished = false;
     bool failed_once = false;
     http_answer failure;  // of an attempt that may have been carried out, else of the latest one
@@ -83,7 +89,7 @@
     }
 }
 
-void store_transport::send_direct(const store_call& call, answer_handler done)
+call_id store_transport::send_direct(const store_call& call, answer_handler done)
 {
     http_call out{.method = call.method,
                   .address = address_,
@@ -91,10 +97,11 @@
                   .headers = {},
                   .body = call.body,
                   .timeout_ms = call.timeout_ms,
+                  .max_extension_ms = call.method == "GET" ? max_extension_ms : 0,
                   .reuse_connection = true,
                   .traffic = call.traffic};
-    client_.send(out, [this, earliest_ms = monotonic_ms() + call.wait_ms,
-                       done = std::move(done)](const http_answer& answer) {
+    return client_.send(out, [this, earliest_ms = monotonic_ms() + call.wait_ms,
+                              done = std::move(done)](const http_answer& answer) {
         note_result({}, address_, earliest_ms, answer);
         note_direct_result(answer);
         done(answer);
@@ -142,17 +149,39 @@
         reads_.push_back(pending);
     }
     if (pending->is_read() && !routes_.peers().empty()) {
-        pending->expiry = client_.loop().after(call.timeout_ms, [this, weak = std::weak_ptr(pending)] {
-            if (const pending_ptr kept = weak.lock(); kept && !kept->finished) {
-                http_answer timeout;
-                timeout.outcome = call_outcome::timed_out;
-                finish(kept, timeout);
-            }
-        });
+        expire_later(pending, call.timeout_ms);
     }
     attempt(pending);
 }
 
+/// Ends a read that nobody answers.
+void store_transport::expire_later(const pending_ptr& send, std::int64_t delay_ms)
+{
+    send->expiry = client_.loop().after(delay_ms, [this, weak = std::weak_ptr(send)] {
+        const pending_ptr kept = weak.lock();
+        if (!kept || kept->finished) {
+            return;
+        }
+        if (client_.is_waiting(kept->latest) || client_.received(kept->latest) > 0) {
+            expire_later(kept, expiry_check_ms);
+            return;
+        }
+        http_answer timeout;
+        timeout.outcome = call_outcome::timed_out;
+        finish(kept, timeout);
+    });
+}
+
+/// Whether the latest attempt waits for the link, or its answer has made progress since the latest look. A
+/// second copy of it would take its room on the link.
+bool store_transport::arriving(pending_send& send) const
+{
+    const std::size_t received = client_.received(send.latest);
+    const bool progress = received > send.latest_received;
+    send.latest_received = received;
+    return progress || client_.is_waiting(send.latest);
+}
+
 /// Ends a call. Answers of attempts that are still open have no effect.
 void store_transport::finish(const pending_ptr& send, const http_answer& answer)
 {
@@ -171,14 +200,15 @@
     send->tried.push_back(route);
     ++send->attempts;
     ++send->open;
+    send->latest_received = 0;
     const auto on_answer = [this, send](const http_answer& answer) {
         on_attempt_answer(send, answer);
     };
     if (route.empty()) {
-        send_direct(send->call, on_answer);
+        send->latest = send_direct(send->call, on_answer);
     }
     else {
-        send_via_peer(send->call, route, on_answer);
+        send->latest = send_via_peer(send->call, route, on_answer);
         probe(send->call);
     }
     // A read is repeated until it is answered: a store that was silent for all nodes answers only calls that
@@ -199,7 +229,7 @@
             return;
         }
         const std::int64_t now = monotonic_ms();
-        if (now - due_ms > late_timer_ms) {
+        if (now - due_ms > late_timer_ms || arriving(*kept)) {
             resend_later(kept);
             return;
         }
@@ -233,7 +263,7 @@
     }
 }
 
-void store_transport::send_via_peer(const store_call& call, const std::string& peer, answer_handler done)
+call_id store_transport::send_via_peer(const store_call& call, const std::string& peer, answer_handler done)
 {
     http_call out{.method = "POST",
                   .address = peer,
@@ -243,10 +273,11 @@
                               {relay_wait, std::to_string(call.wait_ms)}},
                   .body = call.body,
                   .timeout_ms = call.timeout_ms + relay_margin_ms,
+                  .max_extension_ms = call.method == "GET" ? max_extension_ms : 0,
                   .reuse_connection = true,
                   .traffic = traffic_class::relays};
-    client_.send(out, [this, peer, earliest_ms = monotonic_ms() + call.wait_ms,
-                       done = std::move(done)](const http_answer& answer) {
+    return client_.send(out, [this, peer, earliest_ms = monotonic_ms() + call.wait_ms,
+                              done = std::move(done)](const http_answer& answer) {
         if (answer.outcome == call_outcome::answered) {
             last_peer_answer_ms_ = monotonic_ms();
         }
