Let an owner with a full link take no records of other nodes

What callers saw: jobs that wait in a turn of demand on hosts with links of 2 Mbit/s. Cause: a submitted record crosses the owner's link three times: from the node that took it, to the store, and back with the jobs of the shard. Change: an owner whose link has more than 40 ms to carry, and whose append did not wait for a slow store, answers that the next records are to be appended elsewhere; the sender appends itself for a second. The record that was sent is stored as before. Older nodes ignore the word.

--- a/include/waxwingnotch/decision/submission_route.hpp
+++ b/include/waxwingnotch/decision/submission_route.hpp
@@ -4,7 +4,11 @@
 ///
 /// Load pattern: a hundred nodes accept the jobs of one queue while the store takes 0.2 s for an append and
 /// processes the appends to a partition one after the other. Single appends of the nodes would wait for
-/// each other for 20 s, and the store refuses appends that would wait for 2 s. No I/O.
+/// each other for 20 s, and the store refuses appends that would wait for 2 s.
+///
+/// The other load pattern: in a turn of demand the link of the owner is full. A record that goes through it
+/// crosses that link once more in each direction, while the links of the other nodes are idle; the store
+/// answers within milliseconds. No I/O.
 #pragma once
 
 #include <cstdint>
@@ -19,6 +23,11 @@
         std::int64_t max_timeout_ms = 2'000;  // leaves time for an own append before the caller's deadline
         double timeout_factor = 3.0;          // of the mean answer time
         std::int64_t avoid_ms = 1'500;        // the time that a takeover takes
+        std::int64_t full_link_ms = 1'000;    // a load peak lasts for seconds
+        // An owner whose link has more than this to carry has no room for records of others.
+        std::int64_t max_owner_backlog_ms = 40;
+        // A store whose appends take longer is not given the single appends of all nodes.
+        std::int64_t max_append_ms = 100;
     };
 
     submission_route() = default;
@@ -30,6 +39,16 @@
     std::int64_t timeout_ms() const;
 
     void on_answer(std::int64_t answer_ms);
+    /// The owner has taken the record and asks for no more for a while.
+    void on_full_link(std::int64_t now_ms) { avoid_until_ms_ = now_ms + options_.full_link_ms; }
+    /// Whether an owner asks the other nodes to append the next records themselves.
+    /// @param backlog_ms of the owner's link @param append_ms time of the latest append, with its wait for
+    /// the
+    ///        link
+    bool append_elsewhere(std::int64_t backlog_ms, std::int64_t append_ms) const
+    {
+        return backlog_ms > options_.max_owner_backlog_ms && append_ms - backlog_ms <= options_.max_append_ms;
+    }
     void on_timeout(std::int64_t now_ms) { avoid_until_ms_ = now_ms + options_.avoid_ms; }
 
 private:
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -382,7 +382,12 @@
     }
     node_.job_appender(shard).append(
         {.key = key, .value = exchange->body(), .offset = -1},
-        [exchange](store_status outcome) { exchange->reply(status_of_stored_record(outcome), {}, ""); });
+        [this, shard, exchange, sent_ms = monotonic_ms()](store_status outcome) {
+            const std::int64_t now = monotonic_ms();
+            const bool elsewhere =
+                node_.submission_routes[shard].append_elsewhere(node_.budget.backlog_ms(now), now - sent_ms);
+            exchange->reply(status_of_stored_record(outcome), {}, elsewhere ? append_elsewhere_word : "");
+        });
 }
 
 void internal_api::handle_shard(const http_exchange_ptr& exchange)
--- a/src/node/job_records.cpp
+++ b/src/node/job_records.cpp
@@ -66,6 +66,9 @@
             const bool answered = answer.outcome == call_outcome::answered;
             if (answered && answer.status != status_not_owner) {
                 used.on_answer(monotonic_ms() - now);
+                if (answer.body == append_elsewhere_word) {
+                    used.on_full_link(monotonic_ms());
+                }
                 done(outcome_of(answer.status));
                 return;
             }
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -179,6 +179,9 @@
 
 /// Path of the internal interface at which an owner takes records of jobs and cancels.
 constexpr const char* submit_path = "/shard/submit";
+/// Body of an answer to a submitted record: the link of the owner is full, and other nodes should append the
+/// next records themselves.
+constexpr const char* append_elsewhere_word = "append elsewhere";
 /// Status of the answer to a submitted record.
 int status_of_stored_record(store_status outcome);
 
--- a/tests/decision/submission_route_test.cpp
+++ b/tests/decision/submission_route_test.cpp
@@ -72,5 +72,25 @@
     EXPECT_GT(stored_in_time(97, false, 4), 0.99);
 }
 
+// In a turn of demand the records of other nodes took two thirds of the link that the owner needs for its
+// starts (small twins of tkc-sapporo-grown).
+TEST(submission_route, an_owner_with_a_full_link_takes_no_records_of_others)
+{
+    const submission_route route;
+    EXPECT_FALSE(route.append_elsewhere(0, 8));
+    EXPECT_TRUE(route.append_elsewhere(120, 8));
+    EXPECT_TRUE(route.append_elsewhere(120, 150));   // the append has waited for the link as well
+    EXPECT_FALSE(route.append_elsewhere(120, 400));  // the store is slow
+}
+
+TEST(submission_route, nodes_return_to_an_owner_after_its_load_peak)
+{
+    submission_route route;
+    EXPECT_TRUE(route.use_owner(10'000));
+    route.on_full_link(10'000);
+    EXPECT_FALSE(route.use_owner(10'900));
+    EXPECT_TRUE(route.use_owner(11'000));
+}
+
 }  // namespace
 }  // namespace waxwingnotch
