Ask for the list of a worker before the unanswered start of a long-running task is stopped

Cause: its start got no answer for 400 ms and was followed by a stop at once, 20 ms before the list that showed it at work. Change: the next list is requested at once; a run that it shows goes on, any other is stopped as before. No second run starts before the stop is confirmed, as before. Short tasks are stopped at once as before: they have nothing to lose but their work.

--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -94,9 +94,10 @@
     bool stopping = false;
     std::int64_t stop_sent_ms = 0;
     std::int64_t stop_confirmed_ms = 0;
-    bool listed = false;     // seen in a worker's list of runs
-    bool inherited = false;  // ordered by a previous owner; `ordered_ms` is the takeover
-    bool in_crash = false;   // its worker has crashed
+    std::int64_t unanswered_ms = 0;  // when its start order counted as unanswered
+    bool listed = false;             // seen in a worker's list of runs
+    bool inherited = false;          // ordered by a previous owner; `ordered_ms` is the takeover
+    bool in_crash = false;           // its worker has crashed
     bool awaited = false;  // its worker is silent, and its task waits until it is known how the run has ended
     crash_suspicion suspicion = crash_suspicion::none;  // what the crash added to the history of the task
     int percent = 0;
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -495,8 +495,13 @@
         worker.avoid_until_ms = now_ms + rejection_pause_ms;
         worker.silent_since_ms = worker.silent_since_ms == 0 ? now_ms : worker.silent_since_ms;
         worker.next_poll_ms = now_ms;
-        // A stop makes a start order that is still in flight fail, so the task can start elsewhere.
-        request_stop(run, now_ms);
+        run.unanswered_ms = now_ms;
+        // The next list tells whether a long-running task has started; a stop could end it while others of
+        // its step are away. Else a stop makes the order fail that may still be in flight, so that the task
+        // can start elsewhere.
+        if (!run.occurrence->step(run.step).long_running) {
+            request_stop(run, now_ms);
+        }
         return;
     case order_result::fenced:
         if (order.fencing_token == token_of(worker)) {
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -362,6 +362,10 @@
         if (missing || stopped || too_late) {
             ++counts_.lost;
             requeue(*run, "the worker does not list the run", now_ms);
+            continue;
+        }
+        if (run->stage == run_stage::unconfirmed && run->unanswered_ms <= sent_ms) {
+            request_stop(*run, now_ms);
         }
     }
 }
@@ -405,8 +409,11 @@
         // A stop of a run that has not started ends no poll early; only a newer list shows that it is gone.
         const bool unsettled =
             std::any_of(worker->runs.begin(), worker->runs.end(), [&](const run_entry* run) {
-                return run->stop_confirmed_ms > 0 && run->stop_confirmed_ms >= worker->poll_sent_ms &&
-                       !run->listed;
+                const bool stopped =
+                    run->stop_confirmed_ms > 0 && run->stop_confirmed_ms >= worker->poll_sent_ms;
+                const bool unanswered = run->stage == run_stage::unconfirmed && !run->stopping &&
+                                        run->unanswered_ms >= worker->poll_sent_ms;
+                return (stopped || unanswered) && !run->listed;
             });
         if (worker->poll_in_flight && unsettled && now_ms - worker->poll_sent_ms >= extra_poll_ms) {
             worker->poll_sent_ms = now_ms;
