--- a/include/waxwingnotch/store/keyed_follower.hpp
+++ b/include/waxwingnotch/store/keyed_follower.hpp
@@ -24,6 +24,11 @@
     // Size of the answer to a read. A large answer takes a slow host so long that the call times out, and the
     // next answer is larger still.
     std::int64_t max_answer_kb = 64;
+    // The only key whose records may be larger than `max_answer_kb` in the usual case, and of which only the
+    // newest value matters. Older values of it are skipped, as are those of all other keys in between, whose
+    // newest values are then loaded; keys that sort before it are loaded only where that cannot be avoided.
+    // Empty: each record is read.
+    std::string newest_only_key;
 };
 
 class keyed_follower {
--- a/tests/fakes/fake_store.hpp
+++ b/tests/fakes/fake_store.hpp
@@ -36,6 +36,15 @@
     std::map<std::pair<std::string, int>, int> refused_reads;  // number of calls of read() to refuse
     // Longer answers to read() are lost on the way, as on a slow host whose calls time out.
     std::size_t most_read_bytes = std::numeric_limits<std::size_t>::max();
+    // The first record of an answer to read() is handed over whole, also if it is larger than the answer may
+    // be.
+    bool ignore_size_of_first_record = false;
+    // Run before read() and read_newest() are carried out; tests append records or drop history there.
+    std::function<void(const read_request& request)> before_read;
+    std::function<void(const std::string& after)> before_read_newest;
+
+    std::size_t bytes_read = 0;    // keys and values in answers to read() and read_newest()
+    bool handling_answer = false;  // the handler of an answer to read() is running
 
     struct partition {
         std::vector<keyed_record> records;
@@ -56,12 +65,12 @@
         partition& target = partitions[{topic, number}];
         target.first_offset = static_cast<std::int64_t>(target.records.size());
     }
-    std::map<std::string, std::string> newest_of(const std::string& topic, int number)
+    std::map<std::string, keyed_record> newest_records(const std::string& topic, int number)
     {
-        std::map<std::string, std::string> newest;
+        std::map<std::string, keyed_record> newest;
         for (const keyed_record& record : partitions[{topic, number}].records) {
             if (record.value) {
-                newest[record.key] = *record.value;
+                newest[record.key] = record;
             }
             else {
                 newest.erase(record.key);
@@ -69,6 +78,14 @@
         }
         return newest;
     }
+    std::map<std::string, std::string> newest_of(const std::string& topic, int number)
+    {
+        std::map<std::string, std::string> newest;
+        for (const auto& [key, record] : newest_records(topic, number)) {
+            newest[key] = *record.value;
+        }
+        return newest;
+    }
 
     void append(const append_request& request, handler<append_result> done) override
     {
@@ -106,8 +123,16 @@
         }
     }
 
-    void read(const read_request& request, handler<read_result> done) override
+    void read(const read_request& request, handler<read_result> handle) override
     {
+        if (before_read) {
+            before_read(request);
+        }
+        handler<read_result> done = [this, handle = std::move(handle)](const read_result& outcome) {
+            handling_answer = true;
+            handle(outcome);
+            handling_answer = false;
+        };
         int& refusals = refused_reads[{request.topic, request.partition}];
         if (refuse || refusals > 0) {
             refusals -= refusals > 0 ? 1 : 0;
@@ -126,6 +151,7 @@
         else if (request.from_offset < end) {
             outcome.records.assign(target.records.begin() + request.from_offset, target.records.end());
             const std::size_t bytes = limit_size(outcome.records, request.max_kb);
+            bytes_read += bytes;
             if (bytes > most_read_bytes) {
                 answer(std::move(done), read_result{});
                 return;
@@ -136,17 +162,21 @@
         answer_after(outcome.records.empty() ? 2 : 0, std::move(done), outcome);
     }
 
+    static std::size_t size_of(const keyed_record& record)
+    {
+        return record.key.size() + (record.value ? record.value->size() : 0);
+    }
     /// Leaves as many of the first records as an answer of @p max_kb holds. @return their size in bytes
-    static std::size_t limit_size(std::vector<keyed_record>& records, std::int64_t max_kb)
+    std::size_t limit_size(std::vector<keyed_record>& records, std::int64_t max_kb) const
     {
         constexpr std::int64_t store_limit_kb = 1'024;
         const auto limit = static_cast<std::size_t>(max_kb > 0 ? max_kb : store_limit_kb) * 1'024;
         std::size_t bytes = 0;
         std::size_t count = 0;
         for (; count < records.size(); ++count) {
-            const keyed_record& record = records[count];
-            const std::size_t size = record.key.size() + (record.value ? record.value->size() : 0);
-            if (bytes + size > limit) {
+            const std::size_t size = size_of(records[count]);
+            const bool whole = ignore_size_of_first_record && count == 0;
+            if (bytes + size > limit && !whole) {
                 break;
             }
             bytes += size;
@@ -158,6 +188,9 @@
     void read_newest(const std::string& topic, int number, const std::string& after,
                      handler<newest_page> done) override
     {
+        if (before_read_newest) {
+            before_read_newest(after);
+        }
         if (refuse) {
             answer(std::move(done), newest_page{.status = store_status::refused});
             return;
@@ -169,7 +202,7 @@
             answer(std::move(done), page);
             return;
         }
-        for (const auto& [key, value] : newest_of(topic, number)) {
+        for (const auto& [key, record] : newest_records(topic, number)) {
             if (key <= after && !after.empty()) {
                 continue;
             }
@@ -177,7 +210,8 @@
                 page.more = true;
                 break;
             }
-            page.records.push_back({.key = key, .value = value, .offset = 0});
+            bytes_read += size_of(record);
+            page.records.push_back(record);
         }
         page.end_offset = static_cast<std::int64_t>(partitions[{topic, number}].records.size());
         answer(std::move(done), page);
