Limit the open starts between the steps of a job, too

What callers saw: nothing that was measured; a job whose step reaches the limit with its last task could add the starts of a whole gang to a link that is full. Cause: schedule_occurrence() looked at the limit before the first step and before each single task, not before a gang in a later step. Evidence: shard_open_starts.a_gang_of_the_same_job_does_not_start_beyond_the_limit ordered 20 starts where 10 are allowed.

--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -196,10 +196,13 @@
 void shard_core::schedule_occurrence(occurrence_entry& occurrence, placement_round& round,
                                      std::int64_t now_ms)
 {
-    if (start_bytes_left_ <= 0 || (occurrence.job->spec.repeat_count > 0 && occurrence.due_ms > now_ms)) {
+    if (occurrence.job->spec.repeat_count > 0 && occurrence.due_ms > now_ms) {
         return;
     }
     for (std::uint32_t step = 0; step < occurrence.progress.steps.size(); ++step) {
+        if (start_bytes_left_ <= 0) {
+            return;
+        }
         const step_spec& spec = occurrence.step(step);
         // In a full pool most steps fit no worker; this check avoids a search over all workers.
         if (!fits(spec, round.largest) || !occurrence.progress.ready(spec)) {
