Keep the lists of hosts within a tenth of the link

Cause: host_manager listed all hosts four times a second whatever that cost, and lost_host_watch twice a second beside it. At 2,100 hosts the lists would need 13 times as much. The four turns a second of host_manager stay; one without a new list follows the demand and keeps drained workers closed with the latest one, and orders nothing by it. Where the lists cost less than the share, or the rate is not known, each turn has its list as before. Checked with an older list: a host whose worker is another one by now gets no order; a host that is new is not left out of its wave; a drained worker stays closed; a pool that is short, and a wave, get a new list at once (narrow_link_test). By reading: orders that were carried out correct the latest list until a newer one; a failed list ends the turns in between; moves that a turn in between could not order are allowed at the next list, up to those of a second.

--- a/src/node/host_keeper.cpp
+++ b/src/node/host_keeper.cpp
@@ -20,6 +20,9 @@
 constexpr std::int64_t move_cooldown_ms = 4'000;  // minimum time between two attempts to move a host
 constexpr std::int64_t pool_log_interval_ms = 1'000;
 constexpr std::int64_t ms_per_s = 1'000;
+// Drains last 1.5 s without a further turn, so a list that takes long must not delay one until then.
+constexpr std::int64_t max_turn_gap_ms = 1'000;
+constexpr std::int64_t max_turns_planned = 4;  // whose moves may be ordered at once: those of a second
 constexpr double move_share = 0.75;  // of the orders that the host service takes; the rest is for maintenance
 
 /// Decodes the answer to a drain request. Values that cannot be read default to a worker that is in use, so
@@ -78,8 +81,6 @@
     : node_(node), authority_{node.settings.name, token},
       first_order_ms_(monotonic_ms() + node.settings.takeover_pause_ms)
 {
-    policy_.max_moves = std::max(1U, static_cast<std::uint32_t>(move_share * node.settings.host_orders_per_s *
-                                                                poll_interval_ms / ms_per_s));
     log_event(log_level::info, "host_duty", {{"state", "acquired"}, {"token", token}});
     timer_ = node_.loop.every(poll_interval_ms, [this] { poll(); });
 }
@@ -92,37 +93,105 @@
 
 void host_manager::poll()
 {
-    if (list_in_flight_ || fenced_ || !node_.hosts || !node_.config || monotonic_ms() < first_order_ms_) {
+    const std::int64_t now = monotonic_ms();
+    if (fenced_ || !node_.hosts || !node_.config || now < first_order_ms_) {
         return;
     }
-    list_in_flight_ = true;
-    node_.hosts->list([this, alive = alive_](const host_listing& list) {
-        if (!*alive) {
-            return;
+    if (list_in_flight_) {
+        if (now - last_turn_ms_ >= max_turn_gap_ms) {
+            take_turn(turn_kind::latest_list);
         }
-        list_in_flight_ = false;
-        if (list.ok) {
-            on_list(list);
+        return;
+    }
+    if (!request_list(order_waits_ ? list_need::order : list_need::refresh)) {
+        take_turn(turn_kind::latest_list);
+    }
+}
+
+/// @return whether the link has room for the list
+bool host_manager::request_list(list_need need)
+{
+    list_in_flight_ = true;
+    const bool requested =
+        node_.lists.request(need, [this, sent_ms = monotonic_ms(), alive = alive_](const host_listing& list) {
+            if (*alive) {
+                list_in_flight_ = false;
+                on_list(list, sent_ms);
+            }
+        });
+    list_in_flight_ = requested;
+    return requested;
+}
+
+void host_manager::on_list(const host_listing& list, std::int64_t sent_ms)
+{
+    latest_ = list;
+    latest_ms_ = monotonic_ms();
+    if (!list.ok) {
+        return;
+    }
+    order_waits_ = false;
+    host_workers_.clear();
+    for (host_row& row : latest_.hosts) {
+        const auto ordered = ordered_.find(row.name);
+        if (ordered != ordered_.end() && ordered->second.answered_ms >= sent_ms) {
+            row.state =
+                ordered->second.state;  // the list may have been made before the order was carried out
         }
-    });
+        host_workers_[row.name] = row.worker_id;
+    }
+    take_turn(turn_kind::new_list);
 }
 
-void host_manager::on_list(const host_listing& list)
+/// Advances the waves, and asks for the demand of the pools.
+void host_manager::take_turn(turn_kind kind)
 {
+    if (!latest_.ok) {
+        return;
+    }
+    last_turn_ms_ = monotonic_ms();
     for (const auto& [number, wave] : node_.waves) {
         if (wave_unfinished(number)) {
-            advance_wave(wave, list);
+            advance_wave(wave, kind);
         }
     }
-    host_workers_.clear();
-    for (const host_row& row : list.hosts) {
-        host_workers_[row.name] = row.worker_id;
-    }
     auto survey = std::make_shared<host_survey>();
-    survey->list = list;
+    survey->kind = kind;
+    survey->list = latest_;
     query_loads(survey);
 }
 
+/// Requests a list as soon as the link has room for it, as an order waits.
+void host_manager::need_list()
+{
+    order_waits_ = true;
+    if (!list_in_flight_) {
+        request_list(list_need::order);
+    }
+}
+
+/// Whether the latest list is so new that @p host may get an order by it, and shows it with the same worker.
+bool host_manager::latest_list_allows_order(const host_row& host) const
+{
+    if (!latest_.ok || monotonic_ms() - latest_ms_ > drain_timeout_ms) {
+        return false;
+    }
+    return std::any_of(latest_.hosts.begin(), latest_.hosts.end(), [&host](const host_row& row) {
+        return row.name == host.name && row.state == host_row_state::up && row.worker_id == host.worker_id;
+    });
+}
+
+/// Corrects the latest list by an order that was carried out.
+void host_manager::note_ordered(const std::string& host, host_row_state state)
+{
+    ordered_[host] = {.state = state, .answered_ms = monotonic_ms()};
+    for (host_row& row : latest_.hosts) {
+        if (row.name == host) {
+            row.state = state;
+        }
+    }
+}
+
 void host_manager::query_loads(const std::shared_ptr<host_survey>& survey)
 {
     const auto asked = [this](const service_config& pool) {
@@ -215,8 +284,29 @@
         pool.surplus_ms = since == 0 ? 0 : now - since;
     }
     log_pools(pools, hosts);
-    for (const pool_move& planned : balance_pools(pools, hosts, policy_)) {
-        try_move(planned);
+    plan_moves(survey.kind, pools, hosts);
+}
+
+void host_manager::plan_moves(turn_kind kind, const std::vector<balance_pool>& pools,
+                              const std::vector<balance_host>& hosts)
+{
+    // Turns in between order nothing, so the next new list may be followed by their moves, too.
+    const std::int64_t planned_ms = std::min(++turns_without_moves_, max_turns_planned) * poll_interval_ms;
+    policy_.max_moves =
+        std::max(1U, static_cast<std::uint32_t>(move_share * node_.settings.host_orders_per_s * planned_ms /
+                                                ms_per_s));
+    const std::vector<pool_move> moves = balance_pools(pools, hosts, policy_);
+    if (kind == turn_kind::new_list) {
+        turns_without_moves_ = 0;
+        for (const pool_move& planned : moves) {
+            try_move(planned);
+        }
+        return;
+    }
+    // A surplus can wait for the next regular list, a pool that is short cannot.
+    if (std::any_of(moves.begin(), moves.end(),
+                    [](const pool_move& planned) { return planned.wanted > planned.had; })) {
+        need_list();
     }
 }
 
@@ -350,8 +440,12 @@
                        {"had", planned.had},
                        {"token", authority_.fencing_token},
                        {"outcome", to_string(outcome)}});
+            if (outcome == host_result::ok) {
+                note_ordered(planned.host, host_row_state::moving);
+            }
             if (outcome == host_result::no_answer) {
                 keep_closed(planned.from, worker);
+                order_waits_ = true;  // the list shows whether it was carried out
             }
         });
 }
--- a/src/node/host_parts.hpp
+++ b/src/node/host_parts.hpp
@@ -6,7 +6,7 @@
 
 namespace waxwingnotch {
 
-constexpr std::int64_t poll_interval_ms = 250;  // between polls of the host list
+constexpr std::int64_t poll_interval_ms = 250;  // between turns, and between lists where the link has room
 // A drain request keeps new work off a worker for this long, also if no further one follows.
 constexpr std::int64_t drain_request_ms = 1'500;
 // An order without an answer may be carried out up to 12 s later; new work would be lost with the worker.
@@ -23,6 +23,12 @@
     std::int64_t confirmed_ms = 0;       // monotonic
 };
 
+/// State that a host is in by an order. Lists that were requested before may not show it.
+struct host_manager::ordered_state {
+    host_row_state state = host_row_state::up;
+    std::int64_t answered_ms = 0;  // monotonic
+};
+
 /// Demand of a pool, as reported by the owner of its shard.
 struct host_manager::pool_load {
     bool known = false;  // the owner has answered, or the pool is a standby pool
@@ -33,8 +39,9 @@
     std::set<std::string> busy;  // ids of workers with runs
 };
 
-/// Hosts, and the demand of all pools, collected in one poll.
+/// Hosts, and the demand of all pools, collected in one turn.
 struct host_manager::host_survey {
+    turn_kind kind = turn_kind::latest_list;
     host_listing list;
     std::map<std::string, pool_load> loads;  // by pool
     std::size_t open = 0;                    // queries that have not been answered
--- a/src/node/host_waves.cpp
+++ b/src/node/host_waves.cpp
@@ -31,7 +31,7 @@
     return hosts;
 }
 
-void host_manager::advance_wave(const maintenance_wave& wave, const host_listing& list)
+void host_manager::advance_wave(const maintenance_wave& wave, turn_kind kind)
 {
     if (!wave_status_.contains(wave.number)) {
         write_status(wave.number, false);
@@ -40,25 +40,32 @@
     const std::int64_t remaining_ms =
         node_.wave_seen_ms[wave.number] + static_cast<std::int64_t>(wave.finish_by_s * 1'000) - now;
     std::map<std::string, const host_row*> rows;
-    for (const host_row& row : list.hosts) {
+    for (const host_row& row : latest_.hosts) {
         rows[row.name] = &row;
     }
     std::size_t down = 0;
     std::size_t open = 0;
+    bool may_be_back = false;  // a host that the list shows under maintenance
     for (const std::string& name : wave.hosts) {
         auto& slot = maintenance_[{wave.number, name}];
         slot = slot ? std::move(slot) : std::make_unique<host_maintenance>();
         host_maintenance& work = *slot;
         const auto row = rows.find(name);
-        if (row == rows.end()) {
-            work.excluded = true;
-        }
+        // An earlier list does not show a host that is new, which the wave may be for.
+        work.excluded = work.excluded || (row == rows.end() && kind == turn_kind::new_list);
         if (work.excluded) {
             continue;
         }
+        if (row == rows.end()) {
+            ++open;
+            need_list();
+            continue;
+        }
         const host_row_state state = row->second->state;
         // An unanswered order may be carried out at any moment, so its host counts as down.
         const bool just_ordered = work.confirmed && now - work.confirmed_ms < node_.settings.maintenance_ms;
+        may_be_back =
+            may_be_back || (state == host_row_state::maintenance && work.confirmed && !just_ordered);
         down +=
             state == host_row_state::maintenance || (work.ordered && !work.confirmed) || just_ordered ? 1 : 0;
         open += work.confirmed ? 0 : 1;
@@ -67,21 +74,10 @@
         write_status(wave.number, true);
         return;
     }
-    // Orders with an unknown outcome are sent again first; the answer resolves them.
-    for (const std::string& name : wave.hosts) {
-        host_maintenance& work = *maintenance_[{wave.number, name}];
-        if (!work.ordered || work.confirmed || work.excluded || work.request_in_flight) {
-            continue;
-        }
-        const host_row& row = *rows.at(name);
-        // The worker may have got runs meanwhile from an owner that did not know of the order.
-        if (row.state == host_row_state::up && row.worker_id == work.worker_id) {
-            drain_host(row, wave, remaining_ms);
-        }
-        else {
-            order_maintenance(row, wave.number);
-        }
+    if (kind == turn_kind::latest_list && may_be_back && down >= wave.max_down) {
+        need_list();
     }
+    resend_orders(wave, rows, remaining_ms, kind);
     std::size_t draining = 0;
     for (const std::string& name : wave.hosts) {
         const host_maintenance& work = *maintenance_[{wave.number, name}];
@@ -103,7 +99,33 @@
             ++draining;
         }
         if (down < wave.max_down) {
-            drain_host(*row->second, wave, remaining_ms);
+            drain_host(*row->second, wave, remaining_ms, kind);
+        }
+    }
+}
+
+/// Orders with an unknown outcome are sent again; the answer resolves them.
+void host_manager::resend_orders(const maintenance_wave& wave,
+                                 const std::map<std::string, const host_row*>& rows,
+                                 std::int64_t remaining_ms, turn_kind kind)
+{
+    for (const std::string& name : wave.hosts) {
+        const host_maintenance& work = *maintenance_[{wave.number, name}];
+        const auto found = rows.find(name);
+        if (!work.ordered || work.confirmed || work.excluded || work.request_in_flight ||
+            found == rows.end()) {
+            continue;
+        }
+        const host_row& row = *found->second;
+        // The worker may have got runs meanwhile from an owner that did not know of the order.
+        if (row.state == host_row_state::up && row.worker_id == work.worker_id) {
+            drain_host(row, wave, remaining_ms, kind);
+        }
+        else if (kind == turn_kind::new_list) {
+            order_maintenance(row, wave.number);
+        }
+        else {
+            need_list();
         }
     }
 }
@@ -123,23 +145,31 @@
 }
 
 /// Requests a drain of the host's worker, and orders the maintenance once nothing on it can be lost.
-void host_manager::drain_host(const host_row& host, const maintenance_wave& wave, std::int64_t remaining_ms)
+void host_manager::drain_host(const host_row& host, const maintenance_wave& wave, std::int64_t remaining_ms,
+                              turn_kind kind)
 {
+    const auto order = [this, host, wave, kind] {
+        if (kind == turn_kind::new_list || latest_list_allows_order(host)) {
+            order_if_room(host, wave);
+            return;
+        }
+        need_list();
+    };
     host_maintenance& work = *maintenance_[{wave.number, host.name}];
     const service_config* pool = node_.config->service(host.pool);
     const bool never_used = pool == nullptr && node_.shard_of(host.pool) == service_shards::no_shard;
     if (host.worker_id.empty() || never_used || (pool != nullptr && pool->standby)) {
-        order_if_room(host, wave);
+        order();
         return;
     }
     work.request_in_flight = true;
     const leftover_runs leftover = choose_leftover(monotonic_ms() - work.draining_since_ms, remaining_ms);
     request_drain(host.pool, host.worker_id, drain_request_ms, leftover,
-                  [this, host, wave](const std::optional<drain_state>& state) {
+                  [this, host, wave, order](const std::optional<drain_state>& state) {
                       maintenance_[{wave.number, host.name}]->request_in_flight = false;
                       // Without an answer there is no owner at the moment; the next poll asks again.
                       if (state && may_take_host(*state)) {
-                          order_if_room(host, wave);
+                          order();
                       }
                   });
 }
@@ -184,6 +214,7 @@
             case host_result::ok:
                 item.confirmed = true;
                 item.confirmed_ms = monotonic_ms();
+                note_ordered(host, host_row_state::maintenance);
                 return;
             case host_result::fenced:
                 fenced_ = true;  // further orders would only alternate with those of the newer holder
--- a/src/node/lost_host_watch.cpp
+++ b/src/node/lost_host_watch.cpp
@@ -23,12 +23,14 @@
         return;
     }
     list_in_flight_ = true;
-    node_.hosts->list([this, alive = alive_](const host_listing& list) {
-        if (*alive) {
-            list_in_flight_ = false;
-            on_list(list);
-        }
-    });
+    const bool requested =
+        node_.lists.request(list_need::order, [this, alive = alive_](const host_listing& list) {
+            if (*alive) {
+                list_in_flight_ = false;
+                on_list(list);
+            }
+        });
+    list_in_flight_ = requested;
 }
 
 void lost_host_watch::on_list(const host_listing& list)
--- a/src/node/lost_host_watch.hpp
+++ b/src/node/lost_host_watch.hpp
@@ -26,7 +26,8 @@
     lost_host_watch(lost_host_watch&&) = delete;
     lost_host_watch& operator=(lost_host_watch&&) = delete;
 
-    /// Asks if the owners of this node wait for missing workers; to be called regularly.
+    /// Asks if the owners of this node wait for missing workers and the link has room for a list; to be
+    /// called regularly.
     void check();
 
 private:
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -2,6 +2,7 @@
 /// Components of an entry node and their shared state.
 #pragma once
 
+#include "node/host_lists.hpp"
 #include "node/process_watch.hpp"
 
 #include "waxwingnotch/base/counters.hpp"
@@ -50,6 +51,7 @@
     std::unique_ptr<worker_api> workers;
     std::unique_ptr<advice_api> advice;
     std::unique_ptr<host_api> hosts;
+    host_lists lists{*this};  // of hosts
     metrics counters;
 
     std::shared_ptr<const cluster_config> config;        // null until the first configuration has been read
@@ -271,6 +273,10 @@
 
 /// Manages all hosts: runs maintenance waves, and moves hosts between pools as demand changes. Only the
 /// owner of the last shard has one.
+///
+/// Where the link is too narrow for a list of hosts in each turn, turns in between use the latest list: they
+/// follow the demand and keep drained workers closed, but order nothing by it. A host may have got another
+/// worker since, whose runs would be lost. If they find an order to give, the next list is requested at once.
 class host_manager {
 public:
     /// @param token fencing token; each new holder has a higher one
@@ -285,14 +291,26 @@
     struct host_maintenance;
     struct pool_load;
     struct host_survey;
+    struct ordered_state;
+    enum class turn_kind : std::uint8_t {
+        new_list,     // by a list that has just arrived
+        latest_list,  // by an earlier one; gives no orders to hosts
+    };
 
     void poll();
-    void on_list(const host_listing& list);
+    bool request_list(list_need need);
+    void on_list(const host_listing& list, std::int64_t sent_ms);
+    void take_turn(turn_kind kind);
+    void need_list();
+    bool latest_list_allows_order(const host_row& host) const;
+    void note_ordered(const std::string& host, host_row_state state);
     void query_loads(const std::shared_ptr<host_survey>& survey);
     void balance(const host_survey& survey);
     void set_reserves(const host_survey& survey, std::vector<balance_pool>& pools,
                       const std::vector<balance_host>& hosts);
     void log_pools(const std::vector<balance_pool>& pools, const std::vector<balance_host>& hosts);
+    void plan_moves(turn_kind kind, const std::vector<balance_pool>& pools,
+                    const std::vector<balance_host>& hosts);
     void try_move(const pool_move& planned);
     void order_move(const pool_move& planned);
     void keep_closed(const std::string& pool, const std::string& worker);
@@ -303,8 +321,11 @@
     bool recently_moved(const std::string& host) const;
     std::vector<std::string> idle_hosts_first(const maintenance_wave& wave,
                                               const std::map<std::string, const host_row*>& rows) const;
-    void advance_wave(const maintenance_wave& wave, const host_listing& list);
-    void drain_host(const host_row& host, const maintenance_wave& wave, std::int64_t remaining_ms);
+    void advance_wave(const maintenance_wave& wave, turn_kind kind);
+    void resend_orders(const maintenance_wave& wave, const std::map<std::string, const host_row*>& rows,
+                       std::int64_t remaining_ms, turn_kind kind);
+    void drain_host(const host_row& host, const maintenance_wave& wave, std::int64_t remaining_ms,
+                    turn_kind kind);
     void order_if_room(const host_row& host, const maintenance_wave& wave);
     void order_maintenance(const host_row& row, std::int64_t wave);
     void write_status(std::int64_t wave, bool completed);
@@ -314,7 +335,13 @@
     host_authority authority_;
     std::int64_t first_order_ms_ = 0;  // monotonic; before, an earlier holder's order may be recent
     bool list_in_flight_ = false;
-    bool fenced_ = false;  // a newer holder exists; no more orders
+    bool order_waits_ = false;                      // for a new list
+    host_listing latest_;                           // not ok: the latest call failed
+    std::int64_t latest_ms_ = 0;                    // when it arrived; monotonic, as the other times
+    std::int64_t last_turn_ms_ = 0;                 // when a turn began
+    std::int64_t turns_without_moves_ = 0;          // since moves were last ordered
+    std::map<std::string, ordered_state> ordered_;  // by host: by the latest order that was carried out
+    bool fenced_ = false;                           // a newer holder exists; no more orders
     // By wave and host.
     std::map<std::pair<std::int64_t, std::string>, std::unique_ptr<host_maintenance>> maintenance_;
     std::map<std::int64_t, bool> wave_status_;             // by number, once written; true: completed
--- a/tests/node/host_manager_test.cpp
+++ b/tests/node/host_manager_test.cpp
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include <utility>
+
 namespace waxwingnotch {
 namespace {
 
@@ -60,46 +62,62 @@
     std::vector<timer> polls_;
 };
 
-/// A host service with one host, which is up.
+/// A host service with one host, which is up, and others that a test adds.
 class memory_hosts final : public host_api {
 public:
-    memory_hosts(event_loop& loop, memory_workers& workers) : loop_(loop), workers_(workers) {}
+    memory_hosts(node_state& node, memory_workers& workers) : node_(node), workers_(workers) {}
 
     void list(std::function<void(const host_listing&)> done) override
     {
+        ++lists;
+        changed_since_list = false;
         host_listing listing;
         listing.ok = answers;
-        listing.hosts.push_back(
-            {.name = "host", .pool = "svc", .state = host_row_state::up, .worker_id = "a"});
-        loop_.defer([done, listing] { done(listing); });
+        listing.hosts = hosts;
+        node_.loop.defer([this, done, listing] {
+            node_.traffic.add_received(traffic_class::hosts, list_bytes);
+            done(listing);
+        });
     }
     void move(const host_authority& /*authority*/, const std::string& /*host*/, const std::string& /*pool*/,
               std::function<void(host_result)> done) override
     {
-        loop_.defer([done] { done(host_result::refused); });
+        ++moves;
+        orders_by_earlier_list += changed_since_list ? 1 : 0;
+        node_.loop.defer([done, outcome = move_outcome] { done(outcome); });
     }
     void maintain(const host_authority& /*authority*/, const std::string& /*host*/, std::int64_t /*wave*/,
                   std::function<void(host_result)> done) override
     {
         ++orders;
+        orders_by_earlier_list += changed_since_list ? 1 : 0;
         runs_at_orders += workers_.worker.running.size();
-        loop_.defer(
+        node_.loop.defer(
             [done, outcome = answers_orders ? host_result::ok : host_result::no_answer] { done(outcome); });
     }
 
+    std::vector<host_row> hosts{
+        {.name = "host", .pool = "svc", .state = host_row_state::up, .worker_id = "a"}};
     bool answers = true;         // calls for the list
     bool answers_orders = true;  // orders of maintenance
+    host_result move_outcome = host_result::refused;
+    std::size_t list_bytes = 0;
+    bool changed_since_list = false;  // set by a test that changes `hosts`
+    int lists = 0;
     int orders = 0;
+    int moves = 0;
+    int orders_by_earlier_list = 0;  // orders and moves since the hosts have changed
     std::size_t runs_at_orders = 0;  // on the worker
 
 private:
-    event_loop& loop_;
+    node_state& node_;
     memory_workers& workers_;
 };
 
 class host_manager_test : public testing::Test {
 protected:
-    host_manager_test()
+    /// @param link_kbps of the link of the node; 0: not known
+    explicit host_manager_test(std::int64_t link_kbps = 0) : node(settings(link_kbps))
     {
         workers->worker.entry = {.id = "a",
                                  .service = "svc",
@@ -109,6 +127,7 @@
         auto config = std::make_shared<cluster_config>();
         config->queues.push_back({.name = "q", .service = "svc", .max_attempts = 4});
         config->services.push_back({.name = "svc"});
+        config->services.push_back({.name = "spare", .standby = true});
         node.config = config;
         node.store = std::make_unique<fake_store>(node.loop);
         node.homes = std::make_unique<job_homes>(*node.store);
@@ -117,7 +136,7 @@
             std::make_unique<store_upgrade>(node.loop, *node.store, *node.homes, *node.shards_of_services, 1);
         node.upgrade->run(node.config, {.done = [this] { node.loop.stop(); }, .unsupported = nullptr});
         node.loop.run();
-        node.hosts = std::make_unique<memory_hosts>(node.loop, *workers);
+        node.hosts = std::make_unique<memory_hosts>(node, *workers);
         store().assigned[0] = node.settings.internal_address + "/1/1000";
         take_over(1);
     }
@@ -151,9 +170,10 @@
     }
     fake_store& store() { return static_cast<fake_store&>(*node.store); }
 
-    static node_settings settings()
+    static node_settings settings(std::int64_t link_kbps)
     {
         node_settings created;
+        created.link_kbps = link_kbps;
         created.name = "node";
         created.store_address = "127.0.0.1:1";
         created.partitions = 1;
@@ -182,13 +202,13 @@
         run_until([end_ms] { return monotonic_ms() >= end_ms; });
     }
 
-    void submit()
+    void submit(const std::string& id = "0000000000000001", std::int64_t cpu_milli = 100)
     {
         job_spec job;
-        job.id = "0000000000000001";
+        job.id = id;
         job.queue = "q";
         job.service = "svc";
-        job.steps.push_back({.task_count = 3, .need = {100, 100, 0}, .estimate_ms = task_ms});
+        job.steps.push_back({.task_count = 3, .need = {cpu_milli, 100, 0}, .estimate_ms = task_ms});
         append_request request{.topic = jobs_topic, .partition = 0};
         request.records.push_back({.key = job.id, .value = encode_job(job), .offset = -1});
         node.store->append(request,
@@ -197,13 +217,17 @@
 
     /// Asks for the maintenance of the host, by a deadline that has passed.
     void start_late_wave()
+    {
+        add_late_wave();
+        manager = std::make_unique<host_manager>(node, 1);
+    }
+    void add_late_wave()
     {
         node.waves[1] = {.number = 1, .hosts = {"host"}, .finish_by_s = 0, .max_down = 1};
         node.wave_seen_ms[1] = monotonic_ms();
-        manager = std::make_unique<host_manager>(node, 1);
     }
 
-    node_state node{settings()};
+    node_state node;
     // The first is the worker itself.
     memory_workers* workers = add_way(std::make_unique<memory_workers>(node.loop));
     std::unique_ptr<memory_workers> stale_way = std::make_unique<memory_workers>(node.loop, *workers);
@@ -312,5 +336,103 @@
     run_until([&] { return hosts().orders > 0; });
 }
 
+/// A node whose link has room for a list of the hosts only each 6 minutes, and for one more when an order
+/// waits for it.
+class narrow_link_test : public host_manager_test {
+protected:
+    static constexpr std::int64_t link_kbps = 2'000;
+    static constexpr std::size_t long_list_bytes = 9'000'000;
+    static constexpr std::int64_t old_list_ms = 1'200;  // too old for an order
+
+    narrow_link_test() : host_manager_test(link_kbps) { hosts().list_bytes = long_list_bytes; }
+
+    /// Lets the manager read the first list, and lets that list become too old for orders.
+    void read_first_list()
+    {
+        run_until([&] { return node.shards[0]->loaded(); });
+        manager = std::make_unique<host_manager>(node, 1);
+        run_until([&] { return hosts().lists == 1; });
+        run_for(old_list_ms);
+        ASSERT_EQ(hosts().lists, 1);
+    }
+};
+
+// The holder of the host duty listed 155 hosts four times a second, which took 39 % of a link of 2 Mbit/s.
+TEST_F(narrow_link_test, lists_take_a_tenth_of_the_link)
+{
+    constexpr std::int64_t bytes_155_hosts = 24'000;
+    constexpr std::int64_t share_bytes_per_ms = link_kbps / 8 / 10;
+    hosts().list_bytes = bytes_155_hosts;
+    const std::int64_t begin_ms = monotonic_ms();
+    manager = std::make_unique<host_manager>(node, 1);
+    run_for(3'000);
+    const std::int64_t passed_ms = monotonic_ms() - begin_ms;
+    EXPECT_GE(hosts().lists, 2);
+    EXPECT_LE(hosts().lists, 1 + passed_ms * share_bytes_per_ms / bytes_155_hosts);
+}
+
+// A wave waited minutes for the next list. An order by the earlier list would be as bad: the host has got
+// another worker, whose runs would be lost.
+TEST_F(narrow_link_test, an_order_waits_for_a_new_list_which_is_requested_at_once)
+{
+    read_first_list();
+    hosts().hosts[0].worker_id = "b";
+    hosts().changed_since_list = true;
+    add_late_wave();
+    run_until([&] { return hosts().orders > 0; });
+    EXPECT_EQ(hosts().orders_by_earlier_list, 0);
+    EXPECT_EQ(hosts().lists, 2);
+}
+
+// A host that was not in the earlier list was left out of its wave, which was then reported as completed.
+TEST_F(narrow_link_test, a_wave_is_not_completed_without_a_host_that_is_new)
+{
+    const std::vector<host_row> later = std::exchange(hosts().hosts, {});
+    read_first_list();
+    hosts().hosts = later;
+    hosts().changed_since_list = true;
+    add_late_wave();
+    run_until([&] { return hosts().orders > 0; });
+    EXPECT_EQ(hosts().orders_by_earlier_list, 0);
+}
+
+// A drain lasts 1.5 s, and the worker got new runs before the next list.
+TEST_F(narrow_link_test, a_drained_worker_stays_closed_between_two_lists)
+{
+    workers->worker.stop_ms = task_ms;  // so that the host cannot be taken
+    submit();
+    run_until([&] { return workers->worker.running.size() == 3; });
+    start_late_wave();
+    run_for(2'500);
+    submit("0000000000000002");
+    run_for(1'000);
+    EXPECT_EQ(workers->worker.running.size(), 3U);
+    EXPECT_LE(hosts().lists, 2);
+}
+
+// A pool that was short waited minutes for a host of the standby pool.
+TEST_F(narrow_link_test, a_pool_that_is_short_does_not_wait_for_the_next_regular_list)
+{
+    constexpr resources capacity{8'000, 64'000, 0};
+    hosts().hosts[0].capacity = capacity;
+    hosts().hosts.push_back(
+        {.name = "spare-host", .pool = "spare", .state = host_row_state::up, .capacity = capacity});
+    hosts().move_outcome = host_result::ok;
+    node.settings.host_orders_per_s = 1;  // one move a turn
+    // Three hosts are wanted for the three tasks, so that one move does not suffice.
+    read_first_list();
+    submit("0000000000000001", 8'000);
+    run_until([&] { return hosts().moves > 0; });
+    EXPECT_LE(hosts().lists, 2);
+}
+
+// Guards against another rhythm of the lists where the rate of the link is not known.
+TEST_F(host_manager_test, each_turn_has_its_list_if_the_link_is_not_known)
+{
+    hosts().list_bytes = 9'000'000;
+    manager = std::make_unique<host_manager>(node, 1);
+    run_until([&] { return hosts().lists == 8; });
+}
+
 }  // namespace
 }  // namespace waxwingnotch
