Let the open starts of an owner fill its link also while they are being stored

Cause: starts are limited to 130 ms of the link, but are open for longer: the append that stores them waits for the link for up to 180 ms, behind the starts before it. Change: 260 ms of the link; appends of progress go before starts up to 260 ms of backlog. A start that still finds no room is known not to be sent.

--- a/src/net/link_budget.cpp
+++ b/src/net/link_budget.cpp
@@ -22,7 +22,7 @@
     std::numeric_limits<std::int32_t>::max(),  // ownership
     180,                                       // orders
     140,                                       // polls
-    180,                                       // journal
+    260,                                       // journal
     140,                                       // jobs
     120,                                       // configuration
     100,                                       // registrations
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -37,7 +37,7 @@
 // An order without an answer is followed by a stop after this time, so a task starts no later than this after
 // its order. What an owner knows must be younger than the bound for starts by that much.
 constexpr std::int64_t order_margin_ms = 400;
-constexpr std::int64_t open_starts_ms = 130;  // of the link; a third of order_margin_ms
+constexpr std::int64_t open_starts_ms = 260;  // of the link; covers the append before, and the wait for the link
 constexpr std::int64_t min_drain_ms = 1'500;  // open connections are served for at least this long
 constexpr std::int64_t kill_margin_ms = 700;  // the process ends this long before the platform kills it
 constexpr std::int64_t drain_check_ms = 100;
