Learn what is newest by a load of the other keys before each read of a large configuration

After each skip the next poll brought an old version. Change: after a large answer, and if a record does not fit, the newest values of the keys behind the configuration's are loaded (here one wave), which also tells the end. The newest value is the last unread record that the load has not returned; it is read by itself. Polls wait for records only once nothing is left to read.

--- a/include/waxwingnotch/store/keyed_follower.hpp
+++ b/include/waxwingnotch/store/keyed_follower.hpp
@@ -27,10 +27,10 @@
     // Size of the answer to a read. A large answer takes a slow host so long that the call times out, and the
     // next answer is larger still.
     std::int64_t max_answer_kb = 64;
-    // Key of which only the newest value matters, as the configuration's. If a record that is due does not
-    // fit an answer, the last one is read instead, and the newest values of the other keys are loaded if
-    // records were skipped. The load leaves out this key, which would cost a second copy, and the keys that
-    // sort before it. Empty: each record is read.
+    // Key of which only the newest value matters, as the configuration's. After an answer that is larger than
+    // `max_answer_kb`, or if a record does not fit one, the newest values of the keys that sort behind this
+    // one are loaded, which also tells the end; then only the newest value of this key is read. Keys that
+    // sort before it are loaded at the start only. Empty: each record is read.
     std::string newest_only_key;
 };
 
@@ -69,10 +69,11 @@
     void on_read_result(const read_result& read);
     bool hand_over(const std::vector<keyed_record>& records);
     void finish_read(const read_result& read);
-    void read_newest_record(std::int64_t end_offset);
-    void on_newest_record(std::int64_t from_offset, const read_result& read);
-    bool repeat_if_failed(const read_result& read);
-    bool newest_record_due(const read_result& read) const;
+    void read_newest_value();
+    void on_newest_value(std::int64_t from_offset, const read_result& read);
+    bool reload_if_expired(const read_result& read);
+    bool catch_up_due(const read_result& read) const;
+    void catch_up();
     void note_size(const keyed_record& record);
 
     event_loop& loop_;
@@ -81,13 +82,17 @@
     handlers handlers_;
     bool first_page_ = true;
     std::int64_t next_offset_ = 0;
-    std::string load_after_;  // the load in progress leaves out the keys up to this one
-    std::int64_t loaded_offset_ =
-        0;  // records of the other keys before it are older than what a load returned
+    std::string load_after_;      // the load in progress leaves out the keys up to this one
+    std::int64_t load_from_ = 0;  // the load in progress hands over records from this offset on
+    // A load has returned the newest records before this offset, but for the keys that it left out.
+    std::int64_t loaded_offset_ = 0;
     std::int64_t end_offset_;
     bool stale_logged_ = false;
-    std::int64_t answer_kb_ = 0;  // size asked for; above the limit while the next record does not fit
-    std::int64_t newest_kb_;      // size asked for to read the newest record
+    std::int64_t answer_kb_ = 0;      // size asked for; above the limit while the next record does not fit
+    std::int64_t newest_kb_;          // size asked for to read the newest value
+    std::int64_t newest_before_ = 0;  // the newest value lies before this offset
+    int newest_reads_ = 0;            // since the load
+    std::set<std::int64_t> loaded_offsets_;  // of the records of the load that have not been read
     std::int64_t complete_until_ms_ = 0;
     std::int64_t known_until_ms_ = 0;
     std::int64_t read_sent_ms_ = 0;      // of the read in flight
--- a/src/store/keyed_follower.cpp
+++ b/src/store/keyed_follower.cpp
@@ -13,6 +13,8 @@
     150;  // after a failed call; several retries fit into the shortest time bound
 constexpr std::int64_t largest_answer_kb = 1'024;  // of the store; any record fits
 constexpr std::int64_t bytes_per_kb = 1'024;
+// Records that were deleted or replaced may lie behind the newest value, and each costs a read.
+constexpr int max_newest_reads = 4;
 
 /// @return size in KB of an answer that holds a later value of the key, but not two of them: those that are
 /// stored while the call waits for the link are left to the next read
@@ -55,8 +57,10 @@
 void keyed_follower::load(std::string after)
 {
     load_after_ = std::move(after);
+    load_from_ = load_after_.empty() ? 0 : std::max(next_offset_, loaded_offset_);
     first_page_ = true;
     loaded_keys_.clear();
+    loaded_offsets_.clear();
     load_page(load_after_);
 }
 
@@ -112,6 +116,12 @@
     for (const keyed_record& record : page.records) {
         loaded_keys_.insert(record.key);
         live_keys_.insert(record.key);
+        if (record.offset >= next_offset_) {
+            loaded_offsets_.insert(record.offset);
+        }
+        if (record.offset >= 0 && record.offset < load_from_) {
+            continue;  // has been handed over
+        }
         note_size(record);
         handlers_.record(record);
         if (!*alive) {
@@ -148,9 +158,16 @@
     if (handlers_.after_read) {
         handlers_.after_read();
     }
-    if (*alive) {
+    if (!*alive) {
+        return;
+    }
+    if (load_after_.empty()) {
         read_next();
+        return;
     }
+    newest_before_ = loaded_offset_;
+    newest_reads_ = 0;
+    read_newest_value();
 }
 
 void keyed_follower::schedule_read(std::int64_t delay_ms)
@@ -177,30 +194,30 @@
     });
 }
 
-/// Loads again if the store has dropped the offset, and reads again if there is no usable answer. @return
-/// whether the answer has failed
-bool keyed_follower::repeat_if_failed(const read_result& read)
+bool keyed_follower::reload_if_expired(const read_result& read)
 {
-    if (read.status == store_status::offset_expired) {
-        log_event(
-            log_level::info, "follow",
-            {{"topic", options_.topic}, {"outcome", "reload"}, {"reason", "the store dropped its history"}});
-        start();
-        return true;
-    }
-    if (read.status != store_status::ok || stale(read.end_offset)) {
-        schedule_read(retry_ms);
-        return true;
+    if (read.status != store_status::offset_expired) {
+        return false;
     }
-    return false;
+    log_event(
+        log_level::info, "follow",
+        {{"topic", options_.topic}, {"outcome", "reload"}, {"reason", "the store dropped its history"}});
+    start();
+    return true;
 }
 
 void keyed_follower::on_read_result(const read_result& read)
 {
-    if (repeat_if_failed(read) || !hand_over(read.records)) {
+    if (reload_if_expired(read)) {
         return;
     }
-    finish_read(read);
+    if (read.status != store_status::ok || stale(read.end_offset)) {
+        schedule_read(retry_ms);
+        return;
+    }
+    if (hand_over(read.records)) {
+        finish_read(read);
+    }
 }
 
 /// @return false if a handler has destroyed this object
@@ -242,8 +259,8 @@
     if (!*alive) {
         return;
     }
-    if (newest_record_due(read)) {
-        read_newest_record(read.end_offset);
+    if (catch_up_due(read)) {
+        catch_up();
         return;
     }
     const bool too_small = read.records.empty() && next_offset_ < read.end_offset;
@@ -253,14 +270,21 @@
     schedule_read(next_offset_ < read.end_offset ? pause_ms : options_.read_interval_ms);
 }
 
-/// Whether the next record did not fit the answer, or the store disregards the size. Records that fit are
-/// read in order.
-bool keyed_follower::newest_record_due(const read_result& read) const
+/// Whether a record was too large, and others may have come since the store began to answer. Some stores hand
+/// over the first record whatever its size. Smaller records are read in order.
+bool keyed_follower::catch_up_due(const read_result& read) const
 {
-    if (options_.newest_only_key.empty() || next_offset_ >= read.end_offset) {
+    if (options_.newest_only_key.empty()) {
         return false;
     }
-    return read.records.empty() || size_of(read.records) > options_.max_answer_kb * bytes_per_kb;
+    const bool too_small = read.records.empty() && next_offset_ < read.end_offset;
+    return too_small || size_of(read.records) > options_.max_answer_kb * bytes_per_kb;
+}
+
+/// Learns the end and the newest values of the other keys, then reads the newest value of the key.
+void keyed_follower::catch_up()
+{
+    load(options_.newest_only_key);
 }
 
 void keyed_follower::note_size(const keyed_record& record)
@@ -270,11 +294,23 @@
     }
 }
 
-/// Reads the last record, whatever its size. It is known to be there, so the read does not wait.
-void keyed_follower::read_newest_record(std::int64_t end_offset)
+/// Reads the last unread record that the load has not returned, which is the newest value of the key unless
+/// it was deleted or replaced. It is known to be there, so the read does not wait.
+void keyed_follower::read_newest_value()
 {
-    read_sent_ms_ = monotonic_ms();
-    const std::int64_t from_offset = end_offset - 1;
+    while (newest_before_ > next_offset_ && loaded_offsets_.contains(newest_before_ - 1)) {
+        --newest_before_;
+    }
+    if (newest_before_ <= next_offset_) {
+        next_offset_ = std::max(next_offset_, loaded_offset_);
+        read_next();
+        return;
+    }
+    if (++newest_reads_ > max_newest_reads) {
+        start();
+        return;
+    }
+    const std::int64_t from_offset = newest_before_ - 1;
     const read_request request{.topic = options_.topic,
                                .partition = options_.partition,
                                .from_offset = from_offset,
@@ -282,36 +318,44 @@
                                .max_kb = newest_kb_};
     store_.read(request, [this, from_offset, alive = alive_](const read_result& read) {
         if (*alive) {
-            on_newest_record(from_offset, read);
+            on_newest_value(from_offset, read);
         }
     });
 }
 
-void keyed_follower::on_newest_record(std::int64_t from_offset, const read_result& read)
+void keyed_follower::on_newest_value(std::int64_t from_offset, const read_result& read)
 {
-    if (repeat_if_failed(read)) {
+    if (reload_if_expired(read)) {
         return;
     }
-    if (read.records.empty() && newest_kb_ < largest_answer_kb) {
-        newest_kb_ = largest_answer_kb;
-        read_newest_record(read.end_offset);
+    const bool usable = read.status == store_status::ok && !stale(read.end_offset);
+    if (!usable || (read.records.empty() && newest_kb_ == largest_answer_kb)) {
+        delay_timer_ = loop_.after(retry_ms, [this] { catch_up(); });
         return;
     }
     if (read.records.empty()) {
-        schedule_read(retry_ms);
+        newest_kb_ = largest_answer_kb;
+        read_newest_value();
         return;
     }
-    const bool skipped = from_offset > next_offset_;
-    const bool newest_known = std::ranges::any_of(
+    const bool found = std::ranges::any_of(
         read.records, [this](const keyed_record& record) { return record.key == options_.newest_only_key; });
-    if (!hand_over(read.records)) {
+    if (!found) {
+        newest_before_ = from_offset;
+        read_newest_value();
         return;
     }
-    if (skipped) {
-        load(newest_known ? options_.newest_only_key : std::string());
-        return;
+    if (from_offset > next_offset_) {
+        log_event(log_level::info, "follow",
+                  {{"topic", options_.topic},
+                   {"outcome", "skip"},
+                   {"reason", "newer records have come"},
+                   {"records", from_offset - next_offset_}});
+    }
+    if (hand_over(read.records)) {
+        next_offset_ = std::max(next_offset_, loaded_offset_);
+        catch_up();
     }
-    finish_read(read);
 }
 
 }  // namespace waxwingnotch
