--- a/include/waxwingnotch/store/keyed_follower.hpp
+++ b/include/waxwingnotch/store/keyed_follower.hpp
@@ -29,8 +29,9 @@
     std::int64_t max_answer_kb = 64;
     // Key of which only the newest value matters, as the configuration's. After an answer that is larger than
     // `max_answer_kb`, or if a record does not fit one, the newest values of the keys that sort behind this
-    // one are loaded, which also tells the end; then only the newest value of this key is read. Keys that
-    // sort before it are loaded at the start only. Empty: each record is read.
+    // one are loaded, which also tells the end; then only the newest value of this key is read. A record of a
+    // key that sorts before it may be missed until the next load of all keys, so the topic must have no such
+    // keys that matter. Empty: each record is read.
     std::string newest_only_key;
 };
 
