--- a/tests/soak/caller_faults.py
+++ b/tests/soak/caller_faults.py
@@ -5,6 +5,7 @@
 from fault_tools import touch
 from nodes import DESCRIPTORS
 
+STORM_GAP_S = 0.33
 
 # operator and callers
 
@@ -49,6 +50,19 @@
     world.publish(random.randint(0, 900))
 
 
+async def big_config(world, random, seconds):
+    """More than a thousand routes come at once; the configuration has 300 KB."""
+    world.publish(random.randint(1100, 1400))
+    await asyncio.sleep(seconds)
+
+
+async def config_storm(world, random, seconds):
+    """Three versions a second, as large as the one before."""
+    for _ in range(max(1, round(seconds / STORM_GAP_S))):
+        world.publish(timeout_ms=random.randint(2800, 3200))
+        await asyncio.sleep(STORM_GAP_S)
+
+
 async def large_jobs(world, random, seconds):
     for _ in range(random.randint(1, 3)):
         steps = [{"count": random.choice([60, 200]), "cpu": 500, "memMb": 128, "estimateMs": 100},
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,7 +1,8 @@
 """The disturbances. Each is a coroutine of the world, its random numbers and its length in seconds; the docstring says
 what it does. START conditions replace the usual start of the nodes."""
-from caller_faults import (cancels, configurations, deadly_job, hasty_clients, hopeless_jobs, large_bodies, large_jobs,
-                           lasting_jobs, many_connections, many_routes, routes_move, services_change)
+from caller_faults import (big_config, cancels, config_storm, configurations, deadly_job, hasty_clients, hopeless_jobs,
+                           large_bodies, large_jobs, lasting_jobs, many_connections, many_routes, routes_move,
+                           services_change)
 from node_faults import (all_killed, all_killed_links_held, apart, idle_leases_last, node_kill, node_pause,
                          node_reload, node_replaced, node_stop, nodes_join, nodes_throttled, reload_at_start,
                          restarted_at_once, stops_in_turn, with_odd_records, with_odd_settings, with_small_files,
@@ -20,7 +21,7 @@
           lasting_jobs, cancels, hasty_clients, many_connections, large_bodies, odd_hosts, store_deals_at_once,
           store_parts_away, store_writes_late, store_revokes, orders_late, orders_unanswered, addresses_reused,
           nodes_join, node_replaced, services_change, links_held, nodes_throttled, all_killed_links_held,
-          deals_in_series, workers_cut, one_way, island, paths_cut]
+          deals_in_series, workers_cut, one_way, island, paths_cut, big_config, config_storm]
 
 STARTS = [apart, without_store, without_configuration, with_odd_settings, restarted_at_once, with_odd_records,
           with_small_files, idle_leases_last]
