Soak: judge CONFIG by what nodes answer for the routes of each version

The soak published versions and did not look at when they came into force. Each version now brings a route of its own, which the next 15 keep; each node is asked for these routes at its front address, five times a second while it is behind and once a second otherwise. A 404 although all versions that may be in force have the route, or an answer although none of them has it, breaks CONFIG: after configApplyMs at nodes in touch, after maxStretchMs more while the store is unstable without having been down or slow or having lost answers, and after rollbackSlackMs at a process that has shown the version already. Changes of the configuration no longer count as disturbances that take nodes out of touch, and a run ends only once all nodes have the newest version or the time is up.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -2,9 +2,15 @@
 product or with the soak; the records are dictionaries with `at` in seconds and `event`:
 
     begin     number, scope                        a disturbance begins. `scope`: "planned" if cancels are judged beside
-                                                   it, "hosts" if `touched` tells which nodes it concerns, else all are
+                                                   it, "hosts" if `touched` tells which nodes it concerns, "config" if it
+                                                   only changes the configuration, "core" if the store is unstable but
+                                                   neither down nor slow and loses no answers, else all are
     fault     number, until, scope                 and has lasted from `at` to `until`
-    touched   node, until                          a disturbance concerns one node, all for None, from `at` to `until`
+    touched   node, until                          a disturbance concerns one node, all for None, from `at` to `until`;
+                                                   `core` if it is one of scope "core"
+    published version, routes                      the store has acknowledged a version; `routes`: the versions whose
+                                                   routes it has
+    probe     node, version, sent, status          answer to a request for the route that came with a version
     lag       seconds                              the soak itself was late
     calm                                           the last disturbance is over
     submit    job, prefix, spec, steps [{count, after, lasting, copies, most}], doomed
@@ -17,7 +23,7 @@
     start     service, node, token, known, spec    the worker's service, who ordered it (None if not known) with which
                                                    fencing token, and whether its checkpoint, if it has one, is one of
                                                    the task
-    start, end      late                           by how much the soak is late at this moment
+    start, end, probe   late                       by how much the soak is late at this moment
     draining  worker                               the store has taken a registration that says so
     lapse, crash             worker
     node_start, node_stop (status, seconds), node_end (status, lines)      node
@@ -26,10 +32,14 @@
 import collections
 import math
 
+from versions import Versions
+
 MAX_ATTEMPTS = 4
 CONTACT_S = 3.0  # contactMs
 CANCEL_S = 3.0  # cancel_ms
-BOUNDS = {"contactMs": 3000, "cancel_ms": 3000, "drainMs": 2000, "stopMs": 200}  # unless the deployment has others
+# Unless the deployment has others.
+BOUNDS = {"contactMs": 3000, "cancel_ms": 3000, "drainMs": 2000, "stopMs": 200, "configApplyMs": 2000,
+          "rollbackSlackMs": 250, "maxStretchMs": 5000}
 TIMER_S = 0.1  # rounding of the soak's own times, besides the lag that it has measured
 COPY_S = 1.0  # a copy may still start for so long after an end was noted
 GRACE_S = 6.0
@@ -84,6 +94,7 @@
         self.cancel_s = bounds["cancel_ms"] / 1000
         self.drain_s = bounds["drainMs"] / 1000
         self.stop_s = bounds["stopMs"] / 1000
+        self.versions = Versions(self, bounds)
         self.draining = {}  # by life of a worker: time of its first registration that says so
         self.touches = collections.defaultdict(list)  # by node, None for all: (since, until)
         self.lags = []  # (at, seconds)
@@ -119,10 +130,15 @@
 
     def in_touch(self, node, at):
         """@return whether neither the node nor all nodes were disturbed since contactMs before `at`"""
+        return not self.touched_between(node, at - self.contact_s, at)
+
+    def touched_between(self, node, begin, end, beside_core=False):
+        """@param beside_core leaves disturbances of the scope "core" out"""
         rows = self.touches[node] + self.touches[None] + self.by_scope["all"]
         if node is None:  # not known, so none of them may have been disturbed
             rows = [row for touches in self.touches.values() for row in touches] + self.by_scope["all"]
-        return not any(since <= at and until >= at - self.contact_s for since, until in rows)
+        rows = rows if beside_core else rows + self.by_scope["core"]
+        return any(since <= end and until >= begin for since, until in rows)
 
     def judges_touch(self, record):
         """@return whether it matters for this start which node has ordered it"""
@@ -140,7 +156,8 @@
         return not any(since <= end and until >= begin for since, until in self.unplanned())
 
     def unplanned(self):
-        return [row for rows in (self.by_scope["all"], self.by_scope["hosts"], *self.touches.values()) for row in rows]
+        scopes = [rows for scope, rows in self.by_scope.items() if scope != "planned"]
+        return [row for rows in (*scopes, *self.touches.values()) for row in rows]
 
     def see_begin(self, record):
         if "number" in record:
@@ -158,7 +175,8 @@
             row[1] = record["until"]
 
     def see_touched(self, record):
-        self.touches[record["node"]].append((record["at"], record["until"]))
+        rows = self.by_scope["core"] if record.get("core") else self.touches[record["node"]]
+        rows.append((record["at"], record["until"]))
 
     def see_lag(self, record):
         self.lags.append((record["at"], record["seconds"]))
@@ -350,9 +368,18 @@
                     del task.running[worker, run]
                     self.jobs[name.split(".")[0]].crashed = True
 
+    # configuration
+
+    def see_published(self, record):
+        self.versions.publish(record)
+
+    def see_probe(self, record):
+        self.versions.probe(record)
+
     # processes
 
     def see_node_start(self, record):
+        self.versions.start(record)
         self.ready[record["node"]] = record["at"]
         self.touches[record["node"]].append((record["at"], record["at"]))
 
--- a/tests/soak/fault_tools.py
+++ b/tests/soak/fault_tools.py
@@ -4,12 +4,15 @@
 SETTLE_S = 1.0  # after a disturbance, until what it has held up is through
 
 
-def touch(world, nodes, seconds):
-    """Marks nodes, or all of them for None, as disturbed for so long."""
+def touch(world, nodes, seconds, core=False):
+    """Marks nodes, or all of them for None, as disturbed for so long.
+    @param core the store is unstable, but neither down nor slow, and loses no answers"""
     until = world.now() + seconds + SETTLE_S
     for node in nodes or []:
         node.touched = max(node.touched, until)
-    if nodes is None:
+    if core:
+        world.disturb_core(until)
+    elif nodes is None:
         world.disturbed_until = max(world.disturbed_until, until)
 
 
--- a/tests/soak/platform_faults.py
+++ b/tests/soak/platform_faults.py
@@ -54,13 +54,13 @@
 
 
 async def store_forgets(world, random, seconds):
-    touch(world, None, 0)
+    touch(world, None, 0, core=True)
     world.store.drop_history()
 
 
 async def store_deals_anew(world, random, seconds):
     for _ in range(random.randint(1, 3)):
-        touch(world, None, 0)
+        touch(world, None, 0, core=True)
         world.store.deal_anew()
         await asyncio.sleep(seconds / 3)
 
@@ -68,7 +68,7 @@
 async def store_deals_at_once(world, random, seconds):
     """All partitions go to other members before their holders have given them back."""
     for _ in range(random.randint(1, 6)):
-        touch(world, None, 0)
+        touch(world, None, 0, core=True)
         world.store.deal_at_once()
         await asyncio.sleep(random.uniform(0.02, seconds / 2))
 
@@ -77,7 +77,7 @@
     """Tens of generations of the group in a minute, while starts are under way."""
     end = world.now() + 4 * seconds
     while world.now() < end:
-        touch(world, None, 2)
+        touch(world, None, 2, core=True)
         if random.random() < 0.3:
             world.store.deal_anew()
         else:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,6 +12,7 @@
 from grown_faults import GrownStore, GrownWorker, Shares, WatchedStore, owner_of_connection
 from nodes import Node
 from users_platform import HostService, PolicyService, call
+from version_probes import MarkedRoutes, VersionProbe, probe_prefix
 
 SERVICES = {"lineplan": 8, "syrupworks": 9, "labelhouse": 11, "dockside": 12, "backoffice": 8}
 STANDBY = "backoffice"
@@ -106,6 +107,8 @@
         self.spares = self.all_nodes[node_count:]  # those that join later
         self.tasks.node_names = {node.ip: node.name for node in self.all_nodes}
         self.version = 0
+        self.host = HOST
+        self.marked_routes = MarkedRoutes()
         self.extra_routes = 0
         self.extra_services = set()
         self.leads = {name: name for name in SERVICES if name != STANDBY}  # by prefix: service, or None
@@ -130,6 +133,11 @@
         self._disturbed_until = until
         self.notice("touched", node=None, until=round(until, 3))
 
+    def disturb_core(self, until):
+        """As `disturbed_until`, for a store that is neither down nor slow and loses no answers."""
+        self._disturbed_until = max(self._disturbed_until, until)
+        self.notice("touched", node=None, until=round(until, 3), core=True)
+
     def on_registry_read(self, number, begin, count):
         self.notice("registry_read", node=self.all_nodes[number].name, begin=begin, count=count)
 
@@ -138,7 +146,7 @@
 
     def notice(self, event, **fields):
         record = {"at": round(self.now(), 4), "event": event, **fields}
-        if event in ("start", "end"):
+        if event in ("start", "end", "probe"):
             record["late"] = round(self.under_way_lag(), 3)
         if event == "start":
             # A lease that has run out ends its runs before anything else is seen, even if this loop is late.
@@ -184,10 +192,14 @@
 
     def publish(self, extra_routes=None, timeout_ms=3000):
         self.version += self.random.randint(1, 5)
+        self.marked_routes.add(self.version)
         self.extra_routes = self.extra_routes if extra_routes is None else extra_routes
         names = [(f"q-{name}" if service == name else f"q-{name}-{service}", f"/{name}/", service)
                  for name, service in self.leads.items() if service]
         names += [(f"extra-{number}", f"/extra{number}/", "dockside") for number in range(self.extra_routes)]
+        lasting = [name for name in SERVICES if name != STANDBY]
+        names += [(f"since-{version}", probe_prefix(version), lasting[version % len(lasting)])
+                  for version in self.marked_routes.kept]
         routes = [{"name": name, "host": HOST, "pathPrefix": prefix, "kind": "non_idempotent",
                    "timeoutMs": timeout_ms, "completionTargetMs": 600, "priority": 0, "service": service,
                    "maxAttempts": 4, "stretch": 1.6} for name, prefix, service in names]
@@ -197,10 +209,11 @@
         for prefix, service in self.leads.items():
             if service:
                 self.notice("route", prefix=prefix, service=service)
-        self.store.put("keyed.op", 0, [(b"config", dump({
-            "version": self.version, "routes": routes, "services": services,
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
-                       "idleTimeoutMs": 15000}}))])
+        content = dump({"version": self.version, "routes": routes, "services": services,
+                        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
+                                   "idleTimeoutMs": 15000}})
+        self.notice("published", version=self.version, routes=list(self.marked_routes.kept), bytes=len(content))
+        self.store.put("keyed.op", 0, [(b"config", content)])
 
     def on_order(self, order_call, order, headers):
         worker = next((one for one in self.workers if self.machine(one) == order["machine"]), None)
@@ -263,6 +276,7 @@
             self.nodes.append(node)
             node.start()
             self.spawn(node.watch())
+            self.spawn(VersionProbe(self, node).run())
             self.spawn(self.keep_using(node, pipelined=False))
 
     def under_way_lag(self):
@@ -395,10 +409,12 @@
     # end
 
     async def finish(self):
-        """Waits until everything is served, then asks for each job once more."""
+        """Waits until everything is served and all nodes have the newest configuration, then asks for each job once
+        more."""
         self.notice("calm")
         begin = self.now()
-        while self.now() - begin < FINISH_S and self.checker.left():
+        while self.now() - begin < FINISH_S and (
+                self.checker.left() or self.checker.versions.behind([node.name for node in self.nodes])):
             await asyncio.sleep(0.25)
         known = len(self.checker.broken)
         self.checker.close(self.now())
