Soak: carry the traffic to workers over the node's narrow link

A worker's server now takes the link from the address that the node calls, which is one per node, and delays what it receives and sends by what that link has to carry; no further sockets or processes. Calls that fall due at the same moment had no order in the event loop, so a delayed pipe could swap bytes; they are kept in turn.

--- a/tests/soak/faulty_platform.py
+++ b/tests/soak/faulty_platform.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import math
 import os
 import sys
 
@@ -82,7 +83,8 @@
             self.relay.holding.add(self)
             return
         loop = asyncio.get_running_loop()
-        self.due = max(self.due, loop.time() + self.relay.delay_s)
+        # The loop keeps no order among calls at the same time.
+        self.due = max(math.nextafter(self.due, math.inf), loop.time() + self.relay.delay_s)
         if self.due > loop.time():
             loop.call_at(self.due, self.pass_on, data)
         else:
--- a/tests/soak/grown_faults.py
+++ b/tests/soak/grown_faults.py
@@ -12,7 +12,8 @@
 import time
 
 from fault_tools import some, taken
-from faulty_platform import BEAT_S, WORKER_IP, Pipe, Relay, SoakStore, SoakWorker
+from faulty_platform import BEAT_S, WORKER_IP, SoakStore, SoakWorker
+from narrow_links import serve_narrow
 from users_platform import HttpServer, dump
 
 SO_BINDTODEVICE = getattr(socket, "SO_BINDTODEVICE", 25)
@@ -44,33 +45,6 @@
         return True
 
 
-class NarrowPipe(Pipe):
-    """One side of a connection over a link of limited rate, which all connections of the host share."""
-
-    def data_received(self, data):
-        if self.other:
-            link = self.relay.links[self.direction]
-            now = time.monotonic()
-            link[0] = max(now, link[0]) + len(data) / self.relay.bytes_per_s
-            link[1] += len(data)
-            link[2] = max(link[2], link[0] - now)
-            self.due = max(self.due, asyncio.get_running_loop().time() + link[0] - now)
-        super().data_received(data)
-
-
-class NarrowRelay(Relay):
-    """A relay over a host's link."""
-
-    pipe = NarrowPipe
-
-    def __init__(self, bytes_per_s, target="", links=None):
-        """@param links those of another relay of the same host"""
-        super().__init__(target)
-        self.bytes_per_s = bytes_per_s
-        # [free at, bytes, longest wait] for each direction
-        self.links = links or {name: [0.0, 0, 0.0] for name in ("forth", "back")}
-
-
 class WatchedStore(SoakStore):
     """The store, which tells of each registration that says `draining`."""
 
@@ -161,6 +135,7 @@
         super().__init__(handler)
         self.sources = sources
         self.avoid = set()  # ports of nodes, which may not listen yet
+        self.links = {}  # link of each narrow node by the address at which it reaches this server
 
     async def listen(self, ip, port=0):
         while True:
@@ -170,7 +145,7 @@
             if listener.getsockname()[1] not in self.avoid:
                 break
             listener.close()
-        self.server = await asyncio.start_server(self.serve, sock=listener)
+        self.server = await serve_narrow(self.serve, listener, self.links)
         self.address = f"{WORKER_IP}:{listener.getsockname()[1]}"
         return self.address
 
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -10,7 +10,7 @@
 import time
 
 from faulty_platform import ROOT, SALT, WORKER_IP, Relay
-from grown_faults import NarrowRelay
+from narrow_links import NarrowRelay, host_links
 from users_platform import call, free_port
 
 PROGRAM = os.path.join(os.environ.get("BUILD_DIR", os.path.join(ROOT, "build")), "waxwingnotch")
@@ -43,7 +43,7 @@
     platform: dict = dataclasses.field(default_factory=dict)  # the store's figures that differ from those in settings()
     services: dict = dataclasses.field(default_factory=dict)  # workers of each, where they are not the usual ones
     grown: bool = False
-    link_mbps: float = 0.0  # of each host; limits what it exchanges with the store. 0: no limit
+    link_mbps: float = 0.0  # of each host, shared by store, other nodes and workers. 0: no limit
 
     def all_bounds(self):
         return {**BOUNDS, **self.bounds}
@@ -97,7 +97,8 @@
         self.worker_ip = f"127.{129 + number}.{SALT}.1"
         self.listen = {name: f"{self.ip}:{free_port(self.ip)}" for name in ("front", "ready", "control")}
         mbps = world.deployment.link_mbps
-        self.store_link = NarrowRelay(mbps * 125_000) if mbps else Relay()  # between this node and the store
+        self.links = host_links(mbps * 125_000) if mbps else None
+        self.store_link = NarrowRelay(self.links) if mbps else Relay()  # between this node and the store
         self.peer_links = {}  # number of another node: relay to it
         self.limits = limit_process
         self.extra = {}  # settings that a fault changes or adds
@@ -122,16 +123,14 @@
     async def connect(self):
         self.store_link.target = await self.world.store.add_front(self.number, self.rewrite_out, self.rewrite_in)
         await self.store_link.listen("127.0.0.1")
-        narrow = self.world.deployment.link_mbps > 0
-        if narrow or len(self.world.all_nodes) <= SEEN_THROUGH_RELAYS:
+        if self.links or len(self.world.all_nodes) <= SEEN_THROUGH_RELAYS:
             for other in self.world.all_nodes:
                 if other is not self:
-                    relay = Relay(other.listen["control"])
-                    if narrow:
-                        relay = NarrowRelay(self.store_link.bytes_per_s, other.listen["control"], self.store_link.links)
+                    target = other.listen["control"]
+                    relay = NarrowRelay(self.links, target) if self.links else Relay(target)
                     self.peer_links[other.number] = relay
                     await relay.listen(f"127.{101 + self.number}.{SALT}.{100 + other.number}",
-                                       int(other.listen["control"].rsplit(":", 1)[1]))
+                                       int(target.rsplit(":", 1)[1]))
 
     def rewrite_out(self, content):
         """What the store tells this node, with the addresses of the relays to the others and to the workers."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -262,6 +262,7 @@
                 if self.deployment.grown:
                     worker.http.avoid = {int(address.rsplit(":", 1)[1]) for node in self.all_nodes
                                          for address in node.listen.values()}
+                    worker.http.links.update({node.worker_ip: node.links for node in self.all_nodes if node.links})
                 await worker.start()
                 self.workers.append(worker)
                 number += 1
@@ -436,9 +437,9 @@
             self.notice("store_calls", per_s={name: round(count / seconds, 1)
                                               for name, count in self.store.calls.items()},
                         refused=dict(self.store.refused))
-            links = {node.name: [round(link[1] / seconds), round(link[2], 3)] for node in self.all_nodes
-                     if hasattr(node.store_link, "links") for link in [node.store_link.links["back"]]}
-            self.notice("links", from_store=links)  # bytes a second, longest wait in seconds
+            # Bytes a second and the longest wait in seconds, of what the node sends and receives.
+            self.notice("links", nodes={node.name: [value for link in node.links.values() for value in (
+                round(link.bytes / seconds), round(link.longest_wait_s, 3))] for node in self.all_nodes if node.links})
             print(f"  store calls a second {dict((n, round(c / seconds)) for n, c in self.store.calls.items())}, "
                   f"refused {dict(self.store.refused)}", flush=True)
 
