Soak: translate addresses in what one node passes on to another

Where nodes see one another through relays, each knows the others and the workers by addresses of its own. The relays between nodes now translate; pages of log-newest, whose values are in base64, stay as they were.

--- a/tests/soak/narrow_links.py
+++ b/tests/soak/narrow_links.py
@@ -3,7 +3,8 @@
 import math
 import time
 
-from faulty_platform import Pipe, Relay
+from address_views import ViewPipe
+from faulty_platform import Relay
 
 
 class Link:
@@ -29,7 +30,7 @@
     return {"forth": Link(bytes_per_s), "back": Link(bytes_per_s)}
 
 
-class NarrowPipe(Pipe):
+class NarrowPipe(ViewPipe):
     """One side of a relayed connection over a host's link."""
 
     def data_received(self, data):
@@ -44,9 +45,11 @@
 
     pipe = NarrowPipe
 
-    def __init__(self, links, target=""):
+    def __init__(self, links, target="", views=None):
+        """@param views the numbers of the nodes that the relay connects, None if it leads to the store"""
         super().__init__(target)
         self.links = links
+        self.views = views
 
 
 class InTurn:
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -9,6 +9,7 @@
 import subprocess
 import time
 
+from address_views import PeerRelay
 from faulty_platform import ROOT, SALT, WORKER_IP, Relay
 from narrow_links import NarrowRelay, host_links
 from users_platform import call, free_port
@@ -127,7 +128,8 @@
             for other in self.world.all_nodes:
                 if other is not self:
                     target = other.listen["control"]
-                    relay = NarrowRelay(self.links, target) if self.links else Relay(target)
+                    relay = NarrowRelay(self.links, target, (self.number, other.number)) if self.links else \
+                        PeerRelay(target, self.number, other.number)
                     self.peer_links[other.number] = relay
                     await relay.listen(f"127.{101 + self.number}.{SALT}.{100 + other.number}",
                                        int(target.rsplit(":", 1)[1]))
