--- a/tests/soak/faulty_platform.py
+++ b/tests/soak/faulty_platform.py
@@ -357,6 +357,9 @@
             self.store.put("keyed.servers", 0, [(self.id.encode(), None)])
 
     async def handle(self, method, path, query, headers, body):
+        if not self.alive:
+            return None  # a connection that was accepted in the moment of the crash
+
         async def carry_out():
             # Nothing else runs between here and the start or stop.
             self.order, self.sender = json.loads(body) if body else {}, headers[":peer"]
