--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -15,7 +15,6 @@
         self.index = {}  # version: its place in `published`
         self.started = {}  # node: start of its process
         self.shown = {}  # node: (place of the newest version that its process has shown, since)
-        self.delays = {}  # (node, version): seconds from the acknowledgement to the first probe that shows it
 
     def publish(self, record):
         self.index[record["version"]] = len(self.published)
@@ -31,6 +30,7 @@
             return  # of the process before
         if record["status"] == 404:
             self.judge(record, "refuses", lambda routes: record["version"] in routes)
+            self.note_refused(record)
         elif 200 <= record["status"] < 300:
             self.judge(record, "still has", lambda routes: record["version"] not in routes)
             self.note_shown(record)
@@ -74,11 +74,14 @@
         place = self.index[version]
         if place > self.shown.get(node, (-1, 0.0))[0]:
             self.shown[node] = place, record["at"]
-        begin = self.published[place][0]
-        if (node, version) not in self.delays and begin > self.started.get(node, 0.0):
-            self.delays[node, version] = delay_s = record["sent"] - begin
-            if not self.checker.touched_between(node, begin - self.checker.contact_s, record["sent"]):
-                self.checker.peaks["config_s"] = max(self.checker.peaks["config_s"], delay_s)
+
+    def note_refused(self, record):
+        """Keeps the longest time for which a version was not in force at a node that was in touch all the while."""
+        place = self.index[record["version"]]
+        begin, sent = self.published[place][0], record["sent"]
+        if self.all_contradict(place, record["at"], lambda routes: record["version"] in routes) and \
+                not self.checker.touched_between(record["node"], begin - self.checker.contact_s, sent):
+            self.checker.peaks["config_s"] = max(self.checker.peaks["config_s"], sent - begin)
 
     def behind(self, nodes):
         """@return those of the nodes that have not shown the newest version"""
