Soak: pass on what a narrow link carries in pieces of 8 KB

The relays read up to 256 KB at once and passed them on when the last byte was through, so that a node saw no byte of a configuration for a second and took the answer for one without progress.

--- a/tests/soak/narrow_links.py
+++ b/tests/soak/narrow_links.py
@@ -6,6 +6,8 @@
 from address_views import ViewPipe
 from faulty_platform import Relay
 
+PIECE_BYTES = 8_192  # passed on at once; an answer that arrives as a whole shows no progress before its end
+
 
 class Link:
     """One direction of a host's link."""
@@ -33,6 +35,10 @@
 class NarrowPipe(ViewPipe):
     """One side of a relayed connection over a host's link."""
 
+    def connection_made(self, transport):
+        transport.max_size = PIECE_BYTES  # most that the loop reads at once, 256 KB by default
+        super().connection_made(transport)
+
     def data_received(self, data):
         if self.other:
             delay_s = self.relay.links[self.direction].carry(len(data))
@@ -78,7 +84,9 @@
         return getattr(self.transport, name)
 
     def write(self, data):
-        self.turn.send(len(data), self.pass_on, data)
+        for begin in range(0, len(data), PIECE_BYTES):
+            piece = data[begin:begin + PIECE_BYTES]
+            self.turn.send(len(piece), self.pass_on, piece)
 
     def pass_on(self, data):
         if not self.transport.is_closing():
