Pass the starts of a job on through another node as one batch

On hosts with links of 2 Mbit/s jobs waited long for their first start: the owner of a shard sent 1.2 kB with each start of a task, most of it the job's payload, and its uplink was full while the other hosts used 8 %.

Cause: each start order carries the payload, and all of them leave from one host, the owner.

Change: starts of one job that are ordered in one round go as one batch, with the payload once, to another node, which sends them to the workers and returns the outcomes (src/node/start_relay, internal call /worker/starts). Only hosts below 5 Mbit/s do so, while their link has something to carry; the nodes take turns. A batch names its last moment on the clock of the node that passes it on, so a batch that is held up starts nothing late. Starts without an outcome count as unanswered; those that were certainly not sent go straight to the workers within the 150 ms of any start. While another node takes batches three times as many starts may be open. run_start says whether a start was relayed.

shard_test 263, node_test 30 and adapter_test 32 tests pass.

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -193,6 +193,8 @@
     void set_ownership_confirmed(std::int64_t sent_ms) { ownership_confirmed_ms_ = sent_ms; }
     /// @param until_ms no lease is renewed later
     void set_renew_until(std::int64_t until_ms) { renew_until_ms_ = until_ms; }
+    /// Changes shard_options::max_open_start_bytes. Starts that are open already go on.
+    void set_max_open_start_bytes(std::int64_t bytes) { options_.max_open_start_bytes = bytes; }
     /// Applies ends that a previous owner has read and could not store. Ignores runs that are not active.
     /// @return the number of ends that were applied
     std::size_t report_ends(const std::vector<ended_row>& ends, std::int64_t now_ms);
--- a/include/waxwingnotch/shard/shard_effects.hpp
+++ b/include/waxwingnotch/shard/shard_effects.hpp
@@ -5,7 +5,9 @@
 
 #include "waxwingnotch/shard/worker_api.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -24,7 +26,15 @@
 struct start_effect {
     worker_target worker;
     start_order order;
+    std::int64_t life_ms = 0;  // start of the worker's process; a node that knows another one sends nothing
 };
+constexpr std::size_t start_overhead_bytes = 450;  // of a start beside the payload: the call and its answer
+/// Starts of tasks of one job, all with the same payload.
+using start_batch = std::vector<start_effect>;
+/// Outcomes of the starts of a batch, in its order. Nothing: the start was certainly not sent to its worker.
+using batch_outcomes = std::vector<std::optional<order_result>>;
+using batch_handler = std::function<void(const batch_outcomes&)>;
+
 struct stop_effect {
     worker_target worker;
     stop_order order;
--- a/include/waxwingnotch/shard/shard_owner.hpp
+++ b/include/waxwingnotch/shard/shard_owner.hpp
@@ -61,6 +61,11 @@
         std::function<void(const relay_route& route, const worker_target& worker, const stop_order& order,
                            worker_api::handler<order_answer> done)>
             relay_stop;
+        /// Sends starts of one job through another node. @return false if this does not pay or no other node
+        /// is known to do it: then nothing was sent, and @p done is not called. Empty: never.
+        std::function<bool(const start_batch& batch, batch_handler done)> relay_starts = nullptr;
+        /// Tells what shard_options::max_open_start_bytes is now. Empty: it stays as it is.
+        std::function<std::int64_t()> open_start_limit = nullptr;
         /// As shard_group::renew_until_ms(). Empty: no limit.
         std::function<std::int64_t()> renew_until = nullptr;
         /// Called once, when the shard is loaded: this owner's claim is stored and the newest. May be null.
@@ -121,6 +126,10 @@
     void pump_soon();  // calls pump() from the loop, at most once per 4 ms
     void execute(shard_effects& effects);
     void send_starts(shard_effects& effects);
+    void send_batch(const start_batch& batch);
+    void send_start(const start_effect& effect);
+    void on_start(const start_effect& effect, const order_answer& answer);
+    void on_batch(const start_batch& batch, const batch_outcomes& outcomes, std::int64_t sent_ms);
     void send_stop(const stop_effect& effect);
     void send_poll(const poll_effect& effect);
     void send_forwards(shard_effects& effects);
--- a/include/waxwingnotch/shard/worker_api.hpp
+++ b/include/waxwingnotch/shard/worker_api.hpp
@@ -53,6 +53,10 @@
     std::string address;
 };
 
+/// An order must not be carried out later than an owner has allowed for, so it does not wait longer than this
+/// for the link.
+constexpr std::int64_t order_max_wait_ms = 150;
+
 struct start_order {
     std::string task;
     std::uint32_t run = 0;
@@ -61,6 +65,10 @@
     std::int64_t fencing_token = 0;
     std::string checkpoint;  // empty: from the beginning
     std::string ticket;      // empty: the queue needs none
+    // For an order that has been under way before: what is left of `order_max_wait_ms`, and the timeout from
+    // the sending. 0: as any order.
+    std::int64_t max_wait_ms = 0;
+    std::int64_t timeout_ms = 0;
 };
 
 struct stop_order {
@@ -78,6 +86,7 @@
 
 struct order_answer {
     order_result outcome = order_result::no_answer;
+    bool relayed = false;  // came through another node
 };
 
 /// Renews the lease of all runs on a worker, acknowledges ends and requests the lists of active and ended
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -282,6 +282,10 @@
         handle_shard(exchange);
         return;
     }
+    if (path == relayed_starts_path) {
+        node_.starts.pass_on(exchange);
+        return;
+    }
     if (path == relayed_poll_path || path == relayed_stop_path) {
         relay_to_worker(node_, exchange);
         return;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -31,10 +31,10 @@
 constexpr std::int64_t registry_poll_ms = 250;
 // Longer than a takeover, shorter than the time until a silent worker is unregistered.
 constexpr std::int64_t worker_lease_ms = 4'000;
-// An order without an answer is followed by a stop after this time, so a task starts no later than this after
-// its order. What an owner knows must be younger than the bound for starts by that much.
-constexpr std::int64_t order_margin_ms = 400;
 constexpr std::int64_t open_starts_ms = 130;  // of the link; a third of order_margin_ms
+// Times as many starts may be open while another node passes them on: one of these takes 180 to 200 bytes of
+// the link, one that goes straight 1,250.
+constexpr std::int64_t relayed_starts_factor = 3;
 constexpr std::int64_t min_drain_ms = 1'500;  // open connections are served for at least this long
 constexpr std::int64_t kill_margin_ms = 700;  // the process ends this long before the platform kills it
 constexpr std::int64_t drain_check_ms = 100;
@@ -442,6 +442,16 @@
                    worker_api::handler<order_answer> done) {
                 relay_stop(state_, route, worker, order, std::move(done));
             },
+            start_relay::useful_for(state_.settings.link_kbps)
+                ? [this](const start_batch& batch,
+                         batch_handler done) { return state_.starts.send(batch, std::move(done)); }
+                : std::function<bool(const start_batch&, batch_handler)>(),
+            start_relay::useful_for(state_.settings.link_kbps)
+                ? [this] {
+                      const std::int64_t direct = open_start_bytes(state_.settings.link_kbps);
+                      return state_.starts.available() ? relayed_starts_factor * direct : direct;
+                  }
+                : std::function<std::int64_t()>(),
             [this] { return state_.group->renew_until_ms(); },
             // Nodes that hold the shard in one generation have one epoch, which is the token; only the one
             // whose claim is stored may act.
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "node/process_watch.hpp"
+#include "node/start_relay.hpp"
 
 #include "waxwingnotch/base/counters.hpp"
 #include "waxwingnotch/decision/burst_reserve.hpp"
@@ -48,6 +49,7 @@
     std::unique_ptr<service_shards> shards_of_services;
     std::unique_ptr<store_upgrade> upgrade;  // finds the jobs that earlier versions have stored
     std::unique_ptr<worker_api> workers;
+    start_relay starts{*this};
     std::unique_ptr<advice_api> advice;
     std::unique_ptr<host_api> hosts;
     metrics counters;
@@ -143,6 +145,9 @@
 void call_owner(node_state& node, const http_call& call, answer_handler done);
 
 constexpr std::int64_t peer_timeout_ms = 500;  // one call to another node
+// An order without an answer is followed by a stop after this time, so a task starts no later than this after
+// its order. What an owner knows must be younger than the bound for starts by that much.
+constexpr std::int64_t order_margin_ms = 400;
 
 /// Sends a call without an answer of interest to another node.
 /// @param done receives true if the peer answered with status 200
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -444,7 +444,8 @@
         starts_.push_back(
             {worker.target(),
              {run->task, run->number, occurrence.job->spec.payload, run->lease_until_ms, token_of(worker),
-              occurrence.progress.steps[run->step][run->index].checkpoint, ticket}});
+              occurrence.progress.steps[run->step][run->index].checkpoint, ticket},
+             worker.entry.started_ms});
     }
 }
 
@@ -469,6 +470,7 @@
                {"worker", worker_id},
                {"token", order.fencing_token},
                {"outcome", to_string(answer.outcome)},
+               {"relayed", answer.relayed},
                {"waited_ms", run.ordered_ms - run.occurrence->due_ms}});
     switch (answer.outcome) {
     case order_result::ok:
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -16,8 +16,7 @@
 constexpr std::int64_t min_copy_delay_ms = 600;  // and not before
 constexpr std::int64_t ranking_valid_ms = 500;   // learned run times change by a few percent meanwhile
 constexpr double max_waiting_cpu_ms = 1e15;      // of one occurrence; the sum over all stays within 64 bits
-constexpr std::int64_t start_overhead_bytes = 450;  // of a start beside the payload: the call and its answer
-constexpr std::int64_t default_task_ms = 500;       // expected run time of a task without an estimate
+constexpr std::int64_t default_task_ms = 500;    // expected run time of a task without an estimate
 
 }  // namespace
 
@@ -162,7 +161,7 @@
     for (const auto& [key, run] : runs_) {
         if (run->stage == run_stage::writing || run->stage == run_stage::starting) {
             bytes +=
-                static_cast<std::int64_t>(run->occurrence->job->spec.payload.size()) + start_overhead_bytes;
+                static_cast<std::int64_t>(run->occurrence->job->spec.payload.size() + start_overhead_bytes);
         }
     }
     return bytes;
@@ -332,7 +331,7 @@
     writing_[run.batch].push_back(run.key());
     view.reserve(occurrence, occurrence.step(step));
     start_bytes_left_ -=
-        static_cast<std::int64_t>(occurrence.job->spec.payload.size()) + start_overhead_bytes;
+        static_cast<std::int64_t>(occurrence.job->spec.payload.size() + start_overhead_bytes);
     occurrence.job->started = true;
     mark_changed(occurrence);
     return true;
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -390,6 +390,9 @@
         end_ownership("a worker has seen the token of a newer owner");
         return;
     }
+    if (parts_.open_start_limit) {
+        core_.set_max_open_start_bytes(parts_.open_start_limit());
+    }
     shard_effects effects = core_.take_effects(monotonic_ms());
     execute(effects);
 }
