--- a/include/waxwingnotch/net/http_client.hpp
+++ b/include/waxwingnotch/net/http_client.hpp
@@ -37,7 +37,9 @@
     std::int64_t max_extension_ms = 0;
     bool reuse_connection = false;  // may use a kept-alive connection; otherwise sends Connection: close
     traffic_class traffic = traffic_class::other;  // what its bytes count as
-    std::int64_t max_wait_ms = 0;  // longest wait for room on the link; 0: as long as it takes
+    // Longest wait for room on the link; it is part of the timeout. 0: as long as it takes for lists, the
+    // progress and jobs of shards, registrations and the configuration, else as long as the timeout.
+    std::int64_t max_wait_ms = 0;
 };
 
 /// How a call ended.
@@ -135,6 +137,8 @@
     link_budget* budget_ = nullptr;   // null: no call waits
     std::array<std::deque<waiting_call>, traffic_class_count> waiting_;
     std::set<call_id> waiting_ids_;
+    // By class: when a call went in spite of the backlog.
+    std::array<std::int64_t, traffic_class_count> long_wait_ended_ms_{};
     timer waiting_timer_;
     call_id next_id_ = 1;
     std::map<call_id, std::shared_ptr<pending_call>> pending_;
--- a/include/waxwingnotch/net/link_budget.hpp
+++ b/include/waxwingnotch/net/link_budget.hpp
@@ -26,8 +26,7 @@
 
     bool limited() const { return bytes_per_ms_ > 0; }
     /// Whether a call may be sent now.
-    /// @param waited_ms how long it has waited. Calls that have waited are admitted a little earlier, so that
-    ///        no class waits for ever.
+    /// @param waited_ms how long it has waited. Calls that have waited are admitted a little earlier.
     bool admits(traffic_class what, std::int64_t waited_ms, std::int64_t now_ms) const;
 
     /// Adds the expected answer of a call that is sent now. @return its bytes, by the earlier ones of the
@@ -40,6 +39,9 @@
     /// @param expected what expect_answer() returned
     void on_answer(traffic_class what, std::size_t expected, std::size_t received, std::int64_t now_ms);
 
+    /// The call was refused without an answer: nothing of what was expected will come.
+    void on_refused(traffic_class what, std::size_t expected, std::int64_t now_ms);
+
     /// @return how long the fuller direction needs for what it has been given, without answers in bulk, in ms
     std::int64_t backlog_ms(std::int64_t now_ms) const;
     /// @return the same with answers in bulk: how late an answer may be because of this host's link
--- a/include/waxwingnotch/net/traffic.hpp
+++ b/include/waxwingnotch/net/traffic.hpp
@@ -28,6 +28,8 @@
 };
 inline constexpr std::size_t traffic_class_count = 12;
 const char* to_string(traffic_class what);
+/// @return the class with this name; `other` if there is none
+traffic_class traffic_class_named(std::string_view name);
 
 /// Bytes since the start of the process.
 struct traffic_bytes {
--- a/include/waxwingnotch/store/transport.hpp
+++ b/include/waxwingnotch/store/transport.hpp
@@ -52,6 +52,7 @@
     static constexpr const char* relay_target = "Relay-Target";  // header: method and path
     static constexpr const char* relay_timeout = "Relay-Timeout";  // header, ms
     static constexpr const char* relay_wait = "Relay-Wait";        // header, ms
+    static constexpr const char* relay_class = "Relay-Class";      // header: name of the traffic class
 
 private:
     struct pending_send;
@@ -63,6 +64,7 @@
     void finish(const pending_ptr& send, const http_answer& answer);
     call_id send_via_peer(const store_call& call, const std::string& peer, answer_handler done);
     bool arriving(pending_send& send) const;
+    bool in_progress(const pending_send& send) const;
     void expire_later(const pending_ptr& send, std::int64_t delay_ms);
     void probe(const store_call& call);
     void note_result(const store_route& route, const std::string& address, std::int64_t earliest_ms,
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -22,6 +22,13 @@
 // Per address. A burst of parallel calls, as at the takeover of several shards, would leave its connections
 // open for good, and with them the descriptors that callers need.
 constexpr std::size_t max_idle_connections = 8;
+constexpr std::size_t head_bytes = 150;  // of a call, beside its path and body
+// A call that has waited for so long goes in spite of the backlog, one of its class at a time and no sooner
+// than the pause after the one before: else a class that is always ready would hold up the ones behind it for
+// ever.
+constexpr std::int64_t long_wait_ms = 1'000;
+constexpr std::int64_t long_wait_pause_ms = 100;
+constexpr std::int64_t min_timeout_ms = 100;  // left to a call that has waited for the link
 constexpr std::int64_t waiting_check_ms = 5;  // between looks for room on the link while calls wait
 
 evhttp_cmd_type to_command(std::string_view method)
@@ -60,6 +67,13 @@
     return !connection_header || strcasecmp(connection_header->c_str(), "close") != 0;
 }
 
+/// Whether the calls of the class are few, and would be sent again if they were given up.
+bool repeated_until_answered(traffic_class what)
+{
+    return what == traffic_class::polls || what == traffic_class::journal || what == traffic_class::jobs ||
+           what == traffic_class::configuration || what == traffic_class::registrations;
+}
+
 }  // namespace
 
 std::optional<std::string> find_header(const http_headers& headers, std::string_view name)
@@ -87,6 +101,7 @@
     traffic_class traffic = traffic_class::other;  // of the current call
     std::size_t received = 0;                      // bytes of its answer
     std::size_t expected = 0;  // of these, that the budget of the link has counted already
+    std::size_t unsent = 0;    // bytes of the call that it has counted before their sending
 
     connection() = default;
     connection(const connection&) = delete;
@@ -174,7 +189,9 @@
                 self->client->meter_->add_sent(self->traffic, info->n_deleted);
             }
             if (self->client->budget_ != nullptr) {
-                self->client->budget_->add(self->traffic, {.sent = info->n_deleted, .received = 0},
+                const std::size_t counted = std::min(self->unsent, info->n_deleted);
+                self->unsent -= counted;
+                self->client->budget_->add(self->traffic, {.sent = info->n_deleted - counted, .received = 0},
                                            monotonic_ms());
             }
         },
@@ -234,6 +251,9 @@
         return id;
     }
     queue.push_back({.id = id, .since_ms = monotonic_ms(), .call = call, .done = std::move(done)});
+    if (call.max_wait_ms == 0 && !repeated_until_answered(call.traffic)) {
+        queue.back().call.max_wait_ms = call.timeout_ms;  // by then its caller has given up
+    }
     waiting_ids_.insert(id);
     if (waiting_ids_.size() == 1) {
         waiting_timer_ = loop_.every(waiting_check_ms, [this] { send_waiting(); });
@@ -250,8 +270,13 @@
             const std::int64_t waited_ms = now - queue.front().since_ms;
             const std::int64_t max_wait_ms = queue.front().call.max_wait_ms;
             const bool expired = max_wait_ms > 0 && waited_ms > max_wait_ms;
-            if (!expired && !budget_->admits(queue.front().call.traffic, waited_ms, now)) {
-                break;
+            const traffic_class what = queue.front().call.traffic;
+            if (!expired && !budget_->admits(what, waited_ms, now)) {
+                std::int64_t& latest_ms = long_wait_ended_ms_[static_cast<std::size_t>(what)];
+                if (waited_ms < long_wait_ms || now - latest_ms < long_wait_pause_ms) {
+                    break;
+                }
+                latest_ms = now;
             }
             waiting_call next = std::move(queue.front());
             queue.pop_front();
@@ -264,6 +289,10 @@
                 });
                 continue;
             }
+            if (max_wait_ms > 0) {
+                // Its caller counts on an outcome within the timeout, however long it has waited.
+                next.call.timeout_ms = std::max(min_timeout_ms, next.call.timeout_ms - waited_ms);
+            }
             dispatch(next.id, next.call, std::move(next.done));
         }
     }
@@ -305,6 +334,12 @@
     link.bytes_sent = false;
     link.traffic = call.traffic;
     link.received = 0;
+    link.unsent = 0;
+    if (budget_ != nullptr) {
+        // Counted now, as calls of the same turn are sent before the first byte of them leaves.
+        link.unsent = call.body.size() + call.path.size() + head_bytes;
+        budget_->add(call.traffic, {.sent = link.unsent, .received = 0}, monotonic_ms());
+    }
     link.expected = budget_ == nullptr ? 0 : budget_->expect_answer(call.traffic, monotonic_ms());
     evhttp_connection_set_closecb(link.handle, nullptr, nullptr);
     constexpr std::int64_t margin_s = 2;  // evhttp's timeout comes after the call's own timer
@@ -382,6 +417,9 @@
     if (budget_ != nullptr && answer.outcome == call_outcome::answered) {
         budget_->on_answer(item->link->traffic, item->link->expected, item->link->received, monotonic_ms());
     }
+    if (budget_ != nullptr && answer.outcome == call_outcome::failed && item->link->received == 0) {
+        budget_->on_refused(item->link->traffic, item->link->expected, monotonic_ms());
+    }
     if (item->request != nullptr) {
         item->client = nullptr;
         evhttp_cancel_request(item->request);
--- a/src/net/link_budget.cpp
+++ b/src/net/link_budget.cpp
@@ -103,6 +103,11 @@
     change(received_queue(what), static_cast<double>(bytes.received), now_ms);
 }
 
+void link_budget::on_refused(traffic_class what, std::size_t expected, std::int64_t now_ms)
+{
+    change(received_queue(what), -static_cast<double>(expected), now_ms);
+}
+
 void link_budget::on_answer(traffic_class what, std::size_t expected, std::size_t received,
                             std::int64_t now_ms)
 {
--- a/src/net/traffic.cpp
+++ b/src/net/traffic.cpp
@@ -19,6 +19,12 @@
     return names[static_cast<std::size_t>(what)];
 }
 
+traffic_class traffic_class_named(std::string_view name)
+{
+    const auto found = std::find(names.begin(), names.end(), name);
+    return found == names.end() ? traffic_class::other : static_cast<traffic_class>(found - names.begin());
+}
+
 traffic_bytes traffic_meter::total() const
 {
     traffic_bytes sum;
--- a/src/node/worker_relay.cpp
+++ b/src/node/worker_relay.cpp
@@ -130,7 +130,9 @@
                       .headers = {},
                       .body = write_json(body),
                       .timeout_ms = peer_timeout_ms,
-                      .reuse_connection = true},
+                      .reuse_connection = true,
+                      .traffic = traffic_class::polls,
+                      .max_wait_ms = peer_timeout_ms},
                      std::move(done));
 }
 
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr std::int64_t list_wait_ms = 400;        // for the list after a start without an answer
 constexpr std::int64_t poll_retry_ms = 150;       // after a poll that failed
 constexpr std::int64_t extra_poll_ms = 20;        // between extra polls, which show whether a run is gone
 constexpr std::int64_t unstored_poll_ms = 400;    // while ends wait for the store; renews leases in time
@@ -437,7 +438,11 @@
             expire_lease(worker, now_ms);  // not registered since the takeover
         }
         for (run_entry* run : std::vector<run_entry*>(worker.runs.begin(), worker.runs.end())) {
-            if (run->stopping) {
+            // No list has told yet whether it has started; it may do so while the worker is being emptied.
+            const bool leaving = worker.entry.draining || worker.closed_until_ms > now_ms;
+            const bool unsettled = run->stage == run_stage::unconfirmed &&
+                                   (leaving || now_ms - run->unanswered_ms > list_wait_ms);
+            if (run->stopping || unsettled) {
                 request_stop(*run, now_ms);
             }
         }
--- a/src/store/transport.cpp
+++ b/src/store/transport.cpp
@@ -40,9 +40,9 @@
     answer_handler done;
     std::vector<store_route> tried;
     std::size_t attempts = 0;
-    std::size_t open = 0;             // attempts without an answer
-    call_id latest = 0;               // the latest attempt
-    std::size_t latest_received = 0;  // bytes of its answer at the latest look
+    std::size_t open = 0;        // attempts without an answer
+    std::vector<call_id> calls;  // of the attempts
+    std::size_t received = 0;    // bytes of their answers at the latest look
     bool finished = false;
     bool failed_once = false;
     http_answer failure;  // of an attempt that may have been carried out, else of the latest one
@@ -102,8 +102,10 @@
                   .traffic = call.traffic};
     return client_.send(out, [this, earliest_ms = monotonic_ms() + call.wait_ms,
                               done = std::move(done)](const http_answer& answer) {
-        note_result({}, address_, earliest_ms, answer);
-        note_direct_result(answer);
+        if (answer.outcome != call_outcome::cancelled) {
+            note_result({}, address_, earliest_ms, answer);
+            note_direct_result(answer);
+        }
         done(answer);
     });
 }
@@ -134,8 +136,12 @@
             continue;
         }
         reads_.push_back(read);
+        if (in_progress(*read)) {
+            continue;
+        }
         ++read->open;
-        send_direct(read->call, [this, read](const http_answer& answer) { on_attempt_answer(read, answer); });
+        read->calls.push_back(send_direct(
+            read->call, [this, read](const http_answer& answer) { on_attempt_answer(read, answer); }));
     }
 }
 
@@ -162,7 +168,7 @@
         if (!kept || kept->finished) {
             return;
         }
-        if (client_.is_waiting(kept->latest) || client_.received(kept->latest) > 0) {
+        if (in_progress(*kept)) {
             expire_later(kept, expiry_check_ms);
             return;
         }
@@ -172,14 +178,26 @@
     });
 }
 
-/// Whether the latest attempt waits for the link, or its answer has made progress since the latest look. A
-/// second copy of it would take its room on the link.
+/// Whether an attempt waits for the link, or its answer is arriving.
+bool store_transport::in_progress(const pending_send& send) const
+{
+    return std::ranges::any_of(
+        send.calls, [this](call_id id) { return client_.is_waiting(id) || client_.received(id) > 0; });
+}
+
+/// Whether an attempt waits for the link, or an answer has made progress since the latest look. Another copy
+/// would take its room on the link.
 bool store_transport::arriving(pending_send& send) const
 {
-    const std::size_t received = client_.received(send.latest);
-    const bool progress = received > send.latest_received;
-    send.latest_received = received;
-    return progress || client_.is_waiting(send.latest);
+    std::size_t received = 0;
+    bool waits = false;
+    for (const call_id id : send.calls) {
+        received += client_.received(id);
+        waits = waits || client_.is_waiting(id);
+    }
+    const bool progress = received > send.received;
+    send.received = received;
+    return progress || waits;
 }
 
 /// Ends a call. Answers of attempts that are still open have no effect.
@@ -188,6 +206,12 @@
     send->finished = true;
     send->resend.cancel();
     send->expiry.cancel();
+    // Copies that wait for the link would be one more load on it, and a late write could undo a newer one.
+    for (const call_id id : send->calls) {
+        if (client_.is_waiting(id)) {
+            client_.cancel(id);
+        }
+    }
     send->done(answer);
 }
 
@@ -200,15 +224,14 @@
     send->tried.push_back(route);
     ++send->attempts;
     ++send->open;
-    send->latest_received = 0;
     const auto on_answer = [this, send](const http_answer& answer) {
         on_attempt_answer(send, answer);
     };
     if (route.empty()) {
-        send->latest = send_direct(send->call, on_answer);
+        send->calls.push_back(send_direct(send->call, on_answer));
     }
     else {
-        send->latest = send_via_peer(send->call, route, on_answer);
+        send->calls.push_back(send_via_peer(send->call, route, on_answer));
         probe(send->call);
     }
     // A read is repeated until it is answered: a store that was silent for all nodes answers only calls that
@@ -270,18 +293,24 @@
                   .path = relay_path,
                   .headers = {{relay_target, call.method + " " + call.path},
                               {relay_timeout, std::to_string(call.timeout_ms)},
-                              {relay_wait, std::to_string(call.wait_ms)}},
+                              {relay_wait, std::to_string(call.wait_ms)},
+                              {relay_class, to_string(call.traffic)}},
                   .body = call.body,
                   .timeout_ms = call.timeout_ms + relay_margin_ms,
                   .max_extension_ms = call.method == "GET" ? max_extension_ms : 0,
                   .reuse_connection = true,
-                  .traffic = traffic_class::relays};
+                  // Reads in bulk go last; a join or an append is as urgent as on the direct path.
+                  .traffic = call.method == "GET" && call.traffic != traffic_class::ownership
+                                 ? traffic_class::relays
+                                 : call.traffic};
     return client_.send(out, [this, peer, earliest_ms = monotonic_ms() + call.wait_ms,
                               done = std::move(done)](const http_answer& answer) {
         if (answer.outcome == call_outcome::answered) {
             last_peer_answer_ms_ = monotonic_ms();
         }
-        note_result(peer, peer, earliest_ms, answer);
+        if (answer.outcome != call_outcome::cancelled) {
+            note_result(peer, peer, earliest_ms, answer);
+        }
         done(answer);
     });
 }
