Test the findings of the review of the full links that are mended

Seven tests after the reviewer's probes, which failed on: bursts of one turn, calls that wait longer than their timeout, classes that are held up, refused calls, copies of answered reads, joins over a peer, and unanswered starts on draining or silent workers.

--- a/tests/net/link_budget_test.cpp
+++ b/tests/net/link_budget_test.cpp
@@ -194,4 +194,82 @@
     EXPECT_TRUE(node.order.empty());
 }
 
+// 300 orders of one turn of the loop were all admitted, as none of their bytes had left yet: 2.3 s of the
+// link.
+TEST(waiting_calls, a_burst_of_one_turn_does_not_fill_the_link)
+{
+    narrow_client node;
+    const std::string body(4'000, 'x');
+    for (int call = 0; call < 300; ++call) {
+        node.client.send({.method = "POST",
+                          .address = node.address,
+                          .path = "/order",
+                          .body = body,
+                          .traffic = traffic_class::orders,
+                          .max_wait_ms = 150},
+                         [](const http_answer&) {});
+    }
+    EXPECT_GT(node.client.waiting(), 250U);
+    std::int64_t most_ms = 0;
+    const timer look =
+        node.loop.every(2, [&] { most_ms = std::max(most_ms, node.budget.backlog_ms(monotonic_ms())); });
+    const timer stop = node.loop.after(300, [&] { node.loop.stop(); });
+    node.loop.run();
+    EXPECT_LE(most_ms, 300);
+}
+
+// A question whose caller had given up after 300 ms left 2.9 s later and took its room on the link.
+TEST(waiting_calls, a_call_that_waits_longer_than_its_timeout_is_not_sent)
+{
+    narrow_client node;
+    node.fill(3'000);
+    http_answer result;
+    node.client.send(
+        {.method = "POST", .address = node.address, .timeout_ms = 300, .traffic = traffic_class::peers},
+        [&](const http_answer& answer) {
+            result = answer;
+            node.loop.stop();
+        });
+    node.loop.run();
+    EXPECT_EQ(result.outcome, call_outcome::not_sent);
+    EXPECT_TRUE(node.order.empty());
+}
+
+// With orders always ready, registrations and lists of hosts were never read.
+TEST(waiting_calls, a_class_is_not_held_up_for_ever_by_a_more_urgent_one)
+{
+    narrow_client node;
+    const timer load = node.loop.every(2, [&] {
+        while (node.budget.admits(traffic_class::journal, 0, monotonic_ms())) {
+            node.budget.add(traffic_class::journal, {.sent = 500, .received = 0}, monotonic_ms());
+        }
+    });
+    http_answer result;
+    const timer send = node.loop.after(50, [&] {
+        node.send(traffic_class::registrations, "/registrations", [&](const http_answer& answer) {
+            result = answer;
+            node.loop.stop();
+        });
+    });
+    const timer stop = node.loop.after(5'000, [&] { node.loop.stop(); });
+    node.loop.run();
+    EXPECT_EQ(result.outcome, call_outcome::answered);
+}
+
+// A reader that was refused at once and tried again kept 193 ms of an idle link taken.
+TEST(waiting_calls, what_a_refused_call_would_have_brought_does_not_count)
+{
+    narrow_client node;
+    for (int call = 0; call < 100; ++call) {
+        node.budget.on_answer(traffic_class::registrations, 0, 30'000, monotonic_ms());
+    }
+    node.client.send({.address = "127.0.0.1:1", .traffic = traffic_class::registrations},
+                     [&](const http_answer& answer) {
+                         EXPECT_EQ(answer.outcome, call_outcome::failed);
+                         node.loop.stop();
+                     });
+    node.loop.run();
+    EXPECT_LT(node.budget.full_backlog_ms(monotonic_ms()), 20);
+}
+
 }  // namespace waxwingnotch
--- a/tests/shard/shard_unanswered_start_test.cpp
+++ b/tests/shard/shard_unanswered_start_test.cpp
@@ -67,4 +67,25 @@
     EXPECT_EQ(start.owner.core.runs(), 1U);
 }
 
+// Its polls were late, so no list told whether it had started; the stop had not gone after 3.4 s, though the
+// worker was draining.
+TEST(shard_unanswered_start, a_start_is_stopped_when_no_list_comes)
+{
+    unanswered_start start;
+    start.owner.core.tick(510, 510);
+    EXPECT_TRUE(start.owner.step(510).stops.empty());
+    start.owner.core.tick(530, 530);
+    EXPECT_EQ(start.owner.step(530).stops.size(), 1U);
+}
+
+TEST(shard_unanswered_start, a_start_on_a_draining_worker_is_stopped_at_once)
+{
+    unanswered_start start;
+    worker_entry draining = loaded_core::entry(start.worker);
+    draining.draining = true;
+    start.owner.core.put_worker(draining, 125);
+    start.owner.core.tick(130, 130);
+    EXPECT_EQ(start.owner.step(130).stops.size(), 1U);
+}
+
 }  // namespace waxwingnotch
--- a/tests/store/slow_link_test.cpp
+++ b/tests/store/slow_link_test.cpp
@@ -1,5 +1,5 @@
 /// Reads of the store over a link that carries a large answer for longer than a call's timeout.
-#include "waxwingnotch/base/address.hpp"
+#include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/net/http_client.hpp"
 #include "waxwingnotch/store/transport.hpp"
 
@@ -142,4 +142,69 @@
     EXPECT_EQ(result.outcome, call_outcome::timed_out);
 }
 
+namespace {
+
+constexpr std::int64_t narrow_kbps = 2'000;
+
+/// A transport on a narrow link.
+struct narrow_transport {
+    event_loop loop;
+    link_budget budget{narrow_kbps};
+    http_client client{loop};
+    store_transport transport{client};
+
+    narrow_transport() { client.share_link(budget); }
+};
+
+}  // namespace
+
+// The copy took its room on the link after the read had been answered, so an overload went on.
+TEST(slow_link, a_copy_that_waits_is_not_sent_once_the_read_is_answered)
+{
+    narrow_transport node;
+    slow_server store(node.loop, 1'000, 50);  // 0.4 s
+    slow_server peer(node.loop, 1'000, 1'000);
+    node.transport.set_address(store.address());
+    node.transport.set_peers({peer.address()});
+    http_answer result;
+    node.transport.send(
+        {.method = "GET", .path = "/r", .timeout_ms = 600, .traffic = traffic_class::registrations},
+        [&](const http_answer& answer) { result = answer; });
+    node.budget.add(traffic_class::orders, {.sent = 225'000, .received = 0}, monotonic_ms());
+    const timer stop = node.loop.after(1'800, [&] { node.loop.stop(); });
+    node.loop.run();
+    EXPECT_EQ(result.outcome, call_outcome::answered);
+    EXPECT_EQ(peer.requests(), 0);
+}
+
+// A join that went through a peer waited with reads in bulk and had not left after 8 s: the owner lost its
+// shards though its link worked.
+TEST(slow_link, a_join_over_a_peer_does_not_wait_behind_orders)
+{
+    narrow_transport node;
+    slow_server peer(node.loop, 100, 100);
+    node.transport.set_address("127.0.0.1:1");
+    node.transport.set_peers({peer.address()});
+    const timer load = node.loop.every(2, [&] {
+        while (node.budget.admits(traffic_class::orders, 0, monotonic_ms())) {
+            node.budget.add(traffic_class::orders, {.sent = 500, .received = 0}, monotonic_ms());
+        }
+    });
+    http_answer result;
+    const timer send = node.loop.after(50, [&] {
+        node.transport.send({.method = "POST",
+                             .path = "/join",
+                             .body = "{}",
+                             .timeout_ms = 600,
+                             .traffic = traffic_class::ownership},
+                            [&](const http_answer& answer) {
+                                result = answer;
+                                node.loop.stop();
+                            });
+    });
+    const timer stop = node.loop.after(1'500, [&] { node.loop.stop(); });
+    node.loop.run();
+    EXPECT_EQ(result.outcome, call_outcome::answered);
+}
+
 }  // namespace waxwingnotch
