--- a/include/waxwingnotch/net/link_budget.hpp
+++ b/include/waxwingnotch/net/link_budget.hpp
@@ -18,7 +18,8 @@
 
 /// The two directions of a link, each a queue that drains at the rate of the link. All bytes of the process
 /// are added; those of an answer are expected when its call is sent. Answers in bulk, such as a configuration
-/// of 1.2 s, share the link with others as they arrive, so only calls in bulk wait for them.
+/// of 1.2 s, share the link with others as they arrive, so only calls in bulk wait for them, and orders,
+/// whose late answers count as none.
 class link_budget {
 public:
     /// @param link_kbps rate in each direction; 0: not known, all calls are admitted
--- a/src/net/link_budget.cpp
+++ b/src/net/link_budget.cpp
@@ -81,7 +81,9 @@
 {
     const auto bonus_ms = std::min(max_waited_bonus_ms,
                                    static_cast<std::int64_t>(static_cast<double>(waited_ms) * waited_share));
-    const std::int64_t backlog = in_bulk(what) ? full_backlog_ms(now_ms) : backlog_ms(now_ms);
+    // An order whose answer is late counts as lost, and is followed by a stop and another start.
+    const bool waits_for_bulk = in_bulk(what) || what == traffic_class::orders;
+    const std::int64_t backlog = waits_for_bulk ? full_backlog_ms(now_ms) : backlog_ms(now_ms);
     return backlog <= max_backlog_ms[static_cast<std::size_t>(what)] + bonus_ms;
 }
 
--- a/tests/net/link_budget_test.cpp
+++ b/tests/net/link_budget_test.cpp
@@ -66,8 +66,8 @@
 }
 
 // A configuration of 290 KB takes 1.2 s of the link. Lists that waited for it left the leases of all workers
-// to lapse while versions followed each other.
-TEST(link_budget, lists_and_orders_do_not_wait_for_an_answer_in_bulk)
+// to lapse while versions followed each other; orders that did not were answered too late and started again.
+TEST(link_budget, lists_do_not_wait_for_an_answer_in_bulk_and_orders_do)
 {
     link_budget budget(narrow_kbps);
     for (int call = 0; call < 100; ++call) {
@@ -75,7 +75,9 @@
     }
     EXPECT_NEAR(static_cast<double>(budget.expect_answer(traffic_class::configuration, 1'000)), 290'000, 100);
     EXPECT_TRUE(budget.admits(traffic_class::polls, 0, 1'000));
-    EXPECT_TRUE(budget.admits(traffic_class::orders, 0, 1'000));
+    EXPECT_TRUE(budget.admits(traffic_class::journal, 0, 1'000));
+    EXPECT_FALSE(budget.admits(traffic_class::orders, 0, 1'000));
+    EXPECT_TRUE(budget.admits(traffic_class::orders, 0, 2'300));
     EXPECT_FALSE(budget.admits(traffic_class::hosts, 0, 1'000));
     EXPECT_FALSE(budget.admits(traffic_class::registrations, 0, 1'000));
     EXPECT_TRUE(budget.admits(traffic_class::registrations, 0, 2'300));
