Keep the budget of the link from hosts whose links are wide

Cause, by reading: the bytes of open starts were summed over all runs in each round, each answer to a start asked for another round, and each piece of a socket read the clock for the budget. Change: from 50 Mbit/s on there is no budget and no limit of open starts; an answer asks for a round only if the limit held starts up.

--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -137,11 +137,13 @@
 }  // namespace
 
 node_state::node_state(node_settings settings_in)
-    : settings(std::move(settings_in)), link(settings.link_kbps), budget(settings.link_kbps), client(loop),
-      transport(client)
+    : settings(std::move(settings_in)), link(settings.link_kbps), budget(budgeted_kbps(settings)),
+      client(loop), transport(client)
 {
     client.count_traffic(traffic);
-    client.share_link(budget);
+    if (budget.limited()) {
+        client.share_link(budget);
+    }
     transport.set_address(settings.store_address);
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -177,10 +177,11 @@
                              {{"version", build.version}, {"sources", build.sources}});
     caller_server_.limit_body(cluster_config().max_body_bytes);  // until a configuration is read
     internal_server_.limit_body(max_peer_body_bytes);
-    caller_server_.count_traffic(state_.traffic, traffic_class::callers, &state_.budget);
-    internal_server_.count_traffic(state_.traffic, traffic_class::peers, &state_.budget);
-    ready_server_.count_traffic(state_.traffic, traffic_class::other, &state_.budget);
-    metrics_server_.count_traffic(state_.traffic, traffic_class::other, &state_.budget);
+    link_budget* budget = state_.budget.limited() ? &state_.budget : nullptr;
+    caller_server_.count_traffic(state_.traffic, traffic_class::callers, budget);
+    internal_server_.count_traffic(state_.traffic, traffic_class::peers, budget);
+    ready_server_.count_traffic(state_.traffic, traffic_class::other, budget);
+    metrics_server_.count_traffic(state_.traffic, traffic_class::other, budget);
     ready_server_.limit_body(0);
     metrics_server_.limit_body(max_metrics_body_bytes);
     caller_server_.handle([this](const http_exchange_ptr& exchange) { callers_.handle(exchange); });
@@ -424,7 +425,7 @@
                           .ended_job_retention_ms = 2 * state_.settings.status_retention_ms,
                           .max_registrations_age_ms = age_limit_ms(state_.settings.worker_drain_ms),
                           .max_jobs_age_ms = age_limit_ms(state_.settings.cancel_ms),
-                          .max_open_start_bytes = open_start_bytes(state_.settings.link_kbps)};
+                          .max_open_start_bytes = open_start_bytes(budgeted_kbps(state_.settings))};
     auto owner = std::make_unique<shard_owner>(
         shard_owner::parts{
             &state_.loop, state_.store.get(), state_.workers.get(), state_.advice.get(),
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -33,6 +33,15 @@
 
 namespace waxwingnotch {
 
+// A link as wide as this carries more than the processors of entry hosts can send, and needs no budget.
+constexpr std::int64_t ample_link_kbps = 50'000;
+
+/// @return the rate by which calls wait and starts are limited; 0: they are not
+constexpr std::int64_t budgeted_kbps(const node_settings& settings)
+{
+    return settings.link_kbps < ample_link_kbps ? settings.link_kbps : 0;
+}
+
 /// State shared by the components of one node; owned by the class node.
 struct node_state {
     explicit node_state(node_settings settings_in);
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -461,7 +461,7 @@
     if (run.stage != run_stage::starting && run.stage != run_stage::unconfirmed) {
         return;
     }
-    schedule_needed_ = schedule_needed_ || options_.max_open_start_bytes > 0;
+    schedule_needed_ = schedule_needed_ || start_bytes_left_ <= 0;
     log_event(log_level::info, "run_start",
               {{"shard", options_.shard},
                {"epoch", options_.epoch},
