--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -50,6 +50,26 @@
      &shard_counts::starts_held},
 };
 
+/// Sets the gauges of the bytes by purpose and of the link.
+void set_traffic_gauges(node_state& node)
+{
+    auto set = [&node](const char* name, const char* help, std::int64_t value) {
+        node.counters.make_gauge(name, help).set(value);
+    };
+    for (std::size_t index = 0; index < traffic_class_count; ++index) {
+        const auto what = static_cast<traffic_class>(index);
+        const traffic_bytes& bytes = node.traffic.bytes(what);
+        const std::string name = to_string(what);
+        set(("bytes_sent_" + name).c_str(), "Bytes of HTTP that this process has sent for this purpose",
+            static_cast<std::int64_t>(bytes.sent));
+        set(("bytes_received_" + name).c_str(), "Bytes of HTTP that it has received for this purpose",
+            static_cast<std::int64_t>(bytes.received));
+    }
+    set("link_kbps", "Rate of the host's link in each direction; 0: not told", node.settings.link_kbps);
+    set("link_percent", "Share of the link that the fuller direction used in the last second",
+        node.link.percent());
+}
+
 }  // namespace
 
 void update_metrics(node_state& node)
@@ -120,18 +140,7 @@
             "Inputs of this writer that were refused, since the start",
             static_cast<std::int64_t>(rejected_inputs(source)));
     }
-    for (std::size_t index = 0; index < traffic_class_count; ++index) {
-        const auto what = static_cast<traffic_class>(index);
-        const traffic_bytes& bytes = node.traffic.bytes(what);
-        const std::string name = to_string(what);
-        set(("bytes_sent_" + name).c_str(), "Bytes of HTTP that this process has sent for this purpose",
-            static_cast<std::int64_t>(bytes.sent));
-        set(("bytes_received_" + name).c_str(), "Bytes of HTTP that it has received for this purpose",
-            static_cast<std::int64_t>(bytes.received));
-    }
-    set("link_kbps", "Rate of the host's link in each direction; 0: not told", node.settings.link_kbps);
-    set("link_percent", "Share of the link that the fuller direction used in the last second",
-        node.link.percent());
+    set_traffic_gauges(node);
     set("configuration_version", "Version in force", node.config ? node.config->version : -1);
     set("store_straight", "1 if the store answers this node", node.transport.direct_path_usable() ? 1 : 0);
 }
