Decide in the client and the server whether a budget of the link limits them

Callers asked limited() before they shared a budget, once for the client and once for four servers, and the client asked again with each call. share_link() of both now takes any budget and disregards one without a limit. No change of behaviour; net, store, node and adapter tests pass.

--- a/include/waxwingnotch/net/http_client.hpp
+++ b/include/waxwingnotch/net/http_client.hpp
@@ -91,8 +91,9 @@
     /// Counts the bytes of all calls with @p meter, also of those that fail.
     void count_traffic(traffic_meter& meter) { meter_ = &meter; }
 
-    /// Lets calls wait while @p budget does not admit them. It also counts the bytes of all calls.
-    void share_link(link_budget& budget) { budget_ = &budget; }
+    /// Lets calls wait while @p budget does not admit them. It also counts the bytes of all calls. A budget
+    /// without a limit has no effect.
+    void share_link(link_budget& budget) { budget_ = budget.limited() ? &budget : nullptr; }
     /// @return how late an answer to a call that is sent now may be because of this host's link, in ms
     std::int64_t link_delay_ms() const;
     /// @return number of calls that wait for room on the link
--- a/include/waxwingnotch/net/http_server.hpp
+++ b/include/waxwingnotch/net/http_server.hpp
@@ -105,8 +105,9 @@
     /// Closes connections without traffic for this long. Applies to connections that are accepted later.
     void set_idle_timeout(std::int64_t timeout_ms);
     /// Counts the bytes of all connections that are accepted later.
-    /// @param budget of the link, which learns of them too; may be null
-    void count_traffic(traffic_meter& meter, traffic_class what, link_budget* budget = nullptr);
+    void count_traffic(traffic_meter& meter, traffic_class what);
+    /// Counts them with @p budget too. A budget without a limit has no effect.
+    void share_link(link_budget& budget) { budget_ = budget.limited() ? &budget : nullptr; }
     /// @return number of requests without a reply yet
     std::size_t open_exchanges() const { return open_exchanges_.size(); }
 
@@ -123,7 +124,7 @@
     event_loop& loop_;
     std::set<http_exchange*> open_exchanges_;
     traffic_meter* meter_ = nullptr;  // null: bytes are not counted
-    link_budget* budget_ = nullptr;
+    link_budget* budget_ = nullptr;   // null: there is none
     traffic_class traffic_ = traffic_class::other;
     timer accept_pause_;
     // The reasons not to accept; accepts with neither.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -241,7 +241,7 @@
         return next_id_++;
     }
     const call_id id = next_id_++;
-    if (budget_ == nullptr || !budget_->limited() || call.traffic == traffic_class::ownership) {
+    if (budget_ == nullptr || call.traffic == traffic_class::ownership) {
         dispatch(id, call, std::move(done));
         return id;
     }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -296,10 +296,9 @@
     return connection;
 }
 
-void http_server::count_traffic(traffic_meter& meter, traffic_class what, link_budget* budget)
+void http_server::count_traffic(traffic_meter& meter, traffic_class what)
 {
     meter_ = &meter;
-    budget_ = budget;
     traffic_ = what;
     evhttp_set_bevcb(http_, new_counted_connection, this);
 }
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -141,9 +141,7 @@
       client(loop), transport(client)
 {
     client.count_traffic(traffic);
-    if (budget.limited()) {
-        client.share_link(budget);
-    }
+    client.share_link(budget);
     transport.set_address(settings.store_address);
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -177,11 +177,13 @@
                              {{"version", build.version}, {"sources", build.sources}});
     caller_server_.limit_body(cluster_config().max_body_bytes);  // until a configuration is read
     internal_server_.limit_body(max_peer_body_bytes);
-    link_budget* budget = state_.budget.limited() ? &state_.budget : nullptr;
-    caller_server_.count_traffic(state_.traffic, traffic_class::callers, budget);
-    internal_server_.count_traffic(state_.traffic, traffic_class::peers, budget);
-    ready_server_.count_traffic(state_.traffic, traffic_class::other, budget);
-    metrics_server_.count_traffic(state_.traffic, traffic_class::other, budget);
+    caller_server_.count_traffic(state_.traffic, traffic_class::callers);
+    internal_server_.count_traffic(state_.traffic, traffic_class::peers);
+    ready_server_.count_traffic(state_.traffic, traffic_class::other);
+    metrics_server_.count_traffic(state_.traffic, traffic_class::other);
+    for (http_server* server : {&caller_server_, &internal_server_, &ready_server_, &metrics_server_}) {
+        server->share_link(state_.budget);
+    }
     ready_server_.limit_body(0);
     metrics_server_.limit_body(max_metrics_body_bytes);
     caller_server_.handle([this](const http_exchange_ptr& exchange) { callers_.handle(exchange); });
