Name the class of a relayed call in one place

The rule that reads in bulk go last stood in the transport and again at the peer that passes the call on. Both ask store_transport::relayed_class(). No change of behaviour; store and node tests pass.

--- a/include/waxwingnotch/store/transport.hpp
+++ b/include/waxwingnotch/store/transport.hpp
@@ -43,6 +43,9 @@
     void send(const store_call& call, answer_handler done);
     /// Sends a call directly, without a fallback to peers; for calls that this node relays.
     call_id send_direct(const store_call& call, answer_handler done);
+    /// Class of a call that goes through a peer, at this node and at the peer: reads in bulk go last, and a
+    /// join or an append is as urgent as on the direct path.
+    static traffic_class relayed_class(const store_call& call);
     /// False for a while after a direct call has failed.
     bool direct_path_usable() const;
     /// Monotonic time in ms of the latest answer from a peer, with any status; 0: none yet.
--- a/src/node/internal.cpp
+++ b/src/node/internal.cpp
@@ -475,15 +475,14 @@
     const std::int64_t timeout_ms =
         parse_integer(exchange->header(store_transport::relay_timeout).value_or(""), 0);
     const std::int64_t wait_ms = parse_integer(exchange->header(store_transport::relay_wait).value_or(""), 0);
-    const traffic_class named =
-        traffic_class_named(exchange->header(store_transport::relay_class).value_or(""));
-    const bool in_bulk = target.starts_with("GET") && named != traffic_class::ownership;
-    const store_call call{.method = target.substr(0, space),
-                          .path = target.substr(space + 1),
-                          .body = exchange->body(),
-                          .timeout_ms = std::clamp<std::int64_t>(timeout_ms, 1, max_relay_ms),
-                          .wait_ms = std::clamp<std::int64_t>(wait_ms, 0, max_relay_ms),
-                          .traffic = in_bulk ? traffic_class::relays : named};
+    const std::string class_name = exchange->header(store_transport::relay_class).value_or("");
+    store_call call{.method = target.substr(0, space),
+                    .path = target.substr(space + 1),
+                    .body = exchange->body(),
+                    .timeout_ms = std::clamp<std::int64_t>(timeout_ms, 1, max_relay_ms),
+                    .wait_ms = std::clamp<std::int64_t>(wait_ms, 0, max_relay_ms),
+                    .traffic = traffic_class_named(class_name)};
+    call.traffic = store_transport::relayed_class(call);
     node_.transport.send_direct(call, [exchange](const http_answer& answer) {
         if (answer.outcome != call_outcome::answered) {
             exchange->reply(status_bad_gateway, {}, "the store has not answered");
--- a/src/store/transport.cpp
+++ b/src/store/transport.cpp
@@ -60,6 +60,12 @@
            answer.status == status_unavailable || answer.status == status_bad_gateway;
 }
 
+traffic_class store_transport::relayed_class(const store_call& call)
+{
+    const bool in_bulk = call.method == "GET" && call.traffic != traffic_class::ownership;
+    return in_bulk ? traffic_class::relays : call.traffic;
+}
+
 bool store_transport::direct_path_usable() const
 {
     return routes_.direct_usable(monotonic_ms());
@@ -299,10 +305,7 @@
                   .timeout_ms = call.timeout_ms + relay_margin_ms,
                   .max_extension_ms = call.method == "GET" ? max_extension_ms : 0,
                   .reuse_connection = true,
-                  // Reads in bulk go last; a join or an append is as urgent as on the direct path.
-                  .traffic = call.method == "GET" && call.traffic != traffic_class::ownership
-                                 ? traffic_class::relays
-                                 : call.traffic};
+                  .traffic = relayed_class(call)};
     return client_.send(out, [this, peer, earliest_ms = monotonic_ms() + call.wait_ms,
                               done = std::move(done)](const http_answer& answer) {
         if (answer.outcome == call_outcome::answered) {
