Count the bytes of a server by one function, and end unsent calls by another

The callbacks of both buffers of a connection counted for the meter and the budget by the same lines, and did so also when the other end of the buffer had changed, with a look at the clock each time. Three places of the client deferred the outcome of a call of which nothing was sent. take_shard() asked twice whether starts are relayed.

--- a/include/waxwingnotch/decision/submission_route.hpp
+++ b/include/waxwingnotch/decision/submission_route.hpp
@@ -42,9 +42,8 @@
     /// The owner has taken the record and asks for no more for a while.
     void on_full_link(std::int64_t now_ms) { avoid_until_ms_ = now_ms + options_.full_link_ms; }
     /// Whether an owner asks the other nodes to append the next records themselves.
-    /// @param backlog_ms of the owner's link @param append_ms time of the latest append, with its wait for
-    /// the
-    ///        link
+    /// @param backlog_ms of the owner's link
+    /// @param append_ms time of the latest append, with its wait for the link
     bool append_elsewhere(std::int64_t backlog_ms, std::int64_t append_ms) const
     {
         return backlog_ms > options_.max_owner_backlog_ms && append_ms - backlog_ms <= options_.max_append_ms;
--- a/include/waxwingnotch/net/http_client.hpp
+++ b/include/waxwingnotch/net/http_client.hpp
@@ -126,6 +126,7 @@
 
     void dispatch(call_id id, const http_call& call, answer_handler done);
     void send_waiting();
+    void end_unsent(answer_handler done, call_outcome outcome);
     void on_timeout(call_id id);
     std::shared_ptr<connection> idle_connection(const std::string& address);
     std::shared_ptr<connection> new_connection(const std::string& address);
--- a/include/waxwingnotch/net/http_server.hpp
+++ b/include/waxwingnotch/net/http_server.hpp
@@ -115,6 +115,7 @@
     friend class http_exchange;
     static void dispatch(evhttp_request* request, void* self);
     static bufferevent* new_counted_connection(event_base* base, void* self);
+    void count(const traffic_bytes& bytes);
     void pause_after_failed_accept();
     void update_listener();
 
--- a/include/waxwingnotch/net/traffic.hpp
+++ b/include/waxwingnotch/net/traffic.hpp
@@ -40,15 +40,12 @@
 /// Sums of the bytes of each class. It must outlive the clients and servers that it is given to.
 class traffic_meter {
 public:
-    void add_sent(traffic_class what, std::size_t bytes) { of(what).sent += bytes; }
-    void add_received(traffic_class what, std::size_t bytes) { of(what).received += bytes; }
+    void add(traffic_class what, const traffic_bytes& bytes);
     const traffic_bytes& bytes(traffic_class what) const { return bytes_[static_cast<std::size_t>(what)]; }
     /// Sum over all classes.
     traffic_bytes total() const;
 
 private:
-    traffic_bytes& of(traffic_class what) { return bytes_[static_cast<std::size_t>(what)]; }
-
     std::array<traffic_bytes, traffic_class_count> bytes_{};
 };
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -186,7 +186,7 @@
             }
             self->bytes_sent = true;
             if (self->client->meter_ != nullptr) {
-                self->client->meter_->add_sent(self->traffic, info->n_deleted);
+                self->client->meter_->add(self->traffic, {.sent = info->n_deleted, .received = 0});
             }
             if (self->client->budget_ != nullptr) {
                 const std::size_t counted = std::min(self->unsent, info->n_deleted);
@@ -207,7 +207,7 @@
             self->received += info->n_added;
             const std::size_t unexpected = self->received - std::min(self->received, self->expected);
             if (self->client->meter_ != nullptr) {
-                self->client->meter_->add_received(self->traffic, info->n_added);
+                self->client->meter_->add(self->traffic, {.sent = 0, .received = info->n_added});
             }
             if (self->client->budget_ != nullptr) {
                 self->client->budget_->add(
@@ -229,15 +229,21 @@
     loop_.defer([link = std::move(link)]() mutable { link.reset(); });
 }
 
+/// Ends a call of which nothing was sent.
+void http_client::end_unsent(answer_handler done, call_outcome outcome)
+{
+    loop_.defer([done = std::move(done), outcome, alive = alive_] {
+        if (*alive) {
+            done({.outcome = outcome});
+        }
+    });
+}
+
 call_id http_client::send(const http_call& call, answer_handler done)
 {
     if (!is_connectable(call.address)) {
         // evhttp would look up a name, which blocks the loop.
-        loop_.defer([done = std::move(done), alive = alive_] {
-            if (*alive) {
-                done({});
-            }
-        });
+        end_unsent(std::move(done), call_outcome::failed);
         return next_id_++;
     }
     const call_id id = next_id_++;
@@ -282,11 +288,7 @@
             queue.pop_front();
             waiting_ids_.erase(next.id);
             if (expired) {
-                loop_.defer([done = std::move(next.done), alive = alive_] {
-                    if (*alive) {
-                        done({.outcome = call_outcome::not_sent});
-                    }
-                });
+                end_unsent(std::move(next.done), call_outcome::not_sent);
                 continue;
             }
             if (max_wait_ms > 0) {
@@ -468,11 +470,7 @@
             if (at == queue.end()) {
                 continue;
             }
-            loop_.defer([done = std::move(at->done), alive = alive_] {
-                if (*alive) {
-                    done({.outcome = call_outcome::cancelled});
-                }
-            });
+            end_unsent(std::move(at->done), call_outcome::cancelled);
             queue.erase(at);
         }
         return;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -274,28 +274,29 @@
     evbuffer_add_cb(
         bufferevent_get_input(connection),
         [](evbuffer*, const evbuffer_cb_info* info, void* argument) {
-            const auto* server = static_cast<http_server*>(argument);
-            server->meter_->add_received(server->traffic_, info->n_added);
-            if (server->budget_ != nullptr) {
-                server->budget_->add(server->traffic_, {.sent = 0, .received = info->n_added},
-                                     monotonic_ms());
-            }
+            static_cast<http_server*>(argument)->count({.sent = 0, .received = info->n_added});
         },
         self);
     evbuffer_add_cb(
         bufferevent_get_output(connection),
         [](evbuffer*, const evbuffer_cb_info* info, void* argument) {
-            const auto* server = static_cast<http_server*>(argument);
-            server->meter_->add_sent(server->traffic_, info->n_deleted);
-            if (server->budget_ != nullptr) {
-                server->budget_->add(server->traffic_, {.sent = info->n_deleted, .received = 0},
-                                     monotonic_ms());
-            }
+            static_cast<http_server*>(argument)->count({.sent = info->n_deleted, .received = 0});
         },
         self);
     return connection;
 }
 
+void http_server::count(const traffic_bytes& bytes)
+{
+    if (bytes.sent == 0 && bytes.received == 0) {
+        return;  // the other end of the buffer has changed
+    }
+    meter_->add(traffic_, bytes);
+    if (budget_ != nullptr) {
+        budget_->add(traffic_, bytes, monotonic_ms());
+    }
+}
+
 void http_server::count_traffic(traffic_meter& meter, traffic_class what)
 {
     meter_ = &meter;
--- a/src/net/traffic.cpp
+++ b/src/net/traffic.cpp
@@ -25,6 +25,13 @@
     return found == names.end() ? traffic_class::other : static_cast<traffic_class>(found - names.begin());
 }
 
+void traffic_meter::add(traffic_class what, const traffic_bytes& bytes)
+{
+    traffic_bytes& sum = bytes_[static_cast<std::size_t>(what)];
+    sum.sent += bytes.sent;
+    sum.received += bytes.received;
+}
+
 traffic_bytes traffic_meter::total() const
 {
     traffic_bytes sum;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -428,6 +428,7 @@
                           .max_registrations_age_ms = age_limit_ms(state_.settings.worker_drain_ms),
                           .max_jobs_age_ms = age_limit_ms(state_.settings.cancel_ms),
                           .max_open_start_bytes = open_start_bytes(budgeted_kbps(state_.settings))};
+    const bool relays_starts = start_relay::useful_for(state_.settings.link_kbps);
     auto owner = std::make_unique<shard_owner>(
         shard_owner::parts{
             &state_.loop, state_.store.get(), state_.workers.get(), state_.advice.get(),
@@ -451,11 +452,11 @@
                    worker_api::handler<order_answer> done) {
                 relay_stop(state_, route, worker, order, std::move(done));
             },
-            start_relay::useful_for(state_.settings.link_kbps)
+            relays_starts
                 ? [this](const start_batch& batch,
                          batch_handler done) { return state_.starts.send(batch, std::move(done)); }
                 : std::function<bool(const start_batch&, batch_handler)>(),
-            start_relay::useful_for(state_.settings.link_kbps)
+            relays_starts
                 ? [this] {
                       const std::int64_t direct = open_start_bytes(state_.settings.link_kbps);
                       return state_.starts.available() ? relayed_starts_factor * direct : direct;
--- a/tests/node/host_manager_test.cpp
+++ b/tests/node/host_manager_test.cpp
@@ -75,7 +75,7 @@
         listing.ok = answers;
         listing.hosts = hosts;
         node_.loop.defer([this, done, listing] {
-            node_.traffic.add_received(traffic_class::hosts, list_bytes);
+            node_.traffic.add(traffic_class::hosts, {.sent = 0, .received = list_bytes});
             done(listing);
         });
     }
