Share the listener, the first owner and the single poll of tests

slow_link_test and http_client_test bound a socket by the same lines, shard_start_batch_test and shard_owner_test started an owner by the same lines, and two tests of worker_calls polled once by the same lambda.

--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -407,6 +407,17 @@
         loop.run();
         return got;
     }
+    order_result poll_once(http_client& client, const std::string& address)
+    {
+        worker_client workers(client);
+        order_result outcome = order_result::ok;
+        workers.poll({"i-1", address}, {}, [&](const poll_answer& answer) {
+            outcome = answer.outcome;
+            loop.stop();
+        });
+        loop.run();
+        return outcome;
+    }
     event_loop loop;
     nlohmann::json sent;
     std::string instance;
@@ -450,16 +461,6 @@
 TEST_F(worker_calls, tells_an_ended_process_from_one_that_does_not_answer)
 {
     http_client client(loop);
-    worker_client workers(client);
-    const auto poll_once = [&](const std::string& address) {
-        order_result outcome = order_result::ok;
-        workers.poll({"i-1", address}, {}, [&](const poll_answer& answer) {
-            outcome = answer.outcome;
-            loop.stop();
-        });
-        loop.run();
-        return outcome;
-    };
     std::string address;
     {
         http_server server(loop);
@@ -472,11 +473,11 @@
             }
         });
         address = "127.0.0.1:" + std::to_string(server.listen("127.0.0.1", 0).value());
-        EXPECT_EQ(poll_once(address), order_result::disconnected);
+        EXPECT_EQ(poll_once(client, address), order_result::disconnected);
         closes = false;
-        EXPECT_EQ(poll_once(address), order_result::no_answer);
+        EXPECT_EQ(poll_once(client, address), order_result::no_answer);
     }
-    EXPECT_EQ(poll_once(address), order_result::not_listening);
+    EXPECT_EQ(poll_once(client, address), order_result::not_listening);
 }
 
 // While versions of 290 KB arrived over a link of 2 Mbit/s, lists were answered after 0.4 s. All workers of
@@ -495,19 +496,9 @@
     const std::string address = "127.0.0.1:" + std::to_string(server.listen("127.0.0.1", 0).value());
     http_client client(loop);
     client.share_link(budget);
-    worker_client workers(client);
-    const auto poll_once = [&] {
-        order_result outcome = order_result::ok;
-        workers.poll({"i-1", address}, {}, [&](const poll_answer& answer) {
-            outcome = answer.outcome;
-            loop.stop();
-        });
-        loop.run();
-        return outcome;
-    };
-    EXPECT_EQ(poll_once(), order_result::no_answer);
+    EXPECT_EQ(poll_once(client, address), order_result::no_answer);
     budget.add(traffic_class::configuration, {.sent = 0, .received = 290'000}, monotonic_ms());
-    EXPECT_EQ(poll_once(), order_result::ok);
+    EXPECT_EQ(poll_once(client, address), order_result::ok);
 }
 
 // The clock of a worker was taken as it was, so its leases reached to the end of time.
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -1,12 +1,12 @@
+#include "fakes/loopback_listener.hpp"
+
 #include "waxwingnotch/net/http_client.hpp"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
 
 namespace waxwingnotch {
 
@@ -22,14 +22,7 @@
     raw_server(event_loop& loop, reaction_function reaction_to)
         : loop_(loop), reaction_to_(std::move(reaction_to))
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        listener_ = evconnlistener_new_bind(loop.native(), accept, this, LEV_OPT_CLOSE_ON_FREE, -1,
-                                            reinterpret_cast<sockaddr*>(&address), sizeof address);
-        socklen_t size = sizeof address;
-        getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr*>(&address), &size);
-        address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+        listener_ = listen_on_loopback(loop, accept, this, address_);
     }
     ~raw_server()
     {
--- a/tests/shard/shard_owner_test.cpp
+++ b/tests/shard/shard_owner_test.cpp
@@ -2,6 +2,7 @@
 #include "fakes/fake_store.hpp"
 #include "fakes/fake_worker.hpp"
 #include "log_capture.hpp"
+#include "started_owner.hpp"
 
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/shard/shard_owner.hpp"
@@ -55,14 +56,7 @@
 
 class shard_owner_test : public testing::Test {
 protected:
-    shard_owner_test()
-    {
-        workers.worker.entry = {.id = "a",
-                                .service = "svc",
-                                .address = "10.0.0.1:1",
-                                .capacity = {8'000, 64'000, 0},
-                                .started_ms = monotonic_ms() - 1'000};
-    }
+    shard_owner_test() { workers.worker.entry = only_worker(); }
 
     /// Starts an owner, which takes over from the one before.
     void take_over()
@@ -76,12 +70,7 @@
     {
         owner = std::make_unique<shard_owner>(std::move(parts), 0, options,
                                               [] { FAIL() << "the owner was replaced"; });
-        auto config = std::make_shared<cluster_config>();
-        config->queues.push_back({.name = "q", .service = "svc", .max_attempts = 4});
-        config->services.push_back({.name = "svc"});
-        owner->set_config(config);
-        owner->put_worker(workers.worker.entry);
-        owner->start();
+        start_with_worker(*owner, workers.worker.entry);
     }
 
     /// Runs the loop until @p condition holds; fails the test after test_timeout_ms.
--- a/tests/shard/shard_start_batch_test.cpp
+++ b/tests/shard/shard_start_batch_test.cpp
@@ -1,6 +1,7 @@
 /// Tests of starts of one job that an owner sends through another node, with an in-memory store and workers.
 #include "fakes/fake_store.hpp"
 #include "fakes/fake_worker.hpp"
+#include "started_owner.hpp"
 
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/shard/shard_owner.hpp"
@@ -70,11 +71,7 @@
 protected:
     start_batch_test()
     {
-        workers.worker.entry = {.id = "a",
-                                .service = "svc",
-                                .address = "10.0.0.1:1",
-                                .capacity = {8'000, 64'000, 0},
-                                .started_ms = monotonic_ms() - 1'000};
+        workers.worker.entry = only_worker();
         shard_owner::parts parts{.loop = &loop, .store = &store, .workers = &workers, .address = "node"};
         parts.relay_starts = [this](const start_batch& batch, const batch_handler& done) {
             batches.push_back(batch);
@@ -93,12 +90,7 @@
         };
         owner = std::make_unique<shard_owner>(std::move(parts), 0, shard_options{.epoch = 1},
                                               [this] { lost = true; });
-        auto config = std::make_shared<cluster_config>();
-        config->queues.push_back({.name = "q", .service = "svc", .max_attempts = 4});
-        config->services.push_back({.name = "svc"});
-        owner->set_config(config);
-        owner->put_worker(workers.worker.entry);
-        owner->start();
+        start_with_worker(*owner, workers.worker.entry);
     }
 
     void run_until(const std::function<bool()>& condition)
--- a/tests/store/slow_link_test.cpp
+++ b/tests/store/slow_link_test.cpp
@@ -1,4 +1,6 @@
 /// Reads of the store over a link that carries a large answer for longer than a call's timeout.
+#include "fakes/loopback_listener.hpp"
+
 #include "waxwingnotch/base/clock.hpp"
 #include "waxwingnotch/net/http_client.hpp"
 #include "waxwingnotch/store/transport.hpp"
@@ -7,7 +9,6 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
 
 #include <memory>
 #include <string>
@@ -24,14 +25,7 @@
     slow_server(event_loop& loop, std::size_t body_bytes, std::size_t piece_bytes)
         : loop_(loop), body_bytes_(body_bytes), piece_bytes_(piece_bytes)
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        listener_ = evconnlistener_new_bind(loop.native(), accept, this, LEV_OPT_CLOSE_ON_FREE, -1,
-                                            reinterpret_cast<sockaddr*>(&address), sizeof address);
-        socklen_t size = sizeof address;
-        getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr*>(&address), &size);
-        address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+        listener_ = listen_on_loopback(loop, accept, this, address_);
     }
     ~slow_server()
     {
