Store long progress in several records, and let a refused record stop only its job

One fault with two halves; each half alone leaves other jobs at its mercy.

Change: progress beyond 16 KB is stored in parts, of which only the changed ones are written; higher keys are stored first, so no task is in neither part when an owner ends between two appends. Related: checkpoints that no record holds, jobs handed over, notes of unreadable jobs, batches of submissions.

--- a/include/waxwingnotch/job/progress.hpp
+++ b/include/waxwingnotch/job/progress.hpp
@@ -92,8 +92,11 @@
 /// @return a new occurrence of @p job with every task waiting
 occurrence_progress make_occurrence(const job_spec& job);
 
-// The record of an occurrence in the store (CBOR).
+// The record of an occurrence in the store (CBOR). Long ones are stored in parts, see progress_parts.hpp.
 std::string encode_progress(const occurrence_progress& progress);
+/// Encodes the tasks from @p first to before @p end, counted over all steps. Steps before these tasks are
+/// empty, and steps behind them are left out.
+std::string encode_progress(const occurrence_progress& progress, std::size_t first, std::size_t end);
 result<occurrence_progress> decode_progress(std::string_view bytes);
 
 /// Name of a task: job, occurrence, step and index within the step.
--- a/include/waxwingnotch/node/settings.hpp
+++ b/include/waxwingnotch/node/settings.hpp
@@ -24,6 +24,7 @@
     int processor_milli = 1'000;             // processor share of this host, thousandths of a core
     std::int64_t link_kbps = 0;              // of this host's link, in each direction; 0: not told
     int partitions = 8;                      // per topic in the store
+    std::size_t max_record_bytes = 262'144;  // longest record that the store takes, with its key
     std::int64_t min_ttl_ms = 1'000;         // shortest group membership TTL that the store allows
     std::int64_t max_lease_ms = 10'000;      // longest lease that a worker accepts
     std::int64_t drain_grace_ms = 6'000;     // from SIGTERM to SIGKILL
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -60,6 +60,8 @@
     // Starts that are being stored or have not been answered may have so many bytes, so that those of a load
     // peak do not wait in the queue of the link until they count as lost. 0: no limit.
     std::int64_t max_open_start_bytes = 0;
+    // Longest record that the store takes, with its key.
+    std::size_t max_record_bytes = 262'144;
 };
 
 /// Demand of a service on its pool, for decisions on moves of hosts.
@@ -89,7 +91,9 @@
     std::uint64_t runs_adopted = 0;    // of runs_unknown: went on, as their tasks were waiting
     std::uint64_t starts_held = 0;     // times that this owner ceased to start tasks until it is up to date
     std::uint64_t ends_adopted = 0;    // ends `done` of runs that had been given up, which ended their tasks
-    std::uint64_t records_unreadable = 0;  // of jobs and their progress that this version cannot decode
+    std::uint64_t records_unreadable = 0;    // of jobs and their progress that this version cannot decode
+    std::uint64_t records_refused = 0;       // of progress, by the store; their jobs start nothing more
+    std::uint64_t checkpoints_too_long = 0;  // seen in lists of workers and not kept
 };
 
 /// What an owner knows of a task.
@@ -184,8 +188,11 @@
     void on_forwarded(const std::string& id, bool cancel, bool stored, std::int64_t now_ms);
     /// @param known whether the shard that runs the job knows it; none: it did not answer
     void on_forward_checked(const std::string& id, std::optional<bool> known, std::int64_t now_ms);
-    /// The writes of @p batch and of all batches before it are in the store.
+    /// The writes of @p batch and of all batches before it are in the store, but those that it has refused.
     void on_stored(std::uint64_t batch, std::int64_t now_ms);
+    /// The store does not take the record of @p key. To be called before on_stored() of its batch. The job
+    /// starts nothing more under this owner, and its ends that are not stored are not acknowledged.
+    void on_record_refused(const std::string& key, std::int64_t now_ms);
     /// Tells up to when this owner knows the registrations of the workers, and the jobs and cancels. Until
     /// the first call it counts as up to date.
     void set_known_until(std::int64_t registrations_ms, std::int64_t jobs_ms);
@@ -259,6 +266,10 @@
     void discard_advice(const occurrence_entry& occurrence);
     void stop_job(job_entry& job, std::int64_t now_ms);
     void mark_changed(occurrence_entry& occurrence);
+    void mark_changed(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index);
+    void note_change(occurrence_entry& occurrence);
+    void keep_checkpoint(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
+                         const std::string& checkpoint, std::int64_t now_ms);
     void forget_ended_jobs(std::int64_t now_ms);
     void drop_job(job_entry& job);
     job_entry* insert_job(const job_spec& spec, std::int64_t age_ms, std::int64_t now_ms);
@@ -276,6 +287,7 @@
     occurrence_entry* update_notes(const occurrence_entry& occurrence);
     void update_all_notes();
     void release_held(const std::string& job);
+    bool refused_by_store(std::string_view task) const;
 
     // Jobs of services that another shard runs, stored here by an earlier version
     void hand_over_jobs(std::int64_t now_ms);
@@ -457,6 +469,7 @@
         std::uint64_t batch = 0;  // store batch that contains the end
         std::int64_t read_ms = 0;
         ended_row row;
+        std::string worker;  // whose list it was in; empty: a previous owner has read it
     };
     std::vector<unstored_end> unstored_ends_;  // the oldest first
     /// Bounds the lines about runs or ends that this owner does not know.
@@ -499,6 +512,7 @@
     std::int64_t renew_until_ms_ = std::numeric_limits<std::int64_t>::max();
     bool holds_starts_ = false;
     std::int64_t last_held_report_ms_ = 0;
+    std::int64_t last_checkpoint_report_ms_ = 0;
     std::int64_t wall_offset_ms_ = 0;  // time of day minus steady time
     std::int64_t loaded_ms_ = 0;
     std::int64_t last_forget_ms_ = 0;
--- a/include/waxwingnotch/store/batch_appender.hpp
+++ b/include/waxwingnotch/store/batch_appender.hpp
@@ -24,7 +24,8 @@
     batch_appender& operator=(batch_appender&&) = delete;
 
     /// Appends one record. Failed appends are not retried.
-    /// @param done receives the status of the append that carried the record
+    /// @param done receives the status of the append that carried the record; `rejected` only if the store
+    ///        takes this record in no append
     void append(keyed_record record, std::function<void(store_status)> done);
 
 private:
@@ -34,6 +35,8 @@
     };
     bool may_send() const;
     void send();
+    void send_records(const std::shared_ptr<std::vector<pending_record>>& batch, std::size_t first,
+                      std::size_t end);
 
     log_store& store_;
     std::string topic_;
--- a/include/waxwingnotch/store/journal.hpp
+++ b/include/waxwingnotch/store/journal.hpp
@@ -1,6 +1,7 @@
 /// @file
 /// Fenced writer of one partition with group commit. Values that are put while an append is in flight
-/// are sent together in the next one; only the newest value of each key is sent.
+/// are sent together in the next one; only the newest value of each key is sent. Where they need several
+/// appends, higher keys are stored first.
 #pragma once
 
 #include "waxwingnotch/net/event_loop.hpp"
@@ -8,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,14 +36,19 @@
         // claim.
         std::string claim_key;
         std::string claim_value;
+        // Longest record that the store takes, with its key.
+        std::size_t max_record_bytes = 262'144;
+        // Runs when the store does not take a record that is valid in itself, before the actions that wait
+        // for it; all other records are written. Empty: the record is only logged.
+        std::function<void(const std::string& key)> on_refused = {};
         // Record that is written when an action is pending and no value is.
         std::string probe_key = "~owner";
         std::string probe_value = "-";
     };
 
     /// @param on_lost runs once when this writer can write no more: another owner has written with a higher
-    ///        epoch, the sequence number is unexpected, the append is rejected, or the store answers with an
-    ///        offset that does not follow this writer's records
+    ///        epoch, the sequence number is unexpected, the store rejects the probe record or the
+    ///        registration, or it answers with an offset that does not follow this writer's records
     journal(event_loop& loop, log_store& store, options options, std::function<void()> on_lost);
     ~journal();
     journal(const journal&) = delete;
@@ -69,10 +76,14 @@
     std::int64_t stalled_since_ms() const { return stalled_since_ms_; }
 
 private:
+    static constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
+
     void flush();
     void send();
     void on_append_result(const append_result& answer);
     void on_append_stored(const append_result& answer);
+    bool isolate_rejected();
+    void refuse(const keyed_record& record, const char* reason);
     bool follows(const append_result& answer) const;
     void close(const append_result& answer, const char* reason);
     void schedule(std::int64_t delay_ms, void (journal::*action)());
@@ -82,10 +93,12 @@
     options options_;
     std::function<void()> on_lost_;
     std::function<void()> on_opened_;
-    std::map<std::string, std::optional<std::string>> pending_;
+    std::map<std::string, std::optional<std::string>, std::greater<>> pending_;
     std::vector<std::function<void()>> pending_actions_;
     append_request batch_;
     std::vector<std::function<void()>> batch_actions_;
+    std::size_t max_batch_records_ = unlimited;  // less while a rejected record is looked for
+    std::optional<keyed_record> suspect_;        // was rejected alone; refused if the store takes the probe
     bool open_ = false;
     bool closed_ = false;
     bool in_flight_ = false;
--- a/src/job/codec.cpp
+++ b/src/job/codec.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace waxwingnotch {
 
@@ -196,14 +197,25 @@
 }
 
 std::string encode_progress(const occurrence_progress& progress)
+{
+    return encode_progress(progress, 0, std::numeric_limits<std::size_t>::max());
+}
+
+std::string encode_progress(const occurrence_progress& progress, std::size_t first, std::size_t end)
 {
     json steps = json::array();
+    std::size_t number = 0;  // of the first task of the step
     for (const std::vector<task_progress>& tasks : progress.steps) {
+        if (number >= end) {
+            break;
+        }
         json rows = json::array();
-        for (const task_progress& task : tasks) {
-            rows.push_back(task_to_json(task));
+        const std::size_t last = std::min(tasks.size(), end - number);
+        for (std::size_t index = first > number ? first - number : 0; index < last; ++index) {
+            rows.push_back(task_to_json(tasks[index]));
         }
         steps.push_back(std::move(rows));
+        number += tasks.size();
     }
     return to_bytes(steps);
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -427,7 +427,8 @@
                           .ended_job_retention_ms = 2 * state_.settings.status_retention_ms,
                           .max_registrations_age_ms = age_limit_ms(state_.settings.worker_drain_ms),
                           .max_jobs_age_ms = age_limit_ms(state_.settings.cancel_ms),
-                          .max_open_start_bytes = open_start_bytes(budgeted_kbps(state_.settings))};
+                          .max_open_start_bytes = open_start_bytes(budgeted_kbps(state_.settings)),
+                          .max_record_bytes = state_.settings.max_record_bytes};
     const bool relays_starts = start_relay::useful_for(state_.settings.link_kbps);
     auto owner = std::make_unique<shard_owner>(
         shard_owner::parts{
--- a/src/shard/core_crashes.cpp
+++ b/src/shard/core_crashes.cpp
@@ -143,7 +143,7 @@
     for (active_run& active : task.runs) {
         active.crash_counted = active.crash_counted || active.number == run.number;
     }
-    mark_changed(occurrence);
+    mark_changed(occurrence, run.step, run.index);
     if (must_isolate(task.crashes)) {
         suspects_[occurrence.key()] = &occurrence;
     }
@@ -226,7 +226,7 @@
     task_progress& task = occurrence.task(step, index);
     occurrence.waiting_tasks -= task.phase == task_phase::waiting ? 1 : 0;
     task.phase = task_phase::failed;
-    mark_changed(occurrence);
+    mark_changed(occurrence, step, index);
     stop_task(occurrence, step, index, now_ms);
     finish_occurrence(occurrence, now_ms);
 }
@@ -291,7 +291,7 @@
         return;
     }
     remove_crash(occurrence.task(step, index).crashes, suspicion);
-    mark_changed(occurrence);
+    mark_changed(occurrence, step, index);
     if (!has_suspects(occurrence)) {
         suspects_.erase(occurrence.key());
     }
@@ -316,7 +316,7 @@
     if (task.crashes == before) {
         return;
     }
-    mark_changed(*run.occurrence);
+    mark_changed(*run.occurrence, run.step, run.index);
     if (!has_suspects(*run.occurrence)) {
         suspects_.erase(run.occurrence->key());
     }
--- a/src/shard/core_forwards.cpp
+++ b/src/shard/core_forwards.cpp
@@ -16,8 +16,21 @@
 // From a takeover until the runs of a job that another shard was to hand over count as unknown: longer than
 // the takeover of that shard.
 constexpr std::int64_t handover_wait_ms = 60'000;
+// Of the record of a job that is handed over: its key, and what each occurrence adds beside its progress.
+constexpr std::size_t handed_record_margin_bytes = 256;
+constexpr std::size_t handed_progress_margin_bytes = 16;
 constexpr std::size_t max_checks_per_round = 200;  // of some seconds; a question is a call to another node
 
+occurrence_progress without_checkpoints(occurrence_progress progress)
+{
+    for (std::vector<task_progress>& tasks : progress.steps) {
+        for (task_progress& task : tasks) {
+            task.checkpoint.clear();
+        }
+    }
+    return progress;
+}
+
 /// The job as the shard that runs it reads it.
 job_spec routed(const job_spec& spec, const job_route& route)
 {
@@ -358,13 +371,25 @@
     spec.has_home = true;
     spec.handed_over = true;
     std::vector<std::string> keys;
+    std::size_t bytes = encode_job(spec).size() + handed_record_margin_bytes;
     for (const auto& [number, occurrence] : job.occurrences) {
         if (occurrence->progress != make_occurrence(job.spec)) {
             spec.progress[number] = encode_progress(occurrence->progress);
+            bytes += spec.progress[number].size() + handed_progress_margin_bytes;
+        }
+        for (const std::size_t first : occurrence->parts.firsts) {
+            keys.push_back(part_key(occurrence->key(), first));
         }
-        keys.push_back(occurrence->key());
     }
     const std::string id = job.spec.id;
+    if (bytes > options_.max_record_bytes) {
+        // The workers list the checkpoints of the runs that are at work to the next owner.
+        log_event(log_level::warning, "checkpoints_dropped",
+                  {{"job", id}, {"reason", "its record is too long to be handed over"}, {"bytes", bytes}});
+        for (auto& [number, progress] : spec.progress) {
+            progress = encode_progress(without_checkpoints(job.occurrences.at(number)->progress));
+        }
+    }
     const bool cancelled = job.cancelled;
     log_event(log_level::info, "job_handed_over",
               {{"job", id}, {"service", route.service}, {"shard", route.shard}, {"runs", job.runs}});
--- a/src/shard/core_jobs.cpp
+++ b/src/shard/core_jobs.cpp
@@ -14,6 +14,9 @@
 // Progress whose job does not exist is deleted this long after the takeover, when the work of the takeover
 // itself is over.
 constexpr std::int64_t orphan_retention_ms = 30'000;
+// Of a record with one task, beside its checkpoint: the key, empty earlier steps, runs, given-up runs.
+constexpr std::size_t task_row_bytes = 4'096;
+constexpr std::int64_t checkpoint_report_interval_ms = 1'000;  // between reports of checkpoints too long
 
 }  // namespace
 
@@ -172,11 +175,12 @@
     // What this shard has stored itself is newer than what another one has handed over.
     const bool own = loaded_progress_.contains(occurrence.key());
     const std::map<std::string, std::string>& source = own ? loaded_progress_ : handed_progress_;
-    const auto saved = source.find(occurrence.key());
-    if (saved != source.end()) {
-        auto progress = decode_progress(saved->second);
-        if (progress && same_shape(progress.value(), occurrence.progress)) {
-            occurrence.progress = std::move(progress.value());
+    const bool saved = source.contains(occurrence.key());
+    if (saved) {
+        auto joined = join_parts(source, occurrence.key());
+        if (joined && same_shape(joined.value().progress, occurrence.progress)) {
+            occurrence.progress = std::move(joined.value().progress);
+            occurrence.parts = std::move(joined.value().parts);
             apply_notes(occurrence);
         }
         else {
@@ -217,7 +221,7 @@
         suspects_[occurrence.key()] = &occurrence;
     }
     schedule_needed_ = true;
-    if (!own && saved != source.end() && !held(job.spec.id)) {
+    if (!own && saved && !held(job.spec.id)) {
         mark_changed(occurrence);
     }
     finish_occurrence(occurrence, now_ms);
@@ -324,7 +328,21 @@
     }
 }
 
+/// Marks all tasks of an occurrence for the next batch.
 void shard_core::mark_changed(occurrence_entry& occurrence)
+{
+    occurrence.parts.mark_all();
+    note_change(occurrence);
+}
+
+/// Marks one task for the next batch, with the others of its record.
+void shard_core::mark_changed(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index)
+{
+    occurrence.parts.mark(number_of_task(occurrence.progress, step, index));
+    note_change(occurrence);
+}
+
+void shard_core::note_change(occurrence_entry& occurrence)
 {
     if (update_notes(occurrence) == nullptr) {
         dirty_.insert(&occurrence);
@@ -333,6 +351,31 @@
     batch_needed_ = true;
 }
 
+/// Keeps the checkpoint of a task, unless no record of the store could hold it. Then the task goes on from
+/// its latest shorter one, if its run is lost.
+void shard_core::keep_checkpoint(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
+                                 const std::string& checkpoint, std::int64_t now_ms)
+{
+    if (checkpoint.empty()) {
+        return;
+    }
+    if (checkpoint.size() + task_row_bytes <= options_.max_record_bytes) {
+        occurrence.task(step, index).checkpoint = checkpoint;
+        return;
+    }
+    ++counts_.checkpoints_too_long;
+    if (now_ms - last_checkpoint_report_ms_ < checkpoint_report_interval_ms) {
+        return;
+    }
+    last_checkpoint_report_ms_ = now_ms;
+    log_event(log_level::warning, "checkpoint_too_long",
+              {{"shard", options_.shard},
+               {"task", to_string(task_name{occurrence.job->spec.id, occurrence.number, step, index})},
+               {"bytes", checkpoint.size()},
+               {"limit", options_.max_record_bytes - task_row_bytes},
+               {"so_far", counts_.checkpoints_too_long}});
+}
+
 void shard_core::forget_ended_jobs(std::int64_t now_ms)
 {
     update_all_notes();
@@ -395,7 +438,9 @@
         open_.erase(occurrence.get());
         suspects_.erase(occurrence->key());
         dirty_.erase(occurrence.get());
-        deleted_progress_.insert(occurrence->key());
+        for (const std::size_t first : occurrence->parts.firsts) {
+            deleted_progress_.insert(part_key(occurrence->key(), first));
+        }
         batch_needed_ = true;
     }
 }
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -4,6 +4,7 @@
 
 #include "waxwingnotch/decision/job_order.hpp"
 #include "waxwingnotch/decision/task_placement.hpp"
+#include "waxwingnotch/job/progress_parts.hpp"
 #include "waxwingnotch/job/route.hpp"
 #include "waxwingnotch/shard/shard_core.hpp"
 
@@ -58,6 +59,7 @@
     std::uint32_t number = 0;
     std::int64_t due_ms = 0;  // steady clock; arrival time of a job that does not repeat
     occurrence_progress progress;
+    progress_parts parts;               // records in which the progress is stored
     std::size_t waiting_tasks = 0;      // tasks in phase `waiting`, whether their step is ready or not
     waiting_job ranking;                // input of order_key(); each scheduling round updates its age
     std::int64_t ranking_until_ms = 0;  // the rest of `ranking` is recomputed after this; 0: it is outdated
@@ -168,6 +170,7 @@
     std::int64_t applied_end = 0;      // highest end number that was applied
     std::int64_t stored_end = 0;       // highest end number that is in the store
     std::uint64_t end_batch = 0;       // store batch that contains `applied_end`; 0: stored
+    std::int64_t withheld_end = 0;     // lowest number of an end that the store does not take; 0: none
     std::int64_t removed_ms = 0;       // when it was unregistered; 0: registered
     bool host_lost = false;            // the platform says that its host runs it no more
     std::int64_t last_pace_ms = 0;
@@ -254,6 +257,10 @@
 /// while.
 constexpr std::int64_t proof_wait_ms = 60'000;
 
+/// Longest record of progress with several tasks. With the 60 bytes that a task at work takes without a
+/// checkpoint it holds some 250 tasks, and most jobs have one record.
+constexpr std::size_t part_bytes = 16'384;
+
 /// Slowest rate of a worker's clock, relative to this process's clock.
 constexpr double min_clock_rate = 0.98;
 
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -154,10 +154,8 @@
     record_end(occurrence, run, kind, heard, now_ms);
     const std::string worker = run.worker->entry.id;
     remove_run(run);
-    mark_changed(occurrence);
-    if (!checkpoint.empty()) {
-        task.checkpoint = checkpoint;
-    }
+    mark_changed(occurrence, step, index);
+    keep_checkpoint(occurrence, step, index, checkpoint, now_ms);
     if (task.phase == task_phase::done || task.phase == task_phase::failed) {
         return;
     }
@@ -225,6 +223,7 @@
         task_progress& task = occurrence.task(step, index);
         occurrence.waiting_tasks -= task.phase == task_phase::waiting ? 1 : 0;
         task.phase = task_phase::done;
+        mark_changed(occurrence, step, index);
         stop_task(occurrence, step, index, now_ms);
     }
 }
@@ -254,7 +253,7 @@
         add_given_up(task, run.number);  // its end counts if it is listed after all
     }
     remove_run(run);
-    mark_changed(occurrence);
+    mark_changed(occurrence, step, index);
     if (task.phase == task_phase::active && task.runs.empty()) {
         task.phase = task_phase::waiting;
         ++occurrence.waiting_tasks;
@@ -308,7 +307,9 @@
     for (auto& [id, worker] : workers_) {
         if (worker->end_batch != 0 && worker->end_batch <= batch) {
             worker->end_batch = 0;
-            worker->stored_end = worker->applied_end;
+            worker->stored_end = worker->withheld_end == 0
+                                     ? worker->applied_end
+                                     : std::min(worker->applied_end, worker->withheld_end - 1);
             worker->next_poll_ms = now_ms;
         }
     }
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -336,7 +336,7 @@
     start_bytes_left_ -=
         static_cast<std::int64_t>(occurrence.job->spec.payload.size() + start_overhead_bytes);
     occurrence.job->started = true;
-    mark_changed(occurrence);
+    mark_changed(occurrence, step, index);
     return true;
 }
 
@@ -456,8 +456,12 @@
             out.writes.emplace_back(key, std::nullopt);
         }
         write_routes(out);
+        const std::size_t max_part_bytes = std::min(part_bytes, options_.max_record_bytes);
         for (occurrence_entry* occurrence : dirty_) {
-            out.writes.emplace_back(occurrence->key(), encode_progress(occurrence->progress));
+            for (auto& [key, bytes] : encode_changed_parts(occurrence->progress, occurrence->key(),
+                                                           occurrence->parts, max_part_bytes)) {
+                out.writes.emplace_back(key, std::move(bytes));
+            }
         }
         dirty_.clear();
     }
--- a/src/shard/core_tasks.cpp
+++ b/src/shard/core_tasks.cpp
@@ -284,7 +284,7 @@
     run.ordered_ms = now_ms;
     run.confirmed_ms = now_ms;
     occurrence->job->started = true;
-    mark_changed(*occurrence);
+    mark_changed(*occurrence, step, index);
     if (!may_go_on) {
         request_stop(run, now_ms);
     }
@@ -334,7 +334,7 @@
         return nullptr;
     }
     task.last_run = std::max(task.last_run, row.run);
-    mark_changed(*occurrence);
+    mark_changed(*occurrence, step, index);
     if (done) {
         ++counts_.ends_adopted;
         complete_task(*occurrence, step, index, now_ms);
--- a/src/shard/core_unreadable.cpp
+++ b/src/shard/core_unreadable.cpp
@@ -183,14 +183,14 @@
     for (auto at = loaded_progress_.lower_bound(prefix);
          at != loaded_progress_.end() && at->first.starts_with(prefix); ++at) {
         const std::optional<std::uint32_t> number = occurrence_of(at->first, job.spec.id);
-        const auto progress = decode_progress(at->second);
         if (!number) {
             continue;
         }
-        if (progress && job.spec.steps.empty()) {
-            job.spec.steps = unknown_steps(progress.value());
+        const auto joined = join_parts(loaded_progress_, at->first);
+        if (joined && job.spec.steps.empty()) {
+            job.spec.steps = unknown_steps(joined.value().progress);
         }
-        if (!progress || !same_shape(progress.value(), make_occurrence(job.spec))) {
+        if (!joined || !same_shape(joined.value().progress, make_occurrence(job.spec))) {
             report_unreadable(at->first);
             continue;
         }
@@ -218,14 +218,11 @@
             task.phase = task_phase::active;
         }
     }
-    const auto stored = loaded_progress_.find(notes_key(job.spec.id, occurrence.number));
-    if (stored != loaded_progress_.end()) {
-        if (const auto notes = decode_progress(stored->second)) {
-            for_each_task(occurrence.progress, notes.value(),
-                          [](task_progress& task, const task_progress& note) {
-                              task = note.last_run == 0 ? task : note;
-                          });
-        }
+    const auto stored = join_parts(loaded_progress_, notes_key(job.spec.id, occurrence.number));
+    if (stored) {
+        for_each_task(
+            occurrence.progress, stored.value().progress,
+            [](task_progress& task, const task_progress& note) { task = note.last_run == 0 ? task : note; });
     }
     if (entry.notes_job == nullptr) {
         entry.notes_job = std::make_unique<job_entry>();
@@ -236,22 +233,25 @@
     slot->job = entry.notes_job.get();
     slot->number = occurrence.number;
     slot->progress = notes_of(occurrence.progress);
+    if (stored) {
+        slot->parts = stored.value().parts;
+    }
 }
 
 /// Adds what owners have noted that could not decode the progress.
 void shard_core::apply_notes(occurrence_entry& occurrence)
 {
     const std::string key = notes_key(occurrence.job->spec.id, occurrence.number);
-    const auto stored = loaded_progress_.find(key);
-    if (stored == loaded_progress_.end()) {
+    if (!loaded_progress_.contains(key)) {
         return;
     }
-    const auto notes = decode_progress(stored->second);
-    if (!notes || !same_shape(notes.value(), occurrence.progress)) {
+    const auto stored = join_parts(loaded_progress_, key);
+    if (!stored || !same_shape(stored.value().progress, occurrence.progress)) {
         report_unreadable(key);
         return;
     }
-    for_each_task(occurrence.progress, notes.value(), [](task_progress& task, const task_progress& note) {
+    const occurrence_progress& notes = stored.value().progress;
+    for_each_task(occurrence.progress, notes, [](task_progress& task, const task_progress& note) {
         task.last_run = std::max(task.last_run, note.last_run);
         task.failures += note.failures;
         task.checkpoint = note.checkpoint.empty() ? task.checkpoint : note.checkpoint;
@@ -269,7 +269,10 @@
             }
         }
     });
-    deleted_progress_.insert(key);
+    for (const std::size_t first : stored.value().parts.firsts) {
+        deleted_progress_.insert(part_key(key, first));
+    }
+    occurrence.parts.mark_all();
     dirty_.insert(&occurrence);
     batch_needed_ = true;
 }
@@ -289,6 +292,7 @@
     occurrence_progress latest = notes_of(occurrence.progress);
     if (latest != notes->second->progress) {
         notes->second->progress = std::move(latest);
+        notes->second->parts.mark_all();
         dirty_.insert(notes->second.get());
         batch_needed_ = true;
     }
@@ -318,10 +322,53 @@
     }
     for (const auto& [number, notes] : found->second->notes) {
         dirty_.erase(notes.get());
-        deleted_progress_.insert(notes_key(job, number));
+        for (const std::size_t first : notes->parts.firsts) {
+            deleted_progress_.insert(part_key(notes_key(job, number), first));
+        }
         batch_needed_ = true;
     }
     held_jobs_.erase(found);
 }
 
+bool shard_core::refused_by_store(std::string_view task) const
+{
+    const auto found = held_jobs_.find(std::string(task.substr(0, task.find('.'))));
+    return found != held_jobs_.end() && found->second->refused;
+}
+
+/// Holds the job, so that no other one waits for its record. A start whose assignment is not stored is not
+/// ordered, and the workers keep listing the ends that the next owner has to learn of.
+void shard_core::on_record_refused(const std::string& key, std::int64_t now_ms)
+{
+    ++counts_.records_refused;
+    const std::string id = key.substr(0, key.find('.'));
+    const auto found = jobs_.find(id);
+    log_event(log_level::error, "progress_refused",
+              {{"shard", options_.shard},
+               {"epoch", options_.epoch},
+               {"record", key},
+               {"job_known", found != jobs_.end()}});
+    if (found == jobs_.end()) {
+        return;
+    }
+    hold(*found->second).refused = true;
+    for (const unstored_end& end : unstored_ends_) {
+        const auto worker = workers_.find(end.worker);
+        if (worker == workers_.end() || !refused_by_store(end.row.task)) {
+            continue;
+        }
+        std::int64_t& withheld = worker->second->withheld_end;
+        withheld = withheld == 0 ? end.row.number : std::min(withheld, end.row.number);
+    }
+    std::vector<run_entry*> unordered;
+    for (const auto& [name, run] : runs_) {
+        if (run->occurrence->job == found->second.get() && run->stage == run_stage::writing) {
+            unordered.push_back(run.get());
+        }
+    }
+    for (run_entry* run : unordered) {
+        requeue(*run, "the store does not take the assignment", now_ms);
+    }
+}
+
 }  // namespace waxwingnotch
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -153,6 +153,7 @@
     worker.applied_end = 0;
     worker.stored_end = 0;
     worker.end_batch = 0;
+    worker.withheld_end = 0;
     worker.relayed.reset();
     worker.synced = false;
     worker.list_clock_ms = -1;
@@ -270,7 +271,11 @@
             handle_unknown_end(worker.entry.id, row, heard, now_ms);
             continue;
         }
-        unstored_ends_.push_back({.batch = batch_ + 1, .read_ms = now_ms, .row = row});
+        if (worker.withheld_end == 0 && refused_by_store(row.task)) {
+            worker.withheld_end = row.number;
+        }
+        unstored_ends_.push_back(
+            {.batch = batch_ + 1, .read_ms = now_ms, .row = row, .worker = worker.entry.id});
         end_run(*found->second, row.kind, row.checkpoint, heard, now_ms);
     }
     if (changed) {
@@ -290,7 +295,7 @@
             continue;
         }
         if (row.kind == end_kind::done || row.kind == end_kind::failed) {
-            unstored_ends_.push_back({.batch = batch_ + 1, .read_ms = now_ms, .row = row});
+            unstored_ends_.push_back({.batch = batch_ + 1, .read_ms = now_ms, .row = row, .worker = {}});
             end_run(*found->second, row.kind, row.checkpoint, "peer", now_ms);
             ++applied;
         }
@@ -334,9 +339,7 @@
         run.recent_metric = row.recent_metric;
         run.listed = true;
         clear_suspicion(run);
-        if (!row.checkpoint.empty()) {
-            run.occurrence->task(run.step, run.index).checkpoint = row.checkpoint;
-        }
+        keep_checkpoint(*run.occurrence, run.step, run.index, row.checkpoint, now_ms);
         if (run.stopping) {
             request_stop(run, now_ms);
         }
--- a/src/shard/held_job.hpp
+++ b/src/shard/held_job.hpp
@@ -13,6 +13,7 @@
 namespace waxwingnotch {
 
 struct shard_core::held_job {
+    bool refused = false;            // the store does not take a record of its progress
     bool record_unreadable = false;  // its own record, or the decision about it; else some of its progress
     // Notes about occurrences whose progress cannot be decoded, in the form of progress: the tasks with runs
     // that workers have listed, and how these have ended. By number.
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -44,6 +44,12 @@
                 .epoch = options.epoch,
                 .claim_key = claim_key,
                 .claim_value = claim_,
+                .max_record_bytes = options.max_record_bytes,
+                .on_refused =
+                    [this](const std::string& key) {
+                        core_.on_record_refused(key, monotonic_ms());
+                        pump_soon();
+                    },
                 .probe_key = owner_key,
                 .probe_value = parts_.address.empty() ? "-" : parts_.address},
                [this] { end_ownership("another owner has written to the shard"); }),
--- a/src/store/batch_appender.cpp
+++ b/src/store/batch_appender.cpp
@@ -42,25 +42,40 @@
 
 void batch_appender::send()
 {
-    append_request request{.topic = topic_, .partition = partition_};
-    auto handlers = std::make_shared<std::vector<std::function<void(store_status)>>>();
+    auto batch = std::make_shared<std::vector<pending_record>>();
     std::size_t bytes = 0;
-    std::size_t count = 0;
-    while (count < pending_.size() && bytes < max_batch_bytes) {
-        pending_record& next = pending_[count++];
+    while (batch->size() < pending_.size() && bytes < max_batch_bytes) {
+        pending_record& next = pending_[batch->size()];
         bytes += next.record.key.size() + next.record.value.value_or("").size();
-        request.records.push_back(std::move(next.record));
-        handlers->push_back(std::move(next.done));
+        batch->push_back(std::move(next));
+    }
+    pending_.erase(pending_.begin(), pending_.begin() + static_cast<std::ptrdiff_t>(batch->size()));
+    send_records(batch, 0, batch->size());
+}
+
+/// Appends the records from @p first to before @p end. If the store rejects them, nothing was stored; they
+/// are sent in halves then, so that an invalid record fails alone.
+void batch_appender::send_records(const std::shared_ptr<std::vector<pending_record>>& batch,
+                                  std::size_t first, std::size_t end)
+{
+    append_request request{.topic = topic_, .partition = partition_};
+    for (std::size_t i = first; i < end; ++i) {
+        request.records.push_back((*batch)[i].record);
     }
-    pending_.erase(pending_.begin(), pending_.begin() + static_cast<std::ptrdiff_t>(count));
     ++in_flight_;
     last_send_ms_ = monotonic_ms();
-    store_.append(request, [this, handlers, alive = alive_](const append_result& answer) {
+    store_.append(request, [this, batch, first, end, alive = alive_](const append_result& answer) {
         if (*alive) {
             --in_flight_;
         }
-        for (const auto& done : *handlers) {
-            done(answer.status);
+        if (*alive && answer.status == store_status::rejected && end - first > 1) {
+            const std::size_t middle = first + (end - first) / 2;
+            send_records(batch, first, middle);
+            send_records(batch, middle, end);
+            return;
+        }
+        for (std::size_t i = first; i < end; ++i) {
+            (*batch)[i].done(answer.status);
         }
         if (*alive && !pending_.empty() && may_send()) {
             send();
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <random>
+#include <utility>
 
 namespace waxwingnotch {
 
@@ -15,6 +17,12 @@
 constexpr std::int64_t slow_append_ms = 200;        // slower appends are logged
 constexpr std::size_t max_batch_bytes = 1U << 20U;  // half of the store's limit for one call
 
+/// Length of a record in the store: a byte for the length of the key, the key, and the value.
+std::size_t record_bytes(const std::string& key, const std::optional<std::string>& value)
+{
+    return 1 + key.size() + (value ? value->size() : 0);
+}
+
 /// Two writers that draw their numbers at random meet in one of them in 1 of 10^13 cases. All numbers have 15
 /// digits, so that the length of a call does not depend on the draw, and are exact in a double.
 std::int64_t random_first_sequence()
@@ -56,6 +64,10 @@
 
 void journal::put(const std::string& key, std::optional<std::string> value)
 {
+    if (record_bytes(key, value) > options_.max_record_bytes) {
+        refuse({.key = key, .value = std::move(value), .offset = -1}, "longer than the store takes");
+        return;
+    }
     pending_[key] = std::move(value);
     flush();
 }
@@ -91,12 +103,13 @@
     if (open_ && !in_flight_) {
         batch_.records.clear();
         std::size_t bytes = 0;
-        while (!pending_.empty() && bytes < max_batch_bytes) {
+        while (!suspect_ && !pending_.empty() && bytes < max_batch_bytes &&
+               batch_.records.size() < max_batch_records_) {
             auto item = pending_.extract(pending_.begin());
             bytes += item.key().size() + (item.mapped() ? item.mapped()->size() : 0);
             batch_.records.push_back({.key = item.key(), .value = std::move(item.mapped()), .offset = -1});
         }
-        if (pending_.empty()) {
+        if (!suspect_ && pending_.empty()) {
             batch_actions_ = std::move(pending_actions_);
             pending_actions_.clear();
         }
@@ -131,6 +144,9 @@
         on_append_stored(answer);
         return;
     }
+    if (answer.status == store_status::rejected && isolate_rejected()) {
+        return;
+    }
     if (answer.status == store_status::fenced || answer.status == store_status::wrong_sequence ||
         answer.status == store_status::rejected) {
         // A wrong sequence number means that another process writes with this epoch.
@@ -145,6 +161,48 @@
     schedule(retry_ms, &journal::send);
 }
 
+/// Looks for the record because of which the store has rejected the append in flight: sends fewer records at
+/// a time, and the probe record after one that was rejected alone. Nothing was stored, so the sequence number
+/// is free again.
+/// @return false if the store rejects the probe record too, or the registration
+bool journal::isolate_rejected()
+{
+    if (!open_ || suspect_) {
+        return false;
+    }
+    in_flight_ = false;
+    --sequence_;
+    max_batch_records_ = std::max<std::size_t>(batch_.records.size() / 2, 1);
+    if (batch_.records.size() == 1) {
+        suspect_ = std::move(batch_.records.front());
+    }
+    else {
+        for (keyed_record& record : batch_.records) {
+            pending_.try_emplace(std::move(record.key), std::move(record.value));
+        }
+    }
+    batch_.records.clear();
+    pending_actions_.insert(pending_actions_.begin(), std::make_move_iterator(batch_actions_.begin()),
+                            std::make_move_iterator(batch_actions_.end()));
+    batch_actions_.clear();
+    schedule(options_.min_append_interval_ms, &journal::send);
+    return true;
+}
+
+void journal::refuse(const keyed_record& record, const char* reason)
+{
+    log_event(log_level::error, "record_refused",
+              {{"topic", options_.topic},
+               {"partition", options_.partition},
+               {"epoch", options_.epoch},
+               {"key", record.key},
+               {"bytes", record_bytes(record.key, record.value)},
+               {"reason", reason}});
+    if (options_.on_refused) {
+        options_.on_refused(record.key);
+    }
+}
+
 /// Whether a success can belong to the append in flight. Another process that writes with the same epoch and
 /// sequence numbers (both begin at 0 without a claim) gets the answers of this one as repeats, and the store
 /// drops its records; only the offsets tell.
@@ -186,6 +244,13 @@
     // A retry may get the answer that the store gave to an earlier attempt.
     confirmed_ms_ = first_attempt_ms_;
     end_offset_ = answer.end_offset;
+    max_batch_records_ = unlimited;
+    if (const std::optional<keyed_record> refused = std::exchange(suspect_, std::nullopt)) {
+        refuse(*refused, "rejected by the store");
+        if (!*alive) {
+            return;
+        }
+    }
     if (now - first_attempt_ms_ > slow_append_ms) {
         log_event(log_level::info, "journal_slow",
                   {{"partition", options_.partition},
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -20,7 +20,7 @@
   "listenAddrs":{"front":"127.0.0.1:1","ready":"127.0.0.1:2","control":"127.0.0.1:3"},
   "seeds":["127.0.0.1:3","127.0.0.2:3"],"limits":{"cpuShare":0.12,"cores":2},"advice":"127.0.0.1:9",
   "bounds":{"graceS":2.5,"holdMaxMs":6000,"maintenanceS":2},
-  "platform":{"address":"127.0.0.1:4","parts":5,"ttlMinMs":700},"cloudApi":{"address":"127.0.0.1:5","dutyPerS":310},
+  "platform":{"address":"127.0.0.1:4","parts":5,"ttlMinMs":700,"recordBytes":65536},"cloudApi":{"address":"127.0.0.1:5","dutyPerS":310},
   "newField":[1]})";
 
 TEST(settings, are_decoded)
@@ -34,6 +34,7 @@
     EXPECT_EQ(read.value().processor_milli, 240);
     EXPECT_EQ(read.value().partitions, 5);
     EXPECT_EQ(read.value().min_ttl_ms, 700);
+    EXPECT_EQ(read.value().max_record_bytes, 65'536U);
     EXPECT_EQ(read.value().drain_grace_ms, 2'500);
     EXPECT_EQ(read.value().max_lease_ms, 6'000);
     EXPECT_EQ(read.value().maintenance_ms, 2'000);
--- a/tests/fakes/fake_store.hpp
+++ b/tests/fakes/fake_store.hpp
@@ -30,7 +30,10 @@
     bool hold_append_answers = false;          // keeps the answers to appends until release_append_answers()
     int hang_appends = 0;                      // number of appends whose handler is never called
     std::deque<append_result> forged_answers;  // to the next appends, which are not executed
-    std::size_t page_size = 500;               // maximum of records in a page of read_newest()
+    // Appends with a longer record, or with this key, are rejected whole.
+    std::size_t most_record_bytes = std::numeric_limits<std::size_t>::max();
+    std::string invalid_key;
+    std::size_t page_size = 500;  // maximum of records in a page of read_newest()
     // Number of calls of read_newest() for a partition that are answered as if it held no records.
     std::map<std::pair<std::string, int>, int> empty_pages;
     std::map<std::pair<std::string, int>, int> refused_reads;  // number of calls of read() to refuse
@@ -103,7 +106,12 @@
             forged_answers.pop_front();
             return;
         }
-        append_result outcome = apply(request);
+        const bool invalid =
+            std::any_of(request.records.begin(), request.records.end(), [this](const keyed_record& record) {
+                return size_of(record) + 1 > most_record_bytes ||
+                       (!invalid_key.empty() && record.key == invalid_key);
+            });
+        append_result outcome = invalid ? append_result{.status = store_status::rejected} : apply(request);
         if (lose_answers > 0) {
             --lose_answers;
             outcome = {};
--- a/tests/store/journal_test.cpp
+++ b/tests/store/journal_test.cpp
@@ -243,5 +243,94 @@
     RC_ASSERT(acting == 1);
 }
 
+// The refusal of one record was taken for the loss of the partition: each owner of the shard ended, and the
+// next one wrote the same record. See review/6.
+TEST_F(journal_test, a_record_that_the_store_rejects_does_not_end_the_writer)
+{
+    journal::options with_limit = options(true);
+    std::vector<std::string> refused;
+    with_limit.on_refused = [&](const std::string& key) {
+        refused.push_back(key);
+    };
+    store.most_record_bytes = 1'000;
+    store.invalid_key = "k17";
+    bool acted = false;
+    journal writer(loop, store, with_limit, [] { FAIL(); });
+    writer.open([&] {
+        for (int number = 10; number < 40; ++number) {
+            writer.put("k" + std::to_string(number), std::string(number == 31 ? 2'000 : 20, 'v'));
+        }
+        writer.when_stored([&] {
+            EXPECT_EQ(refused.size(), 2U);
+            acted = true;
+            loop.stop();
+        });
+    });
+    run();
+    EXPECT_TRUE(acted);
+    std::sort(refused.begin(), refused.end());
+    EXPECT_EQ(refused, (std::vector<std::string>{"k17", "k31"}));
+    EXPECT_EQ(store.newest_of("keyed.t", 0).size(), 29U);  // 28 and the probe record
+}
+
+TEST_F(journal_test, a_record_longer_than_the_limit_is_not_sent)
+{
+    journal::options with_limit = options(true);
+    std::vector<std::string> refused;
+    with_limit.on_refused = [&](const std::string& key) {
+        refused.push_back(key);
+    };
+    with_limit.max_record_bytes = 100;
+    journal writer(loop, store, with_limit, [] { FAIL(); });
+    writer.open([&] {
+        writer.put("a", std::string(98, 'v'));
+        writer.put("b", std::string(99, 'v'));
+        writer.when_stored([&] { loop.stop(); });
+    });
+    run();
+    EXPECT_EQ(refused, std::vector<std::string>{"b"});
+    EXPECT_TRUE(store.newest_of("keyed.t", 0).contains("a"));
+}
+
+// A store that rejects every append refuses this writer, not its records, which would all be dropped.
+TEST_F(journal_test, a_writer_whose_probe_is_rejected_is_lost)
+{
+    journal::options without_records = options(true);
+    without_records.on_refused = [](const std::string&) {
+        FAIL();
+    };
+    bool lost = false;
+    journal writer(loop, store, without_records, [&] {
+        lost = true;
+        loop.stop();
+    });
+    writer.open([&] {
+        store.most_record_bytes = 0;
+        writer.put("a", "1");
+        writer.when_stored([] { FAIL(); });
+    });
+    run();
+    EXPECT_TRUE(lost);
+}
+
+// A later part of a progress is stored with or before the earlier one that it shortens.
+TEST_F(journal_test, higher_keys_are_stored_first)
+{
+    journal::options with_limit = options(true);
+    with_limit.max_record_bytes = 1'000'000;
+    journal writer(loop, store, with_limit, [] { FAIL(); });
+    writer.open([&] {
+        for (const char* key : {"b", "c", "a"}) {
+            writer.put(key, std::string(600'000, 'v'));
+        }
+        writer.when_stored([&] { loop.stop(); });
+    });
+    run();
+    const auto& records = store.partitions[{"keyed.t", 0}].records;
+    ASSERT_EQ(records.size(), 3U);
+    EXPECT_EQ(records[0].key, "c");
+    EXPECT_EQ(records[2].key, "a");
+}
+
 }  // namespace
 }  // namespace waxwingnotch
--- a/tests/store/store_test.cpp
+++ b/tests/store/store_test.cpp
@@ -133,6 +133,29 @@
     EXPECT_EQ(store.appends, 2);
 }
 
+// One submission that the store does not take made those of other callers fail that waited with it.
+TEST_F(store_test, appender_rejects_only_the_record_that_is_too_long)
+{
+    batch_appender appender(store, "keyed.t", 0);
+    store.most_record_bytes = 1'000;
+    std::map<std::string, store_status> outcomes;
+    for (const char* key : {"a", "b", "c", "d", "e"}) {
+        appender.append({.key = key, .value = std::string(*key == 'c' ? 2'000 : 1, 'v')},
+                        [&, key](store_status outcome) {
+                            outcomes[key] = outcome;
+                            if (outcomes.size() == 5) {
+                                loop.stop();
+                            }
+                        });
+    }
+    run();
+    EXPECT_EQ(outcomes["c"], store_status::rejected);
+    EXPECT_EQ(store.newest_of("keyed.t", 0).size(), 4U);
+    for (const char* key : {"a", "b", "d", "e"}) {
+        EXPECT_EQ(outcomes[key], store_status::ok);
+    }
+}
+
 TEST_F(store_test, appender_reports_the_status_of_each_append)
 {
     batch_appender appender(store, "keyed.t", 0);
