Bound the calls to the policy service, and fit timeouts and tickets to its times

Cause: each waiting step was asked about every 300 ms, whether or not its request was open, so the queue of the policy service (32 calls a host, one handled at a time) was always full; calls were given up after 2 s, whatever the queue's length and its decisionMs and periodMs.

Change: a request is open once; a shard has two open, the step asked about longest ago first; a node has three calls under way (advice_queue), with timeouts from what these should take, doubled while answers are late. Tickets are used until a quarter of their validity is left, renewed before they lapse, and forgotten with the worker's life, as are refusals. A start whose ticket lapsed while it was stored is not sent.

--- a/include/waxwingnotch/job/spec.hpp
+++ b/include/waxwingnotch/job/spec.hpp
@@ -88,6 +88,8 @@
     std::uint32_t max_attempts = 1;
     bool needs_advice = false;             // a policy service names the workers allowed to run a step
     std::int64_t advice_valid_ms = 3'000;  // of a ticket, where the policy service's answer does not say it
+    std::int64_t advice_call_ms = 0;       // what the policy service takes for a call
+    std::int64_t advice_worker_ms = 0;     // and more for each worker that the call names
 };
 
 /// A service: a pool of workers.
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -423,7 +423,11 @@
                     const std::vector<placement_view>& views, std::int64_t now_ms) const;
     void report_waiting_tasks(std::int64_t now_ms);
     void report_waiting_step(const occurrence_entry& occurrence, std::uint32_t step, std::int64_t now_ms);
+    const queue_config* advice_terms(const job_entry& job) const;
     std::int64_t advice_valid_ms(const std::string& step) const;
+    std::int64_t ticket_margin_ms(const std::string& step) const;
+    void request_advice(std::int64_t now_ms);
+    void forget_advice(const std::string& worker);
     bool advice_ready(occurrence_entry& occurrence, std::uint32_t step, std::int64_t now_ms);
     std::int64_t expected_ms(const job_entry& job, std::uint32_t step) const;
     std::int64_t critical_path_ms(const job_entry& job, const occurrence_progress* progress) const;
@@ -465,6 +469,13 @@
     std::unordered_map<std::string, std::unique_ptr<run_entry>> runs_;  // by task and number
     std::map<std::string, std::unique_ptr<worker_state>> workers_;
     std::map<std::string, advice_entry> advice_;  // by step
+    /// A step that waits for a request to the policy service.
+    struct wanted_advice {
+        std::int64_t asked_ms = -1;  // of its latest request; -1: none
+        advice_order order;
+    };
+    std::vector<wanted_advice> wanted_advice_;  // of this scheduling round, in its order
+    std::set<std::string> open_advice_;         // steps with a request that is not answered
     struct unstored_end {
         std::uint64_t batch = 0;  // store batch that contains the end
         std::int64_t read_ms = 0;
@@ -491,7 +502,7 @@
     std::vector<start_effect> starts_;
     std::vector<stop_effect> stops_;
     std::vector<pace_effect> paces_;
-    std::vector<advice_effect> advice_requests_;
+    std::vector<advice_order> advice_requests_;
     std::map<std::string, double> duration_ratio_;  // by queue: average of measured over declared run time
     std::uint64_t batch_ = 0;
     std::uint64_t stored_batch_ = 0;  // batches up to this one are in the store
--- a/include/waxwingnotch/shard/shard_effects.hpp
+++ b/include/waxwingnotch/shard/shard_effects.hpp
@@ -50,11 +50,6 @@
     bool extra = false;                               // sent while another poll to this worker is in flight
     std::optional<relay_route> relay = std::nullopt;  // none: it goes straight to the worker
 };
-struct advice_effect {
-    std::string step;  // JOB.OCCURRENCE.STEP
-    std::vector<std::string> workers;
-};
-
 /// Stores the record of a job, or of its cancel, in the shard that runs the job.
 struct forward_effect {
     std::string id;
@@ -77,7 +72,7 @@
     std::vector<stop_effect> stops;
     std::vector<pace_effect> paces;
     std::vector<poll_effect> polls;
-    std::vector<advice_effect> advice;
+    std::vector<advice_order> advice;
     std::vector<forward_effect> forwards;
     std::vector<forward_check> forward_checks;
 };
--- a/include/waxwingnotch/shard/worker_api.hpp
+++ b/include/waxwingnotch/shard/worker_api.hpp
@@ -152,8 +152,17 @@
     std::string ticket;
 };
 
+/// A question which of some workers may run a step.
+struct advice_order {
+    std::string step;                  // JOB.OCCURRENCE.STEP
+    std::vector<std::string> workers;  // ids, at most 100
+    std::int64_t expected_ms = 0;      // what the policy service takes for it once its turn has come
+    std::int64_t timeout_ms = 0;       // from the sending; set by advice_queue
+};
+
 struct advice_answer {
     bool ok = false;
+    bool late = false;  // nothing came within the timeout
     std::vector<advice_row> allowed;
     std::int64_t valid_ms = 0;
 };
@@ -162,9 +171,7 @@
 class advice_api {
 public:
     virtual ~advice_api() = default;
-    /// @param step JOB.OCCURRENCE.STEP @param workers ids, at most 100
-    virtual void ask(const std::string& step, const std::vector<std::string>& workers,
-                     std::function<void(const advice_answer&)> done) = 0;
+    virtual void ask(const advice_order& order, std::function<void(const advice_answer&)> done) = 0;
 
 protected:
     advice_api() = default;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -151,8 +151,9 @@
                                                      *state_.shards_of_services, state_.settings.partitions);
     state_.workers = std::make_unique<adapter::worker_client>(state_.client);
     if (!state_.settings.policy_address.empty()) {
-        state_.advice =
+        state_.policy_service =
             std::make_unique<adapter::advice_client>(state_.client, state_.settings.policy_address);
+        state_.advice = std::make_unique<advice_queue>(*state_.policy_service);
     }
     if (!state_.settings.host_service_address.empty()) {
         state_.hosts =
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -145,6 +145,11 @@
             static_cast<std::int64_t>(rejected_inputs(source)));
     }
     set_traffic_gauges(node);
+    const bool asks = node.advice != nullptr;
+    set("advice_open", "Calls to the policy service that are under way",
+        asks ? static_cast<std::int64_t>(node.advice->open()) : 0);
+    set("advice_waiting", "Calls that wait for these in this node",
+        asks ? static_cast<std::int64_t>(node.advice->waiting()) : 0);
     set("configuration_version", "Version in force", node.config ? node.config->version : -1);
     set("store_straight", "1 if the store answers this node", node.transport.direct_path_usable() ? 1 : 0);
 }
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -14,6 +14,7 @@
 #include "waxwingnotch/net/http_server.hpp"
 #include "waxwingnotch/node/host_api.hpp"
 #include "waxwingnotch/node/settings.hpp"
+#include "waxwingnotch/shard/advice_queue.hpp"
 #include "waxwingnotch/shard/job_homes.hpp"
 #include "waxwingnotch/shard/service_shards.hpp"
 #include "waxwingnotch/shard/shard_group.hpp"
@@ -60,7 +61,8 @@
     std::unique_ptr<store_upgrade> upgrade;  // finds the jobs that earlier versions have stored
     std::unique_ptr<worker_api> workers;
     start_relay starts{*this};
-    std::unique_ptr<advice_api> advice;
+    std::unique_ptr<advice_api> policy_service;
+    std::unique_ptr<advice_queue> advice;  // calls of all shards of this node; null: no policy service
     std::unique_ptr<host_api> hosts;
     host_lists lists{*this};  // of hosts
     metrics counters;
--- a/src/shard/core_advice.cpp
+++ b/src/shard/core_advice.cpp
@@ -10,48 +10,96 @@
 
 namespace {
 
-constexpr std::int64_t advice_retry_ms = 300;    // between requests for the same step
-constexpr std::int64_t ticket_margin_ms = 500;   // a ticket is not used this close to its expiry
-constexpr std::size_t max_advice_workers = 100;  // limit of the policy service for one request
+constexpr std::int64_t advice_retry_ms = 300;       // after a request without a usable answer
+constexpr std::int64_t max_ticket_margin_ms = 500;  // to store the assignment and deliver the start
+constexpr std::int64_t ticket_margin_parts = 4;     // at most this part of the time that a ticket is valid
+constexpr std::size_t max_advice_workers = 100;     // limit of the policy service for one request
+// The policy service handles the calls of a host one by one; the second one is on its way meanwhile.
+constexpr std::size_t max_open_requests = 2;
 
 }  // namespace
 
-/// Requests permissions for the step if it needs any, for workers without a decision: also for those that
-/// have come since the last request.
+/// @return the queue of the job if its steps need permissions, else null
+const queue_config* shard_core::advice_terms(const job_entry& job) const
+{
+    const queue_config* queue = config_ ? config_->queue(job.spec.queue) : nullptr;
+    return queue != nullptr && queue->needs_advice ? queue : nullptr;
+}
+
+/// @return a ticket is not used this close to its expiry
+std::int64_t shard_core::ticket_margin_ms(const std::string& step) const
+{
+    const auto found = advice_.find(step);
+    const std::int64_t answered_ms = found == advice_.end() ? 0 : found->second.valid_ms;
+    const std::int64_t valid_ms = answered_ms > 0 ? answered_ms : advice_valid_ms(step);
+    return std::min(max_ticket_margin_ms, valid_ms / ticket_margin_parts);
+}
+
+/// Wants permissions for the step if it needs any, for workers without a decision: also for those that have
+/// come since the last request, and those whose tickets would lapse before the next answer.
 /// @return whether the step needs no permissions, or a worker has a valid one
 bool shard_core::advice_ready(occurrence_entry& occurrence, std::uint32_t step, std::int64_t now_ms)
 {
     const std::string name = occurrence.key() + "." + std::to_string(step);
-    const queue_config* queue = config_ ? config_->queue(occurrence.job->spec.queue) : nullptr;
-    if (queue == nullptr || !queue->needs_advice) {
+    const queue_config* terms = advice_terms(*occurrence.job);
+    if (terms == nullptr) {
         if (!advice_.empty()) {
             advice_.erase(name);  // the queue needed permissions under an earlier configuration
         }
         return true;
     }
     advice_entry& entry = advice_[name];
+    const std::vector<placement_view> views = make_round(occurrence.job->spec.service, now_ms).views;
+    const std::int64_t valid_ms = entry.valid_ms > 0 ? entry.valid_ms : terms->advice_valid_ms;
+    const auto call_ms = [terms](std::size_t workers) {
+        return terms->advice_call_ms +
+               terms->advice_worker_ms * static_cast<std::int64_t>(std::min(workers, max_advice_workers));
+    };
+    const std::int64_t usable_ms = now_ms + ticket_margin_ms(name);
+    const std::int64_t renewal_ms =
+        usable_ms + std::min(2 * call_ms(views.size()), valid_ms / 2);  // a call may wait for another one
     std::vector<std::string> workers;
     bool any_valid = false;
-    for (const placement_view& view : make_round(occurrence.job->spec.service, now_ms).views) {
+    for (const placement_view& view : views) {
         const std::string& id = view.worker->entry.id;
-        if (entry.valid_ticket(id, now_ms + ticket_margin_ms) != nullptr) {
-            any_valid = true;
-        }
-        else if (!entry.refused.contains(id) && workers.size() < max_advice_workers) {
+        any_valid = any_valid || entry.valid_ticket(id, usable_ms) != nullptr;
+        if (entry.valid_ticket(id, renewal_ms) == nullptr && !entry.refused.contains(id) &&
+            workers.size() < max_advice_workers) {
             workers.push_back(id);
         }
     }
-    const bool may_ask = !entry.asked_ms || now_ms - *entry.asked_ms >= advice_retry_ms;
-    if (!workers.empty() && may_ask) {
-        entry.asked_ms = now_ms;
-        entry.asked = workers;
-        advice_requests_.push_back({name, std::move(workers)});
+    if (!workers.empty() && now_ms >= entry.retry_ms && !open_advice_.contains(name)) {
+        const std::int64_t expected_ms = call_ms(workers.size());
+        wanted_advice_.push_back(
+            {.asked_ms = entry.asked_ms.value_or(-1),
+             .order = {.step = name, .workers = std::move(workers), .expected_ms = expected_ms}});
     }
     return any_valid;
 }
 
+/// Requests permissions for the steps whose latest request is the oldest, so that none waits for ever behind
+/// others that ask again and again. Of those that were not asked about the most urgent job is the first.
+void shard_core::request_advice(std::int64_t now_ms)
+{
+    std::stable_sort(wanted_advice_.begin(), wanted_advice_.end(),
+                     [](const wanted_advice& a, const wanted_advice& b) { return a.asked_ms < b.asked_ms; });
+    for (wanted_advice& wanted : wanted_advice_) {
+        if (open_advice_.size() >= max_open_requests) {
+            break;
+        }
+        advice_entry& entry = advice_[wanted.order.step];
+        entry.asked_ms = now_ms;
+        entry.asked = wanted.order.workers;
+        open_advice_.insert(wanted.order.step);
+        advice_requests_.push_back(std::move(wanted.order));
+    }
+    wanted_advice_.clear();
+}
+
 void shard_core::on_advice(const std::string& step, const advice_answer& answer, std::int64_t now_ms)
 {
+    open_advice_.erase(step);
+    schedule_needed_ = true;  // another step may be asked about
     const auto found = advice_.find(step);
     if (found == advice_.end()) {
         return;
@@ -59,15 +107,20 @@
     advice_entry& entry = found->second;
     const std::vector<std::string> asked = std::exchange(entry.asked, {});
     if (!answer.ok) {
+        entry.retry_ms = now_ms + advice_retry_ms;
         log_event(log_level::warning, "advice",
-                  {{"step", step}, {"workers", asked.size()}, {"outcome", "no usable answer"}});
+                  {{"step", step},
+                   {"workers", asked.size()},
+                   {"outcome", "no usable answer"},
+                   {"late", answer.late},
+                   {"ms", now_ms - entry.asked_ms.value_or(now_ms)}});
         return;
     }
-    const std::int64_t valid_ms = answer.valid_ms > 0 ? answer.valid_ms : advice_valid_ms(step);
+    entry.valid_ms = answer.valid_ms > 0 ? answer.valid_ms : advice_valid_ms(step);
     std::set<std::string> allowed;
     for (const advice_row& row : answer.allowed) {
         if (std::find(asked.begin(), asked.end(), row.worker_id) != asked.end()) {
-            entry.tickets[row.worker_id] = {row.ticket, now_ms + valid_ms};
+            entry.tickets[row.worker_id] = {row.ticket, now_ms + entry.valid_ms};
             allowed.insert(row.worker_id);
         }
     }
@@ -81,16 +134,25 @@
         log_event(log_level::warning, "advice",
                   {{"step", step}, {"workers", entry.refused.size()}, {"outcome", "no worker is allowed"}});
     }
-    schedule_needed_ = true;
+}
+
+/// Forgets what was said about a worker whose life has ended: neither a ticket nor a refusal holds for the
+/// next one.
+void shard_core::forget_advice(const std::string& worker)
+{
+    for (auto& [step, entry] : advice_) {
+        entry.tickets.erase(worker);
+        entry.refused.erase(worker);
+        std::erase(entry.asked, worker);
+    }
 }
 
 /// @return for how long the queue of the step's job lets a ticket be valid
 std::int64_t shard_core::advice_valid_ms(const std::string& step) const
 {
     const auto job = jobs_.find(step.substr(0, step.find('.')));
-    const queue_config* queue =
-        config_ && job != jobs_.end() ? config_->queue(job->second->spec.queue) : nullptr;
-    return queue == nullptr ? 0 : queue->advice_valid_ms;
+    const queue_config* terms = job == jobs_.end() ? nullptr : advice_terms(*job->second);
+    return terms == nullptr ? 0 : terms->advice_valid_ms;
 }
 
 }  // namespace waxwingnotch
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -199,8 +199,10 @@
         std::string text;
         std::int64_t valid_until_ms = 0;
     };
-    std::vector<std::string> asked;         // workers of the latest request; empty: none is open
+    std::vector<std::string> asked;         // workers of the latest request
     std::optional<std::int64_t> asked_ms;   // of the latest request
+    std::int64_t retry_ms = 0;              // no request before
+    std::int64_t valid_ms = 0;              // of the tickets in the latest answer; 0: there was none
     std::map<std::string, ticket> tickets;  // by worker id
     std::set<std::string> refused;          // worker ids
 
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -398,6 +398,10 @@
     if (at_limit(run)) {
         return "another task of the step went on there before the start order was sent";
     }
+    const auto advice = advice_.find(run.occurrence->key() + "." + std::to_string(run.step));
+    if (advice != advice_.end() && advice->second.valid_ticket(worker.entry.id, now_ms) == nullptr) {
+        return "its ticket lapsed before the start order was sent";
+    }
     return nullptr;
 }
 
--- a/src/shard/core_schedule.cpp
+++ b/src/shard/core_schedule.cpp
@@ -190,6 +190,7 @@
             schedule_occurrence(*next.occurrence, round, now_ms);
         }
     }
+    request_advice(now_ms);
 }
 
 void shard_core::schedule_occurrence(occurrence_entry& occurrence, placement_round& round,
@@ -300,10 +301,13 @@
     if (!required.empty() && std::find(labels.begin(), labels.end(), required) == labels.end()) {
         return false;
     }
-    const auto advice =
-        advice_.empty() ? advice_.end() : advice_.find(occurrence.key() + "." + std::to_string(step));
-    if (advice != advice_.end() && advice->second.valid_ticket(worker.entry.id, now_ms) == nullptr) {
-        return false;
+    if (!advice_.empty()) {
+        const std::string name = occurrence.key() + "." + std::to_string(step);
+        const auto advice = advice_.find(name);
+        if (advice != advice_.end() &&
+            advice->second.valid_ticket(worker.entry.id, now_ms + ticket_margin_ms(name)) == nullptr) {
+            return false;
+        }
     }
     const std::vector<active_run>& runs = occurrence.progress.steps[step][index].runs;
     return std::none_of(runs.begin(), runs.end(),
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -148,6 +148,7 @@
     prove_crash(worker, now_ms);
     worker.entry.started_ms = started_ms;
     ++worker.restarts;
+    forget_advice(worker.entry.id);
     worker.restarted_ms = now_ms;
     worker.clock_ms = -1;
     worker.applied_end = 0;
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -434,19 +434,19 @@
     for (const poll_effect& effect : effects.polls) {
         send_poll(effect);
     }
-    for (const advice_effect& effect : effects.advice) {
+    for (const advice_order& order : effects.advice) {
         if (parts_.advice == nullptr) {
             log_event(log_level::error, "advice",
-                      {{"step", effect.step}, {"reason", "the settings name no policy service"}});
+                      {{"step", order.step}, {"reason", "the settings name no policy service"}});
+            core_.on_advice(order.step, {}, monotonic_ms());
             continue;
         }
-        parts_.advice->ask(effect.step, effect.workers,
-                           [this, step = effect.step, alive = alive_](const advice_answer& answer) {
-                               if (*alive) {
-                                   core_.on_advice(step, answer, monotonic_ms());
-                                   pump_soon();
-                               }
-                           });
+        parts_.advice->ask(order, [this, step = order.step, alive = alive_](const advice_answer& answer) {
+            if (*alive) {
+                core_.on_advice(step, answer, monotonic_ms());
+                pump_soon();
+            }
+        });
     }
 }
 
--- a/tests/fuzz/answers.cpp
+++ b/tests/fuzz/answers.cpp
@@ -102,7 +102,7 @@
     static adapter::host_client hosts(world.client, world.address);
     switch (which) {
     case 3:
-        policy.ask("0000000000000000.0.0", {"w"},
+        policy.ask({.step = "0000000000000000.0.0", .workers = {"w"}, .timeout_ms = 2'000},
                    finish<advice_answer>(done, ok, [](const advice_answer& answer) { return answer.ok; }));
         return;
     case 4:
--- a/tests/shard/shard_world.hpp
+++ b/tests/shard/shard_world.hpp
@@ -67,6 +67,11 @@
     // Answers the requests for permissions; set: the queue needs them.
     std::function<advice_answer(const std::vector<std::string>& workers)> policy;
     std::vector<std::vector<std::string>> advice_requests;  // the workers of each
+    std::int64_t ticket_valid_ms = 3'000;  // as the queue of the next owner's configuration says
+    std::int64_t policy_call_ms =
+        0;  // of a call; the policy service handles one at a time then. 0: all at once
+    static constexpr int max_open_advice = 32;  // further calls are turned away then
+    int open_advice = 0;                        // calls that are waiting or handled
     // Tasks that crash the worker that starts them, and how long after the start.
     std::map<std::string, std::int64_t> crashing_tasks;
     std::map<std::string, int> crashes;  // workers that crashed under a crashing task, by task
@@ -198,6 +203,8 @@
         shard_core& core = *created->core;
         auto configuration = std::make_shared<cluster_config>(*config());
         configuration->queues[0].needs_advice = policy != nullptr;
+        configuration->queues[0].advice_call_ms = policy_call_ms;
+        configuration->queues[0].advice_valid_ms = ticket_valid_ms;
         core.set_config(configuration);
         for (const auto& [id, worker] : workers) {
             if (worker.failure != order_result::other_instance) {
@@ -285,6 +292,8 @@
     std::vector<owner_ptr> owners;
 
 private:
+    std::int64_t policy_free_ms_ = 0;  // when the policy service has handled all calls
+
     struct event {
         std::int64_t time_ms;
         std::uint64_t order;
@@ -360,11 +369,19 @@
                     owner->core->on_stop(effect.worker.id, effect.order, answer, now);
                 });
         }
-        for (const advice_effect& effect : effects.advice) {
-            advice_requests.push_back(effect.workers);
-            after(draw(10, 40), [this, owner, effect] {
+        for (const advice_order& order : effects.advice) {
+            advice_requests.push_back(order.workers);
+            const bool full = policy_call_ms > 0 && open_advice >= max_open_advice;
+            std::int64_t delay_ms = draw(10, 40);
+            if (policy_call_ms > 0 && !full) {
+                policy_free_ms_ = std::max(policy_free_ms_, now) + policy_call_ms;
+                delay_ms += policy_free_ms_ - now;
+            }
+            ++open_advice;
+            after(delay_ms, [this, owner, order, full] {
+                --open_advice;
                 if (!owner->terminated) {
-                    owner->core->on_advice(effect.step, policy(effect.workers), now);
+                    owner->core->on_advice(order.step, full ? advice_answer() : policy(order.workers), now);
                     pump(owner);
                 }
             });
