Reckon with orders that the next process of a worker takes

Cause: an order was reckoned with as if only the process that it was meant for could take it. The next one has another clock; where that reads less it shortens `untilMs` to `holdMaxMs` (10 s) instead of refusing it as late, and the owner gave the run up after 4.2 s.

Change: a worker that has restarted lately keeps its leases for holdMaxMs after the first contact with the new process; so does a run that no list of a process has shown. Records say which runs a list has shown, so that the next owner waits longer only for the others. The process that has listed a run counts, not the one that the start was meant for. Acknowledgements are not repeated once answered, and go through other nodes within 0.2 s of an answer.

Two tests changed. waits_one_lease_for_a_dead_worker: its worker is 20 s old now, as a process of 0.3 s may hold a longer lease; the bound is the same. ends_are_acknowledged_only_while_the_life_of_the_worker_is_known: 0.5 s after an answer is no longer the same life, since a worker is back within 0.6 s; it asks for the acknowledgement within 0.2 s and for none after 0.5 s.

--- a/include/waxwingnotch/job/progress.hpp
+++ b/include/waxwingnotch/job/progress.hpp
@@ -26,6 +26,8 @@
     std::uint32_t number = 0;
     worker_incarnation worker;
     bool crash_counted = false;  // the crash of its worker is in the task's history
+    // A list of `worker` has shown the run. Else a later process under the same id may have taken its start.
+    bool listed = false;
 
     bool operator==(const active_run&) const = default;
 };
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -42,9 +42,12 @@
     std::int64_t lease_ms = 4'000;
     // A worker answers a poll after this time at the latest when no run ends; a quarter of the lease.
     std::int64_t poll_wait_ms = 1'000;
-    // Assumed lease of a worker at a takeover: a previous owner that cannot be reached may renew leases
-    // for 3 s.
-    std::int64_t inherited_lease_ms = 8'000;
+    // Longest lease that a worker grants. An order names the end of a lease on the clock of the worker's
+    // process; the next process under the same id has another clock, and may grant as much for the same
+    // order.
+    std::int64_t max_lease_ms = 10'000;
+    // A previous owner that cannot be reached may renew leases for 3 s after the takeover, and late timers.
+    std::int64_t previous_renewals_ms = 3'750;
     // How long the jobs that have ended are kept; twice the time promised to callers.
     std::int64_t ended_job_retention_ms = 240'000;
     // Tasks of the open occurrences of one job, unless one occurrence alone has more. Without a limit, a
@@ -55,7 +58,7 @@
     std::int64_t max_registrations_age_ms = 0;
     std::int64_t max_jobs_age_ms = 0;
     // Starts wait while the latest confirmation of this ownership was sent longer ago than this: with its
-    // lease, a later one could outlast what the next owner assumes, `inherited_lease_ms`.
+    // lease, a later one could outlast what the next owner assumes, see `previous_renewals_ms`.
     std::int64_t max_ownership_age_ms = 2'600;
     // Starts that are being stored or have not been answered may have so many bytes, so that those of a load
     // peak do not wait in the queue of the link until they count as lost. 0: no limit.
@@ -135,8 +138,10 @@
     /// The next owner will learn from the store that this one has owned the shard. Until then no lease is
     /// renewed.
     void on_owner_stored() { confirmed_ = true; }
-    /// The previous owner renews no more leases: it has released the shard, or there is none.
+    /// The previous owner renews no more leases: it has released the shard.
     void on_previous_owner_gone(std::int64_t now_ms);
+    /// The store names no previous owner: no worker has had an order of one.
+    void on_first_owner(std::int64_t now_ms);
 
     // Requests of callers and operators. Repeated calls have no effect. Calls before finish_load() are part
     // of the takeover.
@@ -364,8 +369,14 @@
     bool counts_as_gone(const worker_state& worker, std::int64_t now_ms) const;
     void await_end(run_entry& run, std::int64_t now_ms);
     std::int64_t latest_lease_end(std::int64_t now_ms) const;
+    std::int64_t latest_granted_end(std::int64_t now_ms) const;
+    std::int64_t inherited_lease_end(std::int64_t now_ms) const;
+    std::int64_t lease_end_of(const run_entry& run) const;
+    bool young(std::int64_t started_ms, std::int64_t at_ms) const;
+    void assume_inherited_leases(worker_state& worker, std::int64_t now_ms) const;
+    void note_life(run_entry& run);
     void plan_polls(std::int64_t now_ms, shard_effects& out);
-    static bool wants_relayed_poll(const worker_state& worker, std::int64_t now_ms);
+    static bool wants_relayed_poll(const worker_state& worker);
     void plan_relayed_orders(worker_state& worker, std::int64_t now_ms, shard_effects& out);
     poll_order make_poll(worker_state& worker, std::int64_t now_ms);
     void update_clock(worker_state& worker, std::int64_t clock_ms, std::int64_t now_ms);
@@ -510,7 +521,8 @@
     bool batch_needed_ = false;
     bool loaded_ = false;
     bool fenced_ = false;
-    bool confirmed_ = false;  // see on_owner_stored()
+    bool confirmed_ = false;    // see on_owner_stored()
+    bool first_owner_ = false;  // see on_first_owner()
     bool schedule_needed_ = false;
     bool copies_needed_ = false;
     struct known_until {
--- a/src/job/codec.cpp
+++ b/src/job/codec.cpp
@@ -71,7 +71,10 @@
     json runs = json::array();
     for (const active_run& run : task.runs) {
         json& entry = runs.emplace_back(json::array({run.number, run.worker.id, run.worker.started_ms}));
-        if (run.crash_counted) {
+        if (run.crash_counted || run.listed) {
+            entry.push_back(run.crash_counted);
+        }
+        if (run.listed) {
             entry.push_back(true);
         }
     }
@@ -116,7 +119,8 @@
         }
         task.runs.push_back({number,
                              {run.at(1).get<std::string>(), run.at(2).get<std::int64_t>()},
-                             run.size() > 3 && run.at(3).get<bool>()});
+                             run.size() > 3 && run.at(3).get<bool>(),
+                             run.size() > 4 && run.at(4).get<bool>()});
     }
     task.checkpoint = row.at(4).get<std::string>();
     if (row.size() > 5) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -425,6 +425,7 @@
     shard_options options{.shard = shard,
                           .epoch = epoch,
                           .lease_ms = std::min(worker_lease_ms, state_.settings.max_lease_ms),
+                          .max_lease_ms = state_.settings.max_lease_ms,
                           .ended_job_retention_ms = 2 * state_.settings.status_retention_ms,
                           .max_registrations_age_ms = age_limit_ms(state_.settings.worker_drain_ms),
                           .max_jobs_age_ms = age_limit_ms(state_.settings.cancel_ms),
--- a/src/shard/core_jobs.cpp
+++ b/src/shard/core_jobs.cpp
@@ -43,7 +43,7 @@
     loaded_ = true;
     loaded_ms_ = now_ms;
     for (auto& [id, worker] : workers_) {
-        worker->lease_end_ms = now_ms + options_.inherited_lease_ms;
+        assume_inherited_leases(*worker, now_ms);
     }
     load_unreadable_jobs(now_ms);
     load_rerouted_jobs(now_ms);
@@ -205,7 +205,7 @@
                 const bool known_worker = workers_.contains(run.worker.id);
                 worker_state& worker = find_or_add_worker(run.worker.id);
                 if (!known_worker) {
-                    worker.lease_end_ms = now_ms + options_.inherited_lease_ms;
+                    assume_inherited_leases(worker, now_ms);
                 }
                 run_entry& loaded = add_run(occurrence, step, index, run.number, worker);
                 loaded.stage = run_stage::running;
@@ -213,6 +213,7 @@
                 loaded.confirmed_ms = now_ms;
                 loaded.ordered_ms = now_ms;
                 loaded.in_crash = run.crash_counted;
+                loaded.life_ms = run.listed ? run.worker.started_ms : 0;
                 task.runs.back() = run;
             }
             occurrence.waiting_tasks += task.phase == task_phase::waiting ? 1 : 0;
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -101,6 +101,7 @@
     std::int64_t stop_confirmed_ms = 0;
     std::int64_t unanswered_ms = 0;  // when its start order counted as unanswered
     bool listed = false;             // seen in a worker's list of runs
+    std::int64_t life_ms = 0;        // start of the process whose list has shown it; 0: none has
     bool inherited = false;          // ordered by a previous owner; `ordered_ms` is the takeover
     bool in_crash = false;           // its worker has crashed
     bool awaited = false;  // its worker is silent, and its task waits until it is known how the run has ended
@@ -125,6 +126,7 @@
     std::int64_t next_ms = 0;         // no poll before
     std::int64_t answered_ms = 0;     // latest answer of the worker in this silence; 0: none
     std::uint64_t answered_turn = 0;  // of the poll that it answered
+    bool follows_up = false;          // the poll in flight was sent at once after an answer
     std::int64_t ends_due =
         0;  // highest end number that came in this silence and is not acknowledged; 0: none
 
@@ -158,7 +160,10 @@
     std::map<std::string, unassigned_run> unassigned;  // by task and number
     std::int64_t clock_ms = -1;                        // its steady clock when it last answered; -1: never
     std::int64_t clock_at_ms = 0;                      // this process's steady clock then
-    std::int64_t lease_end_ms = 0;  // this process's steady clock; all its leases have lapsed by then
+    // This process's steady clock; by then the leases of the runs have lapsed that its lists have shown.
+    std::int64_t lease_end_ms = 0;
+    std::int64_t lease_ordered_ms = 0;  // when the latest order with a lease may have been sent; 0: none
+    std::int64_t answered_ms = 0;       // latest answer to a poll by its process; 0: none
     bool poll_in_flight = false;
     std::int64_t poll_sent_ms = 0;
     std::int64_t next_poll_ms = 0;
@@ -173,6 +178,8 @@
     std::int64_t applied_end = 0;      // highest end number that was applied
     std::int64_t stored_end = 0;       // highest end number that is in the store
     std::uint64_t end_batch = 0;       // store batch that contains `applied_end`; 0: stored
+    std::int64_t polled_end = 0;       // acknowledged by the poll in flight; 0: none
+    std::int64_t forgotten_end = 0;    // acknowledged by a poll that it has answered
     std::int64_t withheld_end = 0;     // lowest number of an end that the store does not take; 0: none
     std::int64_t removed_ms = 0;       // when it was unregistered; 0: registered
     bool host_lost = false;            // the platform says that its host runs it no more
@@ -266,6 +273,11 @@
 /// checkpoint it holds some 250 tasks, and most jobs have one record.
 constexpr std::size_t part_bytes = 16'384;
 
+/// An order names no process of a worker, only its id, so the next process takes what was meant for the one
+/// before. Workers have started again within 0.6 s; what happens so soon after an answer, which may have been
+/// under way for 0.4 s, is of the same process.
+constexpr std::int64_t same_life_ms = 200;
+
 /// Slowest rate of a worker's clock, relative to this process's clock.
 constexpr double min_clock_rate = 0.98;
 
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -241,6 +241,7 @@
                {"run", run.number},
                {"worker", run.worker->entry.id},
                {"inherited", run.inherited},
+               {"life", run.life_ms},
                {"reason", reason},
                {"ms", now_ms - run.ordered_ms}});
     if (run.in_crash && run.suspicion != crash_suspicion::none) {
@@ -481,6 +482,9 @@
     case order_result::ok:
         run.stage = run_stage::running;
         run.confirmed_ms = now_ms;
+        if (!answer.relayed && worker.answered_ms != 0 && now_ms - worker.answered_ms <= same_life_ms) {
+            note_life(run);
+        }
         if (run.stopping) {
             request_stop(run, now_ms);
         }
--- a/src/shard/core_silence.cpp
+++ b/src/shard/core_silence.cpp
@@ -17,9 +17,6 @@
 // Between polls of one worker through other nodes. Callers wait no more than this longer for a task that is
 // done, and a worker costs the other nodes two calls a second.
 constexpr std::int64_t relayed_poll_interval_ms = 500;
-// An acknowledgement names ends by their numbers, which start anew with each life of a worker. A worker takes
-// 2 s and more to start again, so one that has answered this lately is in the same life.
-constexpr std::int64_t same_life_ms = 1'500;
 
 }  // namespace
 
@@ -33,14 +30,11 @@
 }
 
 /// Whether the worker has registered in another shard with a later process than that of the run. If it has
-/// registered here, its first list tells, since a start may still be under way to the new process.
+/// registered here, its first list tells, since a start may still be under way to the new process. A run that
+/// no list has shown may be one of the later process, whatever process its start was meant for.
 bool shard_core::has_other_life(const run_entry& run)
 {
-    const std::vector<active_run>& runs = run.occurrence->progress.steps[run.step][run.index].runs;
-    const auto stored = std::find_if(runs.begin(), runs.end(),
-                                     [&](const active_run& active) { return active.number == run.number; });
-    const std::int64_t started_ms = stored == runs.end() ? 0 : stored->worker.started_ms;
-    return !run.worker->registered && started_ms != 0 && run.worker->registered_life_ms > started_ms;
+    return !run.worker->registered && run.life_ms != 0 && run.worker->registered_life_ms > run.life_ms;
 }
 
 /// Whether a silent worker, whose leases have lapsed, counts as gone with all that it has not listed. One
@@ -63,6 +57,7 @@
 void shard_core::expire_lease(worker_state& worker, std::int64_t now_ms)
 {
     const bool gone = counts_as_gone(worker, now_ms);
+    const bool ended = worker.silence == order_result::other_instance || worker.host_lost;
     const std::vector<run_entry*> runs(worker.runs.begin(), worker.runs.end());
     for (run_entry* run : runs) {
         if (run->stage == run_stage::writing) {
@@ -72,6 +67,9 @@
             await_end(*run, now_ms);
             continue;
         }
+        if (!ended && now_ms < lease_end_of(*run)) {
+            continue;
+        }
         ++counts_.lost;
         counts_.presumed_lost += run->awaited ? 1 : 0;
         requeue(*run,
@@ -96,6 +94,7 @@
                {"worker", run.worker->entry.id},
                {"inherited", run.inherited},
                {"registered", run.worker->registered},
+               {"life", run.life_ms},
                {"silent_ms", now_ms - (silent_since_ms != 0 ? silent_since_ms : loaded_ms_)},
                {"ms", now_ms - run.ordered_ms}});
 }
@@ -125,9 +124,9 @@
 
 /// Whether a poll through another node may tell how a run of the worker has ended, or acknowledges ends that
 /// came in this way.
-bool shard_core::wants_relayed_poll(const worker_state& worker, std::int64_t now_ms)
+bool shard_core::wants_relayed_poll(const worker_state& worker)
 {
-    if (worker.silent_since_ms == 0 || !worker.registered || now_ms < worker.lease_end_ms) {
+    if (worker.silent_since_ms == 0 || !worker.registered) {
         return false;
     }
     const bool acknowledges = worker.relayed.ends_due != 0 && worker.end_batch == 0;
@@ -140,13 +139,13 @@
 void shard_core::plan_relayed_orders(worker_state& worker, std::int64_t now_ms, shard_effects& out)
 {
     relayed_contact& relayed = worker.relayed;
-    if (relayed.poll_in_flight || now_ms < relayed.next_ms || !wants_relayed_poll(worker, now_ms)) {
+    if (relayed.poll_in_flight || now_ms < relayed.next_ms || !wants_relayed_poll(worker)) {
         return;
     }
     const bool same_life = relayed.answered_ms != 0 && now_ms - relayed.answered_ms <= same_life_ms;
     // As in make_poll(), no lease of a silent worker is renewed: the answer may be lost.
     const poll_order order{.fencing_token = token_of(worker),
-                           .acknowledged_end = same_life ? worker.stored_end : 0,
+                           .acknowledged_end = same_life && relayed.ends_due != 0 ? worker.stored_end : 0,
                            .lease_until_ms = std::nullopt,
                            .wait_ms = 0};
     if (same_life) {
@@ -159,6 +158,7 @@
         }
     }
     relayed.poll_in_flight = true;
+    relayed.follows_up = same_life;
     relayed.next_ms = now_ms + relayed_poll_interval_ms;
     out.polls.push_back(
         {worker.target(), order, false, relay_route{relayed.turn++, worker.entry.started_ms}});
@@ -210,6 +210,13 @@
         relayed.ends_due = worker.applied_end;
     }
     apply_running(worker, sent_ms, answer, all_ends, now_ms);
+    // What depends on this life goes at once.
+    const bool stops = std::any_of(worker.runs.begin(), worker.runs.end(), [](const run_entry* run) {
+        return run->stopping && run->awaited && run->stop_confirmed_ms == 0;
+    });
+    if (!relayed.follows_up && (stops || (relayed.ends_due != 0 && worker.end_batch == 0))) {
+        relayed.next_ms = now_ms;
+    }
 }
 
 }  // namespace waxwingnotch
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -10,11 +10,14 @@
 
 namespace {
 
-constexpr std::int64_t list_wait_ms = 400;        // for the list after a start without an answer
-constexpr std::int64_t poll_retry_ms = 150;       // after a poll that failed
-constexpr std::int64_t extra_poll_ms = 20;        // between extra polls, which show whether a run is gone
-constexpr std::int64_t unstored_poll_ms = 400;    // while ends wait for the store; renews leases in time
-constexpr std::int64_t lease_margin_ms = 150;     // delivery of an order and late timers
+constexpr std::int64_t list_wait_ms = 400;      // for the list after a start without an answer
+constexpr std::int64_t poll_retry_ms = 150;     // after a poll that failed
+constexpr std::int64_t extra_poll_ms = 20;      // between extra polls, which show whether a run is gone
+constexpr std::int64_t unstored_poll_ms = 400;  // while ends wait for the store; renews leases in time
+constexpr std::int64_t lease_margin_ms = 150;   // delivery of an order and late timers
+// From the start of a worker's process until an owner has reached it, and the difference between the times of
+// day of two hosts.
+constexpr std::int64_t first_contact_ms = 5'000;
 constexpr std::size_t max_ends_per_answer = 500;  // a worker lists no more in one answer
 constexpr std::int64_t pace_interval_ms = 400;    // four times what a worker needs to apply a pace
 constexpr int pace_increase = 10;                 // percentage points
@@ -33,7 +36,9 @@
         slot = std::make_unique<worker_state>();
         slot->entry.id = id;
         // A previous owner may have renewed its lease until then.
-        slot->lease_end_ms = loaded_ms_ + options_.inherited_lease_ms;
+        if (!first_owner_) {
+            assume_inherited_leases(*slot, loaded_ms_);
+        }
     }
     return *slot;
 }
@@ -45,16 +50,71 @@
     return now_ms + longest + lease_margin_ms;
 }
 
+/// @return time by which a lease that a worker grants now has lapsed, whatever the order said and which of
+/// its
+///         processes has taken it
+std::int64_t shard_core::latest_granted_end(std::int64_t now_ms) const
+{
+    const auto longest = static_cast<std::int64_t>(
+        static_cast<double>(std::max(options_.lease_ms, options_.max_lease_ms)) / min_clock_rate);
+    return now_ms + longest + lease_margin_ms;
+}
+
+/// @return time by which the leases of the runs have lapsed that a previous owner has seen in lists
+std::int64_t shard_core::inherited_lease_end(std::int64_t now_ms) const
+{
+    return latest_lease_end(now_ms + options_.previous_renewals_ms);
+}
+
+/// @return time by which the lease of a run on a silent worker has lapsed. One that no list has shown may
+/// have
+///         been started by a later process, by an order that was meant for the one before.
+std::int64_t shard_core::lease_end_of(const run_entry& run) const
+{
+    const worker_state& worker = *run.worker;
+    const bool certain = run.life_ms != 0 && (worker.synced || !young(run.life_ms, loaded_ms_));
+    return certain || worker.lease_ordered_ms == 0
+               ? worker.lease_end_ms
+               : std::max(worker.lease_end_ms, latest_granted_end(worker.lease_ordered_ms));
+}
+
+/// Whether a process of a worker may have taken orders lately that were meant for the process before it.
+/// @param started_ms start of the process, time of day @param at_ms steady time of the question
+bool shard_core::young(std::int64_t started_ms, std::int64_t at_ms) const
+{
+    const std::int64_t age_ms = at_ms + wall_offset_ms_ - started_ms;
+    return !first_owner_ && started_ms != 0 && age_ms < latest_granted_end(0) + first_contact_ms;
+}
+
 void shard_core::on_previous_owner_gone(std::int64_t now_ms)
 {
     const std::int64_t end_ms = latest_lease_end(now_ms);
     for (auto& [id, worker] : workers_) {
         if (worker->clock_ms < 0) {
             worker->lease_end_ms = std::min(worker->lease_end_ms, end_ms);
+            worker->lease_ordered_ms = std::min(worker->lease_ordered_ms, now_ms);
+        }
+    }
+}
+
+void shard_core::on_first_owner(std::int64_t now_ms)
+{
+    first_owner_ = true;
+    for (auto& [id, worker] : workers_) {
+        if (worker->clock_ms < 0) {
+            worker->lease_end_ms = now_ms;
+            worker->lease_ordered_ms = 0;
         }
     }
 }
 
+/// A previous owner may have ordered leases from @p worker until some time after the takeover.
+void shard_core::assume_inherited_leases(worker_state& worker, std::int64_t now_ms) const
+{
+    worker.lease_end_ms = inherited_lease_end(now_ms);
+    worker.lease_ordered_ms = now_ms + options_.previous_renewals_ms;
+}
+
 std::int64_t shard_core::token_of(const worker_state& worker) const
 {
     return options_.epoch * tokens_per_epoch + worker.restarts % tokens_per_epoch;
@@ -133,6 +193,7 @@
     const auto longest =
         static_cast<std::int64_t>(static_cast<double>(until - worker.clock_ms) / min_clock_rate);
     worker.lease_end_ms = std::max(worker.lease_end_ms, worker.clock_at_ms + longest + lease_margin_ms);
+    worker.lease_ordered_ms = now_ms;
     return until;
 }
 
@@ -150,6 +211,10 @@
     ++worker.restarts;
     forget_advice(worker.entry.id);
     worker.restarted_ms = now_ms;
+    // Orders for the process before it, which name times on another clock, may have given it a lease.
+    worker.lease_end_ms = std::max(worker.lease_end_ms, latest_granted_end(now_ms));
+    worker.polled_end = 0;
+    worker.forgotten_end = 0;
     worker.clock_ms = -1;
     worker.applied_end = 0;
     worker.stored_end = 0;
@@ -157,6 +222,7 @@
     worker.withheld_end = 0;
     worker.relayed.reset();
     worker.synced = false;
+    worker.answered_ms = 0;
     worker.list_clock_ms = -1;
     worker.next_poll_ms = now_ms;
     // Its runs stay until a list that is requested with this owner's token does not contain them. Before
@@ -172,6 +238,7 @@
 void shard_core::end_life(worker_state& worker, std::int64_t now_ms)
 {
     worker.lease_end_ms = std::min(worker.lease_end_ms, now_ms);
+    worker.lease_ordered_ms = 0;
     expire_lease(worker, now_ms);
 }
 
@@ -237,13 +304,21 @@
     for (run_entry* run : worker.runs) {
         run->awaited = false;
     }
+    worker.answered_ms = now_ms;
+    if (!extra) {
+        worker.forgotten_end = std::max(worker.forgotten_end, std::exchange(worker.polled_end, 0));
+    }
     update_clock(worker, answer.clock_ms, now_ms);
     const bool all_ends = apply_ended(worker, answer, "worker", now_ms);
     apply_running(worker, sent_ms, answer, all_ends, now_ms);
     if (!worker.synced) {
         worker.synced = true;
-        // From now on it rejects previous owners, whose last renewal is at most one lease old.
-        worker.lease_end_ms = std::min(worker.lease_end_ms, latest_lease_end(now_ms));
+        // From now on it rejects earlier tokens. The last renewal of a previous owner is at most one lease
+        // old, unless it was meant for an earlier process.
+        worker.lease_ordered_ms = now_ms;
+        worker.lease_end_ms = worker.restarts > 0 || young(worker.entry.started_ms, now_ms)
+                                  ? latest_granted_end(now_ms)
+                                  : std::min(worker.lease_end_ms, latest_lease_end(now_ms));
         schedule_needed_ = true;
     }
     worker.next_poll_ms = worker.end_batch == 0 ? now_ms : now_ms + unstored_poll_ms;
@@ -304,6 +379,29 @@
     return applied;
 }
 
+/// Notes which process of the worker runs the task: it may be a later one than the start was meant for.
+void shard_core::note_life(run_entry& run)
+{
+    const std::int64_t life_ms = run.worker->entry.started_ms;
+    if (life_ms == 0 || run.life_ms == life_ms) {
+        return;
+    }
+    run.life_ms = life_ms;
+    for (active_run& active : run.occurrence->task(run.step, run.index).runs) {
+        if (active.number != run.number) {
+            continue;
+        }
+        // A task that waits for its worker's registration needs no record of its own for that.
+        const bool store = active.worker.started_ms != life_ms ||
+                           (!active.listed && run.occurrence->step(run.step).long_running);
+        active.worker.started_ms = life_ms;
+        active.listed = true;
+        if (store) {
+            mark_changed(*run.occurrence, run.step, run.index);
+        }
+    }
+}
+
 /// @param all_ends whether a run that the answer does not list has ended without a listed end
 void shard_core::apply_running(worker_state& worker, std::int64_t sent_ms, const poll_answer& answer,
                                bool all_ends, std::int64_t now_ms)
@@ -339,6 +437,7 @@
         run.percent = row.percent;
         run.recent_metric = row.recent_metric;
         run.listed = true;
+        note_life(run);
         clear_suspicion(run);
         keep_checkpoint(*run.occurrence, run.step, run.index, row.checkpoint, now_ms);
         if (run.stopping) {
@@ -377,9 +476,11 @@
 
 poll_order shard_core::make_poll(worker_state& worker, std::int64_t now_ms)
 {
-    // A worker that did not answer may have restarted and number its ends from 1 again.
+    // A worker that did not answer may have restarted and number its ends from 1 again. An acknowledgement
+    // that has been answered is not repeated: the next process would forget ends that nobody has read.
+    const bool acknowledges = worker.silent_since_ms == 0 && worker.stored_end > worker.forgotten_end;
     poll_order order{.fencing_token = token_of(worker),
-                     .acknowledged_end = worker.silent_since_ms == 0 ? worker.stored_end : 0,
+                     .acknowledged_end = acknowledges ? worker.stored_end : 0,
                      .lease_until_ms = std::nullopt,
                      .wait_ms = 0};
     // The lease of a worker that does not answer is not renewed: it would be unknown whether the renewal
@@ -408,6 +509,7 @@
             }
             worker->poll_in_flight = true;
             worker->poll_sent_ms = now_ms;
+            worker->polled_end = order.acknowledged_end;
             out.polls.push_back({worker->target(), order, false});
             continue;
         }
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -194,8 +194,11 @@
 /// leases of workers that do not answer this owner.
 void shard_owner::request_release()
 {
-    if (previous_owner_.empty() || previous_owner_ == "-" || previous_owner_ == parts_.address ||
-        !parts_.release) {
+    if (previous_owner_.empty()) {
+        core_.on_first_owner(monotonic_ms());
+        return;
+    }
+    if (previous_owner_ == "-" || previous_owner_ == parts_.address || !parts_.release) {
         core_.on_previous_owner_gone(monotonic_ms());
         return;
     }
@@ -207,7 +210,7 @@
             core_.on_previous_owner_gone(monotonic_ms());
             return;
         }
-        if (monotonic_ms() - started_ms_ < options_.inherited_lease_ms) {
+        if (monotonic_ms() - started_ms_ < options_.previous_renewals_ms + options_.max_lease_ms) {
             release_retry_ = parts_.loop->after(release_retry_ms, [this] { request_release(); });
         }
     });
--- a/tests/fakes/fake_worker.hpp
+++ b/tests/fakes/fake_worker.hpp
@@ -36,6 +36,7 @@
     bool idle_lapses = true;  // a lease that runs out while nothing runs counts as lapsed
     std::map<std::int64_t, std::int64_t> end_times;      // true time by end number
     std::map<std::string, std::uint32_t> highest_ended;  // by task: highest run that was stopped or ended
+    std::int64_t max_lease_ms = 10'000;                  // a longer one is shortened to it
     double clock_rate = 1.0;                             // of its clock, relative to the true time
     std::int64_t stop_ms = 0;                            // how long a run goes on after it was told to stop
 
@@ -64,7 +65,7 @@
         if (order.lease_until_ms <= clock(now_ms)) {
             return reply(order_result::lease_expired);
         }
-        lease_until_ms = std::max(lease_until_ms, order.lease_until_ms);
+        extend_lease(order.lease_until_ms, now_ms);
         running.push_back(
             {order.task, order.run, now_ms, duration_ms == 0 ? 0 : now_ms + duration_ms, result});
         return reply(order_result::ok);
@@ -108,7 +109,7 @@
         token = order.fencing_token;
         std::erase_if(ended, [&](const ended_row& row) { return row.number <= order.acknowledged_end; });
         if (order.lease_until_ms) {
-            lease_until_ms = std::max(lease_until_ms, *order.lease_until_ms);
+            extend_lease(*order.lease_until_ms, now_ms);
         }
         for (const active_task& active : running) {
             answer.running.push_back({active.task, active.run, "", active.end_ms == 0 ? 100 : 10, 0});
@@ -148,6 +149,10 @@
     }
 
 private:
+    void extend_lease(std::int64_t until_ms, std::int64_t now_ms)
+    {
+        lease_until_ms = std::max(lease_until_ms, std::min(until_ms, clock(now_ms) + max_lease_ms));
+    }
     static order_answer reply(order_result outcome) { return {outcome}; }
     void finish(std::size_t index, end_kind result, std::int64_t end_ms)
     {
--- a/tests/shard/loaded_core.hpp
+++ b/tests/shard/loaded_core.hpp
@@ -24,6 +24,7 @@
 class loaded_core {
 public:
     static constexpr std::int64_t start_ms = 100;
+    static constexpr std::int64_t worker_age_ms = 60'000;  // of the processes that the previous owner knew
 
     /// @param task the only task of job 1
     explicit loaded_core(const task_progress& task, const shard_options& options = {.shard = 3, .epoch = 7})
@@ -41,7 +42,7 @@
         occurrence_progress progress = make_occurrence(job);
         progress.steps[0] = tasks;
         core.load_progress(job.id + ".0", encode_progress(progress));
-        core.tick(start_ms, start_ms);
+        core.tick(start_ms, start_ms + worker_age_ms);
         core.add_job(job, 0, start_ms);
         core.finish_load(start_ms);
     }
--- a/tests/shard/shard_core_test.cpp
+++ b/tests/shard/shard_core_test.cpp
@@ -211,6 +211,7 @@
 {
     shard_world world(9);
     world.add_worker("a");
+    world.run(20'000);  // no order that was meant for an earlier process of it is left
     const auto first = world.take_over();
     world.submit(shard_world::long_running_job(1));
     world.run(300);
--- a/tests/shard/shard_relayed_poll_test.cpp
+++ b/tests/shard/shard_relayed_poll_test.cpp
@@ -191,10 +191,18 @@
     ASSERT_TRUE(late);
     EXPECT_EQ(late->order.acknowledged_end, 0);
     owner.pass(*late, {}, {{1, task_of(1), 1, end_kind::done, ""}}, 7'010);
-    const auto soon = owner.relayed_poll(7'510);
+    const auto soon = owner.relayed_poll(7'060);
     ASSERT_TRUE(soon);
     EXPECT_EQ(soon->order.acknowledged_end, 1);
-    owner.pass(*soon, {}, {}, 7'520);
+    owner.core.on_relayed_poll(*soon, 7'060, {}, 7'070);
+    const auto later = owner.relayed_poll(7'570);  // a worker is back within 0.6 s
+    ASSERT_TRUE(later);
+    EXPECT_EQ(later->order.acknowledged_end, 0);
+    owner.pass(*later, {}, {{1, task_of(1), 1, end_kind::done, ""}}, 7'580);
+    const auto again = owner.relayed_poll(7'590);
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->order.acknowledged_end, 1);
+    owner.pass(*again, {}, {}, 7'600);
     EXPECT_FALSE(owner.relayed_poll(8'500)) << "nothing is left to learn";
 }
 
--- a/tests/shard/shard_world.hpp
+++ b/tests/shard/shard_world.hpp
@@ -126,6 +126,53 @@
         }
     }
 
+    /// Starts the process of worker @p id again under its id. Calls that arrive within @p down_ms reach the
+    /// new process, whichever one they were meant for. The owners learn of it by a list or its registration.
+    void restart_worker(const std::string& id, std::int64_t down_ms)
+    {
+        workers[id].alive = false;
+        workers[id].running.clear();
+        workers[id].failure = order_result::no_answer;
+        restarted_at_ms_[id] = now + down_ms;
+        after(down_ms, [this, id] {
+            workers[id].restart(now);
+            workers[id].alive = true;
+            register_worker(id);
+        });
+    }
+
+    /// Cuts worker @p id off from the owners and the store for @p cut_ms; it runs on.
+    void cut_worker(const std::string& id, std::int64_t cut_ms)
+    {
+        unreachable.insert(id);
+        after(draw(registration_ms - 1'500, registration_ms), [this, id] {
+            for (const owner_ptr& owner : owners) {
+                if (unreachable.contains(id) && !owner->terminated) {
+                    owner->core->remove_worker(id, now);
+                }
+            }
+        });
+        after(cut_ms, [this, id] {
+            unreachable.erase(id);
+            register_worker(id);
+        });
+    }
+
+    /// Writes the registration of worker @p id, if it reaches the store.
+    void register_worker(const std::string& id)
+    {
+        after(draw(1, 1'500), [this, id] {
+            if (unreachable.contains(id) || !workers[id].alive) {
+                return;
+            }
+            for (const owner_ptr& owner : owners) {
+                if (!owner->terminated) {
+                    owner->core->put_worker(workers[id].entry, now);
+                }
+            }
+        });
+    }
+
     /// Removes the registration of worker @p id, unless it answers or another one has taken its place by
     /// then.
     void lapse_registration(const std::string& id)
@@ -228,6 +275,9 @@
             core.cancel_job(id, now);
         }
         core.finish_load(now);
+        if (epoch == 1) {
+            core.on_first_owner(now);
+        }
         owners.push_back(created);
         confirm(created);
         tick(created);
@@ -535,6 +585,26 @@
         const std::int64_t started_ms = workers[id].entry.started_ms;
         after(late ? draw(1'000, 6'000) : draw(1, 2), [=, this] {
             fake_worker& worker = workers[id];
+            if (const auto back = restarted_at_ms_.find(id);
+                back != restarted_at_ms_.end() && !worker.alive && !unreachable.contains(id)) {
+                // The next process takes the call. Its answer comes in time if the call has not waited too
+                // long.
+                const std::int64_t waits_ms = back->second - now;
+                const bool in_time = waits_ms < timeout_ms;
+                after(waits_ms + 1, [this, id, owner, act, done, in_time] {
+                    if (!workers[id].alive || unreachable.contains(id)) {
+                        return;
+                    }
+                    const Answer answer = act(workers[id]);
+                    if (in_time) {
+                        deliver<Answer>(owner, done, answer);
+                    }
+                });
+                if (!in_time) {
+                    after(timeout_ms, [this, owner, done] { deliver<Answer>(owner, done, Answer{}); });
+                }
+                return;
+            }
             const bool cut_off = relay ? !passes_on || !passes_on(id, relay->turn) : unreachable.contains(id);
             if (cut_off || !worker.alive || (late && worker.entry.started_ms != started_ms)) {
                 const order_result cut =
@@ -624,8 +694,9 @@
     std::priority_queue<event> events_;
     std::uint64_t order_ = 0;
     std::set<std::string> acknowledged_done_;
-    std::map<std::string, std::int64_t> latest_start_;  // by task
-    std::set<std::string> taken_hosts_;                 // workers whose hosts were maintained
+    std::map<std::string, std::int64_t> restarted_at_ms_;  // when the latest process of a worker started
+    std::map<std::string, std::int64_t> latest_start_;     // by task
+    std::set<std::string> taken_hosts_;                    // workers whose hosts were maintained
 
 public:
     bool fenced_writes = true;
