Give leases and the marks of changed records files of their own

The functions are moved as they were; three comments that the formatter had broken are whole again. No behaviour changes; shard_test and the program build.

--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -43,8 +43,7 @@
     // A worker answers a poll after this time at the latest when no run ends; a quarter of the lease.
     std::int64_t poll_wait_ms = 1'000;
     // Longest lease that a worker grants. An order names the end of a lease on the clock of the worker's
-    // process; the next process under the same id has another clock, and may grant as much for the same
-    // order.
+    // process; the next process under the same id has another clock, and may grant as much for it.
     std::int64_t max_lease_ms = 10'000;
     // A previous owner that cannot be reached may renew leases for 3 s after the takeover, and late timers.
     std::int64_t previous_renewals_ms = 3'750;
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -10,14 +10,10 @@
 
 namespace {
 
-constexpr std::int64_t list_wait_ms = 400;      // for the list after a start without an answer
-constexpr std::int64_t poll_retry_ms = 150;     // after a poll that failed
-constexpr std::int64_t extra_poll_ms = 20;      // between extra polls, which show whether a run is gone
-constexpr std::int64_t unstored_poll_ms = 400;  // while ends wait for the store; renews leases in time
-constexpr std::int64_t lease_margin_ms = 150;   // delivery of an order and late timers
-// From the start of a worker's process until an owner has reached it, and the difference between the times of
-// day of two hosts.
-constexpr std::int64_t first_contact_ms = 5'000;
+constexpr std::int64_t list_wait_ms = 400;        // for the list after a start without an answer
+constexpr std::int64_t poll_retry_ms = 150;       // after a poll that failed
+constexpr std::int64_t extra_poll_ms = 20;        // between extra polls, which show whether a run is gone
+constexpr std::int64_t unstored_poll_ms = 400;    // while ends wait for the store; renews leases in time
 constexpr std::size_t max_ends_per_answer = 500;  // a worker lists no more in one answer
 constexpr std::int64_t pace_interval_ms = 400;    // four times what a worker needs to apply a pace
 constexpr int pace_increase = 10;                 // percentage points
@@ -43,78 +39,6 @@
     return *slot;
 }
 
-/// @return time by which a lease that is renewed now has lapsed, even on the slowest clock
-std::int64_t shard_core::latest_lease_end(std::int64_t now_ms) const
-{
-    const auto longest = static_cast<std::int64_t>(static_cast<double>(options_.lease_ms) / min_clock_rate);
-    return now_ms + longest + lease_margin_ms;
-}
-
-/// @return time by which a lease that a worker grants now has lapsed, whatever the order said and which of
-/// its
-///         processes has taken it
-std::int64_t shard_core::latest_granted_end(std::int64_t now_ms) const
-{
-    const auto longest = static_cast<std::int64_t>(
-        static_cast<double>(std::max(options_.lease_ms, options_.max_lease_ms)) / min_clock_rate);
-    return now_ms + longest + lease_margin_ms;
-}
-
-/// @return time by which the leases of the runs have lapsed that a previous owner has seen in lists
-std::int64_t shard_core::inherited_lease_end(std::int64_t now_ms) const
-{
-    return latest_lease_end(now_ms + options_.previous_renewals_ms);
-}
-
-/// @return time by which the lease of a run on a silent worker has lapsed. One that no list has shown may
-/// have
-///         been started by a later process, by an order that was meant for the one before.
-std::int64_t shard_core::lease_end_of(const run_entry& run) const
-{
-    const worker_state& worker = *run.worker;
-    const bool certain = run.life_ms != 0 && (worker.synced || !young(run.life_ms, loaded_ms_));
-    return certain || worker.lease_ordered_ms == 0
-               ? worker.lease_end_ms
-               : std::max(worker.lease_end_ms, latest_granted_end(worker.lease_ordered_ms));
-}
-
-/// Whether a process of a worker may have taken orders lately that were meant for the process before it.
-/// @param started_ms start of the process, time of day @param at_ms steady time of the question
-bool shard_core::young(std::int64_t started_ms, std::int64_t at_ms) const
-{
-    const std::int64_t age_ms = at_ms + wall_offset_ms_ - started_ms;
-    return !first_owner_ && started_ms != 0 && age_ms < latest_granted_end(0) + first_contact_ms;
-}
-
-void shard_core::on_previous_owner_gone(std::int64_t now_ms)
-{
-    const std::int64_t end_ms = latest_lease_end(now_ms);
-    for (auto& [id, worker] : workers_) {
-        if (worker->clock_ms < 0) {
-            worker->lease_end_ms = std::min(worker->lease_end_ms, end_ms);
-            worker->lease_ordered_ms = std::min(worker->lease_ordered_ms, now_ms);
-        }
-    }
-}
-
-void shard_core::on_first_owner(std::int64_t now_ms)
-{
-    first_owner_ = true;
-    for (auto& [id, worker] : workers_) {
-        if (worker->clock_ms < 0) {
-            worker->lease_end_ms = now_ms;
-            worker->lease_ordered_ms = 0;
-        }
-    }
-}
-
-/// A previous owner may have ordered leases from @p worker until some time after the takeover.
-void shard_core::assume_inherited_leases(worker_state& worker, std::int64_t now_ms) const
-{
-    worker.lease_end_ms = inherited_lease_end(now_ms);
-    worker.lease_ordered_ms = now_ms + options_.previous_renewals_ms;
-}
-
 std::int64_t shard_core::token_of(const worker_state& worker) const
 {
     return options_.epoch * tokens_per_epoch + worker.restarts % tokens_per_epoch;
@@ -186,17 +110,6 @@
     }
 }
 
-/// Records a lease renewal by an order that is sent now. @return end of the lease on the worker's clock
-std::int64_t shard_core::renew_lease(worker_state& worker, std::int64_t now_ms)
-{
-    const std::int64_t until = worker.clock_ms + (now_ms - worker.clock_at_ms) + options_.lease_ms;
-    const auto longest =
-        static_cast<std::int64_t>(static_cast<double>(until - worker.clock_ms) / min_clock_rate);
-    worker.lease_end_ms = std::max(worker.lease_end_ms, worker.clock_at_ms + longest + lease_margin_ms);
-    worker.lease_ordered_ms = now_ms;
-    return until;
-}
-
 /// Handles a restart of a worker under the same id; it has lost its runs and ends.
 void shard_core::handle_restart(worker_state& worker, std::int64_t started_ms, std::int64_t now_ms)
 {
@@ -379,29 +292,6 @@
     return applied;
 }
 
-/// Notes which process of the worker runs the task: it may be a later one than the start was meant for.
-void shard_core::note_life(run_entry& run)
-{
-    const std::int64_t life_ms = run.worker->entry.started_ms;
-    if (life_ms == 0 || run.life_ms == life_ms) {
-        return;
-    }
-    run.life_ms = life_ms;
-    for (active_run& active : run.occurrence->task(run.step, run.index).runs) {
-        if (active.number != run.number) {
-            continue;
-        }
-        // A task that waits for its worker's registration needs no record of its own for that.
-        const bool store = active.worker.started_ms != life_ms ||
-                           (!active.listed && run.occurrence->step(run.step).long_running);
-        active.worker.started_ms = life_ms;
-        active.listed = true;
-        if (store) {
-            mark_changed(*run.occurrence, run.step, run.index);
-        }
-    }
-}
-
 /// @param all_ends whether a run that the answer does not list has ended without a listed end
 void shard_core::apply_running(worker_state& worker, std::int64_t sent_ms, const poll_answer& answer,
                                bool all_ends, std::int64_t now_ms)
