--- a/tests/job/progress_parts_test.cpp
+++ b/tests/job/progress_parts_test.cpp
@@ -14,7 +14,7 @@
 const std::string key = "5c0e7a21d94b36f8.0";
 constexpr std::size_t part_bytes = 2'000;
 
-occurrence_progress waiting(std::vector<std::size_t> counts)
+occurrence_progress waiting(const std::vector<std::size_t>& counts)
 {
     occurrence_progress progress;
     for (const std::size_t count : counts) {
--- a/tests/shard/shard_long_records_test.cpp
+++ b/tests/shard/shard_long_records_test.cpp
@@ -23,6 +23,7 @@
 std::vector<running_row> rows_of(const std::string& id, int count, std::size_t bytes)
 {
     std::vector<running_row> rows;
+    rows.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         rows.push_back({.task = id + ".0.0." + std::to_string(index),
                         .run = 1,
