--- a/src/shard/core_leases.cpp
+++ b/src/shard/core_leases.cpp
@@ -12,22 +12,25 @@
 // day of two hosts.
 constexpr std::int64_t first_contact_ms = 5'000;
 
+/// @return time after which a lease has lapsed even on the slowest clock, with its delivery
+std::int64_t longest_ms(std::int64_t lease_ms)
+{
+    return static_cast<std::int64_t>(static_cast<double>(lease_ms) / min_clock_rate) + lease_margin_ms;
+}
+
 }  // namespace
 
 /// @return time by which a lease that is renewed now has lapsed, even on the slowest clock
 std::int64_t shard_core::latest_lease_end(std::int64_t now_ms) const
 {
-    const auto longest = static_cast<std::int64_t>(static_cast<double>(options_.lease_ms) / min_clock_rate);
-    return now_ms + longest + lease_margin_ms;
+    return now_ms + longest_ms(options_.lease_ms);
 }
 
 /// @return time by which a lease that a worker grants now has lapsed, whatever the order said and
 ///         whichever of its processes has taken it
 std::int64_t shard_core::latest_granted_end(std::int64_t now_ms) const
 {
-    const auto longest = static_cast<std::int64_t>(
-        static_cast<double>(std::max(options_.lease_ms, options_.max_lease_ms)) / min_clock_rate);
-    return now_ms + longest + lease_margin_ms;
+    return now_ms + longest_ms(std::max(options_.lease_ms, options_.max_lease_ms));
 }
 
 /// @return time by which the leases of the runs have lapsed that a previous owner has seen in lists
@@ -36,9 +39,8 @@
     return latest_lease_end(now_ms + options_.previous_renewals_ms);
 }
 
-/// @return time by which the lease of a run on a silent worker has lapsed. One that no list has shown may
-/// have
-///         been started by a later process, by an order that was meant for the one before.
+/// @return time by which the lease of a run on a silent worker has lapsed. A run that no list has shown may
+///         be one of a later process, by an order that was meant for the one before.
 std::int64_t shard_core::lease_end_of(const run_entry& run) const
 {
     const worker_state& worker = *run.worker;
@@ -89,9 +91,8 @@
 std::int64_t shard_core::renew_lease(worker_state& worker, std::int64_t now_ms)
 {
     const std::int64_t until = worker.clock_ms + (now_ms - worker.clock_at_ms) + options_.lease_ms;
-    const auto longest =
-        static_cast<std::int64_t>(static_cast<double>(until - worker.clock_ms) / min_clock_rate);
-    worker.lease_end_ms = std::max(worker.lease_end_ms, worker.clock_at_ms + longest + lease_margin_ms);
+    worker.lease_end_ms =
+        std::max(worker.lease_end_ms, worker.clock_at_ms + longest_ms(until - worker.clock_ms));
     worker.lease_ordered_ms = now_ms;
     return until;
 }
