--- a/include/waxwingnotch/decision/crash_suspicion.hpp
+++ b/include/waxwingnotch/decision/crash_suspicion.hpp
@@ -5,6 +5,9 @@
 /// After a crash every run that was on the worker is a suspect. A likely suspect, or one of two crashes, is
 /// isolated: it starts on a worker without other suspects, so that the next crash has only one explanation.
 /// After two such crashes the task is given up, once it is proved that the process of the worker has ended.
+///
+/// A start that nobody has answered and no list has shown may have reached a process that had already ended,
+/// or the next one. Such a crash says little about the task; only several of them give it up.
 #pragma once
 
 #include "waxwingnotch/job/progress.hpp"
@@ -22,15 +25,17 @@
     // host to be moved or maintained.
     std::optional<std::int64_t> age_ms;
     bool settled = false;   // a long-running task that was at work, so its start did no harm
+    bool confirmed = true;  // an answer or a list has shown that the process took the start
     std::size_t group = 0;  // members of one gang on the worker have the same number
 };
 
 /// How much a crash says against one of the runs.
 enum class crash_suspicion : std::uint8_t {
-    none,    // it was settled
-    shared,  // others may have caused the crash as well
-    likely,  // it was among the last to start, shortly before the crash
-    alone,   // nothing else can have caused the crash
+    none,         // it was settled
+    unconfirmed,  // its start may not have reached the process
+    shared,       // others may have caused the crash as well
+    likely,       // it was among the last to start, shortly before the crash
+    alone,        // nothing else can have caused the crash
 };
 const char* to_string(crash_suspicion suspicion);
 
--- a/include/waxwingnotch/job/progress.hpp
+++ b/include/waxwingnotch/job/progress.hpp
@@ -42,9 +42,10 @@
 
 /// Workers that crashed while a task ran on them.
 struct crash_history {
-    std::uint32_t shared = 0;  // other runs on the worker may have caused the crash as well
-    std::uint32_t alone = 0;   // no other run can have caused it
-    bool likely = false;       // a shared crash came right after a start of this task
+    std::uint32_t shared = 0;       // other runs on the worker may have caused the crash as well
+    std::uint32_t alone = 0;        // no other run can have caused it
+    bool likely = false;            // a shared crash came right after a start of this task
+    std::uint32_t unconfirmed = 0;  // nothing has shown that the process took the start
 
     bool operator==(const crash_history&) const = default;
 };
--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -396,7 +396,9 @@
     void suspect_task(run_entry& run, crash_suspicion suspicion, std::size_t runs_on_worker,
                       std::int64_t now_ms);
     void clear_suspicion(run_entry& run);
-    void prove_crash(worker_state& worker, std::int64_t now_ms);
+    void prove_run_crashed(run_entry& run, std::int64_t now_ms);
+    void prove_lost_runs(worker_state& worker, std::int64_t now_ms);
+    void take_crash_back(run_entry& run);
     void refute_crash(worker_state& worker, std::int64_t started_ms);
     static void log_suspect(const run_entry& run, std::size_t runs_on_worker, bool given_up,
                             std::int64_t now_ms);
--- a/src/job/codec.cpp
+++ b/src/job/codec.cpp
@@ -82,7 +82,11 @@
         json::array({task.last_run, task.failures, static_cast<int>(task.phase), runs, task.checkpoint});
     // Earlier versions read the crashes wherever a sixth field is there.
     if (task.crashes != crash_history{} || !task.given_up.empty()) {
-        row.push_back(json::array({task.crashes.shared, task.crashes.alone, task.crashes.likely}));
+        json& crashes =
+            row.emplace_back(json::array({task.crashes.shared, task.crashes.alone, task.crashes.likely}));
+        if (task.crashes.unconfirmed > 0) {
+            crashes.push_back(task.crashes.unconfirmed);
+        }
     }
     if (!task.given_up.empty()) {
         json& distances = row.emplace_back(json::array());  // shorter than the numbers
@@ -126,7 +130,8 @@
     if (row.size() > 5) {
         const json& crashes = row.at(5);
         task.crashes = {crashes.at(0).get<std::uint32_t>(), crashes.at(1).get<std::uint32_t>(),
-                        crashes.at(2).get<bool>()};
+                        crashes.at(2).get<bool>(),
+                        crashes.size() > 3 ? crashes.at(3).get<std::uint32_t>() : 0U};
     }
     if (row.size() > 6) {
         for (const json& distance : row.at(6)) {
--- a/src/shard/core_crashes.cpp
+++ b/src/shard/core_crashes.cpp
@@ -80,7 +80,10 @@
         record_crash(worker, worker.silent_since_ms, now_ms);
     }
     if (outcome == order_result::other_instance) {
-        prove_crash(worker, now_ms);
+        prove_lost_runs(worker, now_ms);
+        for (run_entry* run : std::vector<run_entry*>(worker.runs.begin(), worker.runs.end())) {
+            prove_run_crashed(*run, now_ms);
+        }
     }
 }
 
@@ -90,7 +93,10 @@
 {
     std::vector<run_at_crash> described;
     for (const run_entry* run : runs) {
-        run_at_crash entry{.age_ms = std::nullopt, .settled = settled(*run), .group = described.size()};
+        run_at_crash entry{.age_ms = std::nullopt,
+                           .settled = settled(*run),
+                           .confirmed = run->stage == run_stage::running,
+                           .group = described.size()};
         if (!run->inherited) {
             entry.age_ms = std::max<std::int64_t>(crashed_ms - run->ordered_ms, 0);
         }
@@ -126,6 +132,7 @@
     const std::vector<crash_suspicion> suspicions = suspect_runs(describe_crash(runs, crashed_ms));
     for (std::size_t i = 0; i < runs.size(); ++i) {
         runs[i]->in_crash = true;
+        runs[i]->crashed_life_ms = worker.entry.started_ms;
         if (suspicions[i] != crash_suspicion::none && open_.contains(runs[i]->occurrence)) {
             suspect_task(*runs[i], suspicions[i], runs.size(), now_ms);
         }
@@ -212,6 +219,9 @@
                {"runs_on_worker", runs_on_worker},
                {"ran_ms", now_ms - run.ordered_ms},
                {"suspicion", to_string(run.suspicion)},
+               {"listed_life", run.life_ms},
+               {"crashed_life", run.crashed_life_ms},
+               {"unconfirmed", task.crashes.unconfirmed},
                {"shared", task.crashes.shared},
                {"alone", task.crashes.alone},
                {"outcome", given_up                     ? "given up"
@@ -231,54 +241,71 @@
     finish_occurrence(occurrence, now_ms);
 }
 
-/// Another process answers in the place of @p worker, so it has surely crashed: gives up the tasks for which
-/// that is enough.
-void shard_core::prove_crash(worker_state& worker, std::int64_t now_ms)
+/// The process under which the run's task is suspected has surely ended, and the run with it: gives up the
+/// task if that is enough.
+void shard_core::prove_run_crashed(run_entry& run, std::int64_t now_ms)
+{
+    if (!run.in_crash || run.suspicion == crash_suspicion::none) {
+        return;
+    }
+    const task_progress& task = run.occurrence->task(run.step, run.index);
+    if (must_give_up(task.crashes, true) && task.phase == task_phase::active &&
+        open_.contains(run.occurrence)) {
+        log_suspect(run, run.worker->runs.size(), true, now_ms);
+        give_up(*run.occurrence, run.step, run.index, now_ms);
+    }
+    run.suspicion = crash_suspicion::none;
+}
+
+/// Another process answers in the place of @p worker, so it has surely crashed: gives up the tasks of runs
+/// that were lost before that are waiting for this proof.
+void shard_core::prove_lost_runs(worker_state& worker, std::int64_t now_ms)
 {
     for (const suspected_task& suspected : std::exchange(worker.suspected, {})) {
         occurrence_entry* occurrence = find_open(suspected.name);
-        if (occurrence != nullptr && awaits_proof(*occurrence, suspected.name.step, suspected.name.index)) {
+        if (occurrence == nullptr) {
+            continue;
+        }
+        const task_progress& task = occurrence->task(suspected.name.step, suspected.name.index);
+        const bool open = task.phase == task_phase::waiting || task.phase == task_phase::active;
+        if ((open && must_give_up(task.crashes, true)) ||
+            awaits_proof(*occurrence, suspected.name.step, suspected.name.index)) {
             log_event(
                 log_level::warning, "crash_suspect",
                 {{"task", to_string(suspected.name)}, {"worker", worker.entry.id}, {"outcome", "given up"}});
             give_up(*occurrence, suspected.name.step, suspected.name.index, now_ms);
         }
     }
-    const std::vector<run_entry*> runs(worker.runs.begin(), worker.runs.end());
-    for (run_entry* run : runs) {
-        if (!run->in_crash || run->suspicion == crash_suspicion::none) {
-            continue;
-        }
-        const task_progress& task = run->occurrence->task(run->step, run->index);
-        if (must_give_up(task.crashes, true) && task.phase == task_phase::active &&
-            open_.contains(run->occurrence)) {
-            log_suspect(*run, runs.size(), true, now_ms);
-            give_up(*run->occurrence, run->step, run->index, now_ms);
-        }
-        run->suspicion = crash_suspicion::none;
+}
+
+/// Takes back what a crash of the run's worker has added to the history of its task.
+void shard_core::take_crash_back(run_entry& run)
+{
+    if (!std::exchange(run.in_crash, false)) {
+        return;
+    }
+    remove_suspicion(*run.occurrence, run.step, run.index,
+                     std::exchange(run.suspicion, crash_suspicion::none));
+    for (active_run& active : run.occurrence->task(run.step, run.index).runs) {
+        active.crash_counted = active.crash_counted && active.number != run.number;
     }
 }
 
-/// The same process answers again, so @p worker has not crashed: its connections had been refused on the way.
-/// @param started_ms of the process that answers; 0: it does not say, so it may be another one
+/// A process answers again, so it has not crashed: its connections had been refused on the way.
+/// @param started_ms of the process that answers; 0: it does not say
 void shard_core::refute_crash(worker_state& worker, std::int64_t started_ms)
 {
     if (started_ms == 0) {
         return;
     }
     for (run_entry* run : worker.runs) {
-        if (!run->in_crash) {
-            continue;
-        }
-        remove_suspicion(*run->occurrence, run->step, run->index,
-                         std::exchange(run->suspicion, crash_suspicion::none));
-        run->in_crash = false;
-        for (active_run& active : run->occurrence->task(run->step, run->index).runs) {
-            active.crash_counted = active.crash_counted && active.number != run->number;
+        if (run->crashed_life_ms == started_ms) {
+            take_crash_back(*run);
         }
     }
     for (const suspected_task& suspected : std::exchange(worker.suspected, {})) {
-        if (occurrence_entry* occurrence = find_open(suspected.name)) {
+        occurrence_entry* occurrence = find_open(suspected.name);
+        if (occurrence != nullptr && suspected.crashed_life_ms == started_ms) {
             remove_suspicion(*occurrence, suspected.name.step, suspected.name.index, suspected.suspicion);
         }
     }
@@ -301,21 +328,12 @@
 /// at work does no harm.
 void shard_core::clear_suspicion(run_entry& run)
 {
+    take_crash_back(run);
     task_progress& task = run.occurrence->task(run.step, run.index);
-    const crash_history before = task.crashes;
-    if (run.in_crash) {
-        remove_crash(task.crashes, std::exchange(run.suspicion, crash_suspicion::none));
-        run.in_crash = false;
-        for (active_run& active : task.runs) {
-            active.crash_counted = active.crash_counted && active.number != run.number;
-        }
-    }
-    if (settled(run)) {
-        task.crashes = {};
-    }
-    if (task.crashes == before) {
+    if (!settled(run) || task.crashes == crash_history{}) {
         return;
     }
+    task.crashes = {};
     mark_changed(*run.occurrence, run.step, run.index);
     if (!has_suspects(*run.occurrence)) {
         suspects_.erase(run.occurrence->key());
--- a/src/shard/core_jobs.cpp
+++ b/src/shard/core_jobs.cpp
@@ -210,6 +210,7 @@
                 loaded.confirmed_ms = now_ms;
                 loaded.ordered_ms = now_ms;
                 loaded.in_crash = run.crash_counted;
+                loaded.crashed_life_ms = run.crash_counted ? run.worker.started_ms : 0;
                 loaded.life_ms = run.listed ? run.worker.started_ms : 0;
                 task.runs.back() = run;
             }
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -99,11 +99,12 @@
     bool stopping = false;
     std::int64_t stop_sent_ms = 0;
     std::int64_t stop_confirmed_ms = 0;
-    std::int64_t unanswered_ms = 0;  // when its start order counted as unanswered
-    bool listed = false;             // seen in a worker's list of runs
-    std::int64_t life_ms = 0;        // start of the process whose list has shown it; 0: none has
-    bool inherited = false;          // ordered by a previous owner; `ordered_ms` is the takeover
-    bool in_crash = false;           // its worker has crashed
+    std::int64_t unanswered_ms = 0;    // when its start order counted as unanswered
+    bool listed = false;               // seen in a worker's list of runs
+    std::int64_t life_ms = 0;          // start of the process whose list has shown it; 0: none has
+    bool inherited = false;            // ordered by a previous owner; `ordered_ms` is the takeover
+    bool in_crash = false;             // its worker has crashed
+    std::int64_t crashed_life_ms = 0;  // start of the process that has crashed
     bool awaited = false;  // its worker is silent, and its task waits until it is known how the run has ended
     crash_suspicion suspicion = crash_suspicion::none;  // what the crash added to the history of the task
     int percent = 0;
@@ -117,6 +118,7 @@
 struct shard_core::suspected_task {
     task_name name;
     crash_suspicion suspicion = crash_suspicion::none;
+    std::int64_t crashed_life_ms = 0;  // start of the process that may have crashed
 };
 
 /// Orders through other nodes to a worker that does not answer this one.
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -246,7 +246,7 @@
                {"ms", now_ms - run.ordered_ms}});
     if (run.in_crash && run.suspicion != crash_suspicion::none) {
         run.worker->suspected.push_back(
-            {{occurrence.job->spec.id, occurrence.number, step, index}, run.suspicion});
+            {{occurrence.job->spec.id, occurrence.number, step, index}, run.suspicion, run.crashed_life_ms});
     }
     task_progress& task = occurrence.task(step, index);
     const bool open = task.phase == task_phase::active || task.phase == task_phase::waiting;
@@ -493,9 +493,11 @@
         ++counts_.rejected;
         worker.silent_since_ms = worker.silent_since_ms == 0 ? now_ms : worker.silent_since_ms;
         worker.next_poll_ms = now_ms;
+        take_crash_back(run);
         requeue(run, to_string(answer.outcome), now_ms);
         return;
     case order_result::not_sent:  // says nothing about the worker
+        take_crash_back(run);
         requeue(run, to_string(answer.outcome), now_ms);
         return;
     case order_result::no_answer:
@@ -521,6 +523,7 @@
         }
         // Its next life has heard of this owner by a later order.
         ++counts_.rejected;
+        take_crash_back(run);
         requeue(run, to_string(answer.outcome), now_ms);
         return;
     default:
@@ -533,6 +536,7 @@
             }
             run.occurrence->job->wants_ticket = run.occurrence->job->wants_ticket || order.ticket.empty();
         }
+        take_crash_back(run);
         requeue(run, to_string(answer.outcome), now_ms);
     }
 }
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -119,7 +119,9 @@
                {"started_ms", started_ms},
                {"runs", worker.runs.size()}});
     record_crash(worker, worker.silent_since_ms != 0 ? worker.silent_since_ms : now_ms, now_ms);
-    prove_crash(worker, now_ms);
+    // Which runs have ended with it, the first list of the new process tells: that may have taken their
+    // starts.
+    prove_lost_runs(worker, now_ms);
     worker.entry.started_ms = started_ms;
     ++worker.restarts;
     forget_advice(worker.entry.id);
@@ -355,6 +357,9 @@
         }
         if (missing || stopped || too_late) {
             ++counts_.lost;
+            if (run->crashed_life_ms != worker.entry.started_ms) {
+                prove_run_crashed(*run, now_ms);
+            }
             requeue(*run, "the worker does not list the run", now_ms);
             continue;
         }
--- a/tests/decision/crash_suspicion_test.cpp
+++ b/tests/decision/crash_suspicion_test.cpp
@@ -55,6 +55,49 @@
     EXPECT_EQ(suspect_runs(runs), suspicions{crash_suspicion::shared});
 }
 
+// Nothing shows that the process took the start; what surely ran there may have been crashed by it all the
+// same.
+TEST(crash_suspicion, a_start_that_nobody_answered_is_unconfirmed_and_leaves_its_neighbours_shared)
+{
+    const std::vector<run_at_crash> runs{{.age_ms = 5, .confirmed = false, .group = 0}, started(900, 1)};
+    EXPECT_EQ(suspect_runs(runs), (suspicions{crash_suspicion::unconfirmed, crash_suspicion::shared}));
+    EXPECT_EQ(suspect_runs(std::span(runs).first(1)), suspicions{crash_suspicion::unconfirmed});
+}
+
+// A task with one real crash may not be given up; one that crashes all its workers must be after five starts.
+TEST(crash_suspicion, it_takes_five_crashes_to_give_up_a_task_with_less_than_two_confirmed_ones)
+{
+    crash_history history;
+    add_crash(history, crash_suspicion::unconfirmed);
+    EXPECT_FALSE(must_isolate(history));
+    add_crash(history, crash_suspicion::alone);
+    for (int crash = 2; crash < 4; ++crash) {
+        add_crash(history, crash_suspicion::unconfirmed);
+        EXPECT_FALSE(must_give_up(history, true));
+    }
+    add_crash(history, crash_suspicion::unconfirmed);
+    EXPECT_TRUE(must_give_up(history, true));
+    EXPECT_TRUE(must_give_up(history, false));
+    remove_crash(history, crash_suspicion::unconfirmed);
+    EXPECT_FALSE(must_give_up(history, true));
+}
+
+// tkc-sapporo crashing-tasks, seed 834067222263: two of the crashes under a task that crashed all its workers
+// were counted as shared, as a new owner had inherited the run, and as unconfirmed, so the task was started
+// seven times.
+TEST(crash_suspicion, a_task_that_crashed_alone_once_is_given_up_after_four_crashes)
+{
+    for (const crash_suspicion last : {crash_suspicion::shared, crash_suspicion::unconfirmed}) {
+        crash_history history;
+        add_crash(history, crash_suspicion::likely);
+        add_crash(history, crash_suspicion::likely);
+        add_crash(history, crash_suspicion::alone);
+        EXPECT_FALSE(must_give_up(history, true));
+        add_crash(history, last);
+        EXPECT_TRUE(must_give_up(history, true));
+    }
+}
+
 /// Whatever ran beside it, a task is not given up for crashes that it shared.
 RC_GTEST_PROP(crash_suspicion, no_number_of_shared_crashes_gives_a_task_up, ())
 {
--- a/tests/job/job_test.cpp
+++ b/tests/job/job_test.cpp
@@ -243,7 +243,8 @@
             }
             if (task.phase != task_phase::done) {
                 task.crashes = {*rc::gen::inRange<std::uint32_t>(0, 3),
-                                *rc::gen::inRange<std::uint32_t>(0, 2), *rc::gen::arbitrary<bool>()};
+                                *rc::gen::inRange<std::uint32_t>(0, 2), *rc::gen::arbitrary<bool>(),
+                                *rc::gen::inRange<std::uint32_t>(0, 3)};
                 for (std::uint32_t run = 1; run <= task.last_run; ++run) {
                     if (*rc::gen::arbitrary<bool>()) {
                         add_given_up(task, run);
--- a/tests/shard/shard_world.hpp
+++ b/tests/shard/shard_world.hpp
@@ -75,7 +75,8 @@
     int open_advice = 0;                        // calls that are waiting or handled
     // Tasks that crash the worker that starts them, and how long after the start.
     std::map<std::string, std::int64_t> crashing_tasks;
-    std::map<std::string, int> crashes;  // workers that crashed under a crashing task, by task
+    std::map<std::string, int> crashes;  // workers that crashed while they ran the task, by task
+    bool crashes_lose_answers = false;   // to calls whose answers are under way when the worker crashes
 
     // Set where another world runs the rerouted jobs of this one.
     std::function<bool(const forward_effect& effect)> forward;  // whether the record was stored and answered
@@ -130,6 +131,7 @@
     /// new process, whichever one they were meant for. The owners learn of it by a list or its registration.
     void restart_worker(const std::string& id, std::int64_t down_ms)
     {
+        count_crash(workers[id]);
         workers[id].alive = false;
         workers[id].running.clear();
         workers[id].failure = order_result::no_answer;
@@ -195,6 +197,7 @@
         if (!worker.alive) {
             return;
         }
+        count_crash(worker);
         worker.alive = false;
         worker.running.clear();
         worker.failure = order_result::not_listening;
@@ -370,6 +373,14 @@
     }
     bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(random) < share; }
 
+    void count_crash(fake_worker& worker)
+    {
+        worker.advance(now);
+        for (const fake_worker::active_task& active : worker.running) {
+            ++crashes[active.task];
+        }
+    }
+
     /// Stores who owns the shard.
     void confirm(const owner_ptr& owner)
     {
@@ -486,7 +497,6 @@
                         return active.task == task && active.run == run;
                     });
                     if (runs_it) {
-                        ++crashes[task];
                         crash_worker(id);
                     }
                 });
@@ -619,7 +629,7 @@
             const bool unanswered = lost || (!relay && answerless.contains(id));
             after(unanswered ? timeout_ms : draw(1, 2), [this, owner, id, done, answer, unanswered] {
                 const Answer closed{.outcome = order_result::disconnected};
-                const bool taken = taken_hosts_.contains(id);
+                const bool taken = taken_hosts_.contains(id) || (crashes_lose_answers && !workers[id].alive);
                 deliver<Answer>(owner, done, unanswered ? Answer{} : taken ? closed : answer);
             });
         });
