--- a/include/waxwingnotch/shard/shard_core.hpp
+++ b/include/waxwingnotch/shard/shard_core.hpp
@@ -399,6 +399,7 @@
     void prove_run_crashed(run_entry& run, std::int64_t now_ms);
     void prove_lost_runs(worker_state& worker, std::int64_t now_ms);
     void take_crash_back(run_entry& run);
+    static void weaken_unlisted(run_entry& run);
     void refute_crash(worker_state& worker, std::int64_t started_ms);
     static void log_suspect(const run_entry& run, std::size_t runs_on_worker, bool given_up,
                             std::int64_t now_ms);
--- a/src/shard/core_crashes.cpp
+++ b/src/shard/core_crashes.cpp
@@ -292,6 +292,18 @@
     }
 }
 
+/// Makes the suspicion of a run unconfirmed that is given up before a list has told whether the process that
+/// crashed or the one after it took the start.
+void shard_core::weaken_unlisted(run_entry& run)
+{
+    if (run.life_ms == run.crashed_life_ms || run.worker->entry.started_ms == run.crashed_life_ms) {
+        return;
+    }
+    crash_history& crashes = run.occurrence->task(run.step, run.index).crashes;
+    remove_crash(crashes, std::exchange(run.suspicion, crash_suspicion::unconfirmed));
+    add_crash(crashes, run.suspicion);
+}
+
 /// A process answers again, so it has not crashed: its connections had been refused on the way.
 /// @param started_ms of the process that answers; 0: it does not say
 void shard_core::refute_crash(worker_state& worker, std::int64_t started_ms)
@@ -304,12 +316,15 @@
             take_crash_back(*run);
         }
     }
-    for (const suspected_task& suspected : std::exchange(worker.suspected, {})) {
-        occurrence_entry* occurrence = find_open(suspected.name);
-        if (occurrence != nullptr && suspected.crashed_life_ms == started_ms) {
+    std::erase_if(worker.suspected, [&](const suspected_task& suspected) {
+        if (suspected.crashed_life_ms != started_ms) {
+            return false;
+        }
+        if (occurrence_entry* occurrence = find_open(suspected.name)) {
             remove_suspicion(*occurrence, suspected.name.step, suspected.name.index, suspected.suspicion);
         }
-    }
+        return true;
+    });
 }
 
 void shard_core::remove_suspicion(occurrence_entry& occurrence, std::uint32_t step, std::uint32_t index,
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -151,6 +151,7 @@
     const std::uint32_t index = run.index;
     const step_spec& spec = occurrence.step(step);
     task_progress& task = occurrence.task(step, index);
+    take_crash_back(run);  // its end is listed, so it was in no process that has crashed
     record_end(occurrence, run, kind, heard, now_ms);
     const std::string worker = run.worker->entry.id;
     remove_run(run);
@@ -245,6 +246,7 @@
                {"reason", reason},
                {"ms", now_ms - run.ordered_ms}});
     if (run.in_crash && run.suspicion != crash_suspicion::none) {
+        weaken_unlisted(run);
         run.worker->suspected.push_back(
             {{occurrence.job->spec.id, occurrence.number, step, index}, run.suspicion, run.crashed_life_ms});
     }
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -210,6 +210,7 @@
             log_level::info, "worker",
             {{"worker", worker_id}, {"state", "answers"}, {"silent_ms", now_ms - worker.silent_since_ms}});
         refute_crash(worker, answer.started_ms);
+        prove_lost_runs(worker, now_ms);  // those of earlier processes
         worker.silent_since_ms = 0;
         worker.silence = order_result::ok;
         worker.refusals = 0;
--- a/tests/shard/shard_untaken_start_test.cpp
+++ b/tests/shard/shard_untaken_start_test.cpp
@@ -103,6 +103,47 @@
     }
 }
 
+// Cut off soon after its restart, the worker lists the lapse of the run when it can be reached again: one
+// crash on another worker was enough then for the job to be shown as failed.
+TEST(shard_untaken_start, a_run_whose_end_the_next_process_lists_was_in_no_crash)
+{
+    ordered_start start(task_progress{});
+    start.answer_start({.outcome = order_result::ok}, 208);
+    start.restart(180, 210);
+    start.owner.answer(start.worker, {},
+                       {{.number = 1, .task = task_of(1), .run = start.order.run, .kind = end_kind::lapsed}},
+                       220, 180);
+    const shard_effects effects = start.owner.step(225);
+    ASSERT_EQ(effects.starts.size(), 1U);
+    start.worker = effects.starts[0].worker.id;
+    start.order = effects.starts[0].order;
+    start.answer_start({.outcome = order_result::ok}, 230);
+    start.restart(240, 245);
+    start.owner.answer(start.worker, {}, {}, 250, 240);
+    EXPECT_EQ(start.owner.core.counts().given_up, 0U);
+    EXPECT_EQ(start.state(), job_state::running);
+}
+
+// Given up before a list has told which process took its start.
+TEST(shard_untaken_start, a_run_that_was_lost_in_a_cut_after_the_restart_is_no_crash_for_certain)
+{
+    ordered_start start(crashed_once());
+    start.answer_start({.outcome = order_result::ok}, 208);
+    start.restart(180, 210);
+    start.owner.core.on_poll(start.worker, 215, false, {.outcome = order_result::no_answer}, 615);
+    start.owner.core.remove_worker(start.worker, 4'000);
+    for (std::int64_t now_ms = 4'000; now_ms < 30'000; now_ms += 500) {
+        start.owner.core.tick(now_ms, now_ms + loaded_core::worker_age_ms);
+        (void)start.owner.step(now_ms);
+    }
+    start.restart(180, 30'000);
+    start.owner.answer(start.worker, {}, {}, 30'010, 180);
+    start.now_ms = 30'020;
+    EXPECT_EQ(start.owner.core.counts().lost, 1U);
+    EXPECT_EQ(start.owner.core.counts().given_up, 0U);
+    EXPECT_EQ(start.state(), job_state::running);
+}
+
 TEST(shard_untaken_start, a_start_that_was_refused_after_the_crash_is_no_crash)
 {
     for (const order_result refusal : {order_result::not_listening, order_result::not_sent,
