--- a/include/waxwingnotch/decision/crash_suspicion.hpp
+++ b/include/waxwingnotch/decision/crash_suspicion.hpp
@@ -26,7 +26,6 @@
     std::optional<std::int64_t> age_ms;
     bool settled = false;   // a long-running task that was at work, so its start did no harm
     bool confirmed = true;  // an answer or a list has shown that the process took the start
-    bool isolated = false;  // nothing else could start beside it
     std::size_t group = 0;  // members of one gang on the worker have the same number
 };
 
@@ -49,10 +48,6 @@
 void remove_crash(crash_history& history, crash_suspicion suspicion);
 /// @return whether the task may only start on a worker without other suspects
 bool must_isolate(const crash_history& history);
-/// Starts that crash a worker do so soon. A task that has crashed one later is watched as long as it runs.
-/// @param age_ms of a run of an isolated task, since its start was ordered
-/// @return whether nothing else may start on its worker yet
-bool on_probation(const crash_history& history, std::int64_t age_ms);
 /// @param proved another process has been seen in the place of the crashed one. Refused connections alone may
 ///        also mean that a network turns the calls away, so without proof it takes more of them.
 /// @return whether the task has crashed enough workers to be given up; without proof it first waits for one
@@ -61,21 +56,14 @@
 /// A worker that could be kept free for a task to be isolated.
 struct isolation_candidate {
     bool eligible = true;             // may run the task, and the task fits beside the settled runs
-    bool fits_beside = false;         // may run the task, has room now, and nothing has started there lately
     std::int64_t busy_ms = 0;         // until its other runs are expected to end
     std::uint32_t settled_tasks = 0;  // long-running tasks that a crash would interrupt
 };
 
-struct isolation_choice {
-    int worker = -1;      // index of the candidate; -1: none
-    bool beside = false;  // the task starts beside the runs that are there
-};
-
-/// Chooses the worker that is free soonest and has the least to lose. If that takes long, the task starts
-/// beside others: a crash right after its start is still its own.
-isolation_choice choose_isolation_worker(std::span<const isolation_candidate> candidates);
+/// @return index of the worker that is free soonest and has the least to lose, or -1 if none is eligible
+int choose_isolation_worker(std::span<const isolation_candidate> candidates);
 
 /// @return how many busy ones of @p workers may be emptied for isolated tasks at a time; 1 at least
-std::size_t max_emptied_workers(std::size_t workers);
+std::size_t max_isolation_workers(std::size_t workers);
 
 }  // namespace waxwingnotch
--- a/src/shard/core_crashes.cpp
+++ b/src/shard/core_crashes.cpp
@@ -57,7 +57,7 @@
     if (view.isolates != nullptr) {
         return occurrence.step(step).gang && view.isolates == &occurrence;
     }
-    return view.isolation && (view.busy_ms == 0 || view.beside_others);
+    return view.isolation && view.busy_ms == 0;
 }
 
 /// Notes how a poll of the worker failed, and records a crash once the process has surely ended.
@@ -96,7 +96,6 @@
         run_at_crash entry{.age_ms = std::nullopt,
                            .settled = settled(*run),
                            .confirmed = run->stage == run_stage::running,
-                           .isolated = isolated(*run->occurrence, run->step, run->index),
                            .group = described.size()};
         if (!run->inherited) {
             entry.age_ms = std::max<std::int64_t>(crashed_ms - run->ordered_ms, 0);
@@ -383,9 +382,7 @@
 void shard_core::describe_runs(placement_view& view, std::int64_t now_ms) const
 {
     for (const run_entry* run : view.worker->runs) {
-        const crash_history& crashes = run->occurrence->progress.steps[run->step][run->index].crashes;
-        const bool new_here = !run->listed || on_probation(crashes, now_ms - run->ordered_ms);
-        if (isolated(*run->occurrence, run->step, run->index) && new_here) {
+        if (isolated(*run->occurrence, run->step, run->index)) {
             view.isolation = true;
             view.isolates = run->occurrence;
         }
@@ -397,7 +394,6 @@
             const std::int64_t left_ms =
                 run->ordered_ms + expected_ms(*run->occurrence->job, run->step) - now_ms;
             view.busy_ms = std::max({view.busy_ms, left_ms, std::int64_t{1}});
-            view.recent_start = view.recent_start || new_here;
         }
     }
 }
@@ -408,7 +404,7 @@
     for (placement_view& view : round.views) {
         describe_runs(view, now_ms);
     }
-    std::size_t may_empty = max_emptied_workers(round.views.size());
+    std::size_t may_empty = max_isolation_workers(round.views.size());
     for (const auto& [key, occurrence] : suspects_) {
         if (occurrence->job->spec.service != service) {
             continue;
@@ -439,22 +435,18 @@
         }
         std::vector<isolation_candidate> candidates;
         for (const placement_view& view : round.views) {
-            const bool open = !view.isolation && may_run(occurrence, step, index, *view.worker, now_ms);
-            candidates.push_back(
-                {.eligible =
-                     open && (view.busy_ms == 0 || may_empty > 0) && fits(spec, view.isolation_room()),
-                 .fits_beside = open && !spec.gang && !view.recent_start && fits(spec, view.free),
-                 .busy_ms = view.busy_ms,
-                 .settled_tasks = view.settled_tasks});
+            const bool eligible = !view.isolation && (view.busy_ms == 0 || may_empty > 0) &&
+                                  fits(spec, view.isolation_room()) &&
+                                  may_run(occurrence, step, index, *view.worker, now_ms);
+            candidates.push_back({eligible, view.busy_ms, view.settled_tasks});
         }
-        const isolation_choice chosen = choose_isolation_worker(candidates);
-        if (chosen.worker < 0) {
+        const int chosen = choose_isolation_worker(candidates);
+        if (chosen < 0) {
             return;
         }
-        placement_view& view = round.views[static_cast<std::size_t>(chosen.worker)];
+        placement_view& view = round.views[static_cast<std::size_t>(chosen)];
         view.isolation = true;
-        view.beside_others = chosen.beside;
-        may_empty -= !chosen.beside && view.busy_ms > 0 ? 1 : 0;
+        may_empty -= view.busy_ms > 0 ? 1 : 0;
         room = spec.gang ? room_for(spec, view.isolation_room()) - 1 : 0;
     }
 }
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -233,8 +233,6 @@
 
     // Isolation of tasks that may have crashed a worker; see reserve_isolation().
     bool isolation = false;                      // takes only isolated tasks
-    bool beside_others = false;                  // an isolated task may start there beside other runs
-    bool recent_start = false;                   // some run has not been at work for long
     const occurrence_entry* isolates = nullptr;  // runs there; null: none yet
     std::int64_t busy_ms = 0;                    // until its runs that are not settled should end; 0: none
     std::uint32_t settled_tasks = 0;
--- a/tests/decision/crash_suspicion_test.cpp
+++ b/tests/decision/crash_suspicion_test.cpp
@@ -35,16 +35,6 @@
     EXPECT_EQ(suspect_runs(runs), (suspicions{crash_suspicion::none, crash_suspicion::alone}));
 }
 
-TEST(crash_suspicion, an_isolated_run_that_has_just_started_beside_others_is_alone)
-{
-    std::vector<run_at_crash> runs{started(20, 0), started(3'000, 1)};
-    EXPECT_EQ(suspect_runs(runs), (suspicions{crash_suspicion::likely, crash_suspicion::shared}));
-    runs[0].isolated = true;
-    EXPECT_EQ(suspect_runs(runs), (suspicions{crash_suspicion::alone, crash_suspicion::shared}));
-    runs[1].age_ms = 60;  // as likely
-    EXPECT_EQ(suspect_runs(runs), (suspicions{crash_suspicion::likely, crash_suspicion::likely}));
-}
-
 TEST(crash_suspicion, members_of_one_gang_are_alone_together)
 {
     const std::vector<run_at_crash> runs{started(20, 0), started(22, 0)};
@@ -151,43 +141,17 @@
         {.eligible = true, .busy_ms = 1'200, .settled_tasks = 0},
         {.eligible = false, .busy_ms = 0, .settled_tasks = 0},
     };
-    EXPECT_EQ(choose_isolation_worker(candidates).worker, 1);
-    EXPECT_EQ(choose_isolation_worker(std::vector<isolation_candidate>{candidates[3]}).worker, -1);
-    EXPECT_EQ(choose_isolation_worker({}).worker, -1);
-}
-
-// Isolated tasks waited for as long as the runs of some worker lasted, beside a pool with room.
-TEST(isolation, starts_beside_others_where_no_worker_is_free_soon)
-{
-    std::vector<isolation_candidate> candidates{
-        {.eligible = true, .fits_beside = false, .busy_ms = 8'000},
-        {.eligible = true, .fits_beside = true, .busy_ms = 12'000},
-    };
-    EXPECT_EQ(choose_isolation_worker(candidates).worker, 1);
-    EXPECT_TRUE(choose_isolation_worker(candidates).beside);
-    candidates[0].busy_ms = 800;
-    EXPECT_EQ(choose_isolation_worker(candidates).worker, 0);
-    EXPECT_FALSE(choose_isolation_worker(candidates).beside);
-}
-
-// An isolated task of 20 s kept its worker from all others for as long as it ran.
-TEST(isolation, ends_with_the_probation_unless_the_task_has_crashed_a_worker_later)
-{
-    crash_history history;
-    add_crash(history, crash_suspicion::likely);
-    EXPECT_TRUE(on_probation(history, 700));
-    EXPECT_FALSE(on_probation(history, 1'000));
-    add_crash(history, crash_suspicion::shared);
-    add_crash(history, crash_suspicion::shared);
-    EXPECT_TRUE(on_probation(history, 20'000));
+    EXPECT_EQ(choose_isolation_worker(candidates), 1);
+    EXPECT_EQ(choose_isolation_worker(std::vector<isolation_candidate>{candidates[3]}), -1);
+    EXPECT_EQ(choose_isolation_worker({}), -1);
 }
 
 TEST(isolation, leaves_most_of_a_pool_to_other_tasks)
 {
-    EXPECT_EQ(max_emptied_workers(0), 1U);
-    EXPECT_EQ(max_emptied_workers(3), 1U);
-    EXPECT_EQ(max_emptied_workers(9), 2U);
-    EXPECT_EQ(max_emptied_workers(120), 30U);
+    EXPECT_EQ(max_isolation_workers(0), 1U);
+    EXPECT_EQ(max_isolation_workers(3), 1U);
+    EXPECT_EQ(max_isolation_workers(9), 2U);
+    EXPECT_EQ(max_isolation_workers(120), 30U);
 }
 
 }  // namespace
--- a/tests/shard/shard_crash_test.cpp
+++ b/tests/shard/shard_crash_test.cpp
@@ -395,43 +395,6 @@
     EXPECT_EQ(running, 5U);
 }
 
-// It kept the worker for itself for as long as it ran, so that others waited beside an idle pool.
-TEST(shard_crash, other_tasks_start_beside_an_isolated_one_that_is_at_work)
-{
-    shard_world world(15);
-    world.task_ms = 60'000;
-    world.add_worker("a");
-    world.take_over();
-    world.submit(shard_world::job(id_of(1), 1));
-    world.run(200);
-    world.crash_worker("a", 1'000);  // isolates the task
-    world.run(2'000);
-    ASSERT_EQ(world.started[task_of(id_of(1), 0)], 2);
-    world.submit(shard_world::job(id_of(2), 1));
-    world.run(500);
-    EXPECT_EQ(world.started[task_of(id_of(2), 0)], 0);  // the isolated one may still crash the worker
-    world.run(2'000);
-    EXPECT_EQ(world.started[task_of(id_of(2), 0)], 1);
-}
-
-// No worker became idle while the others had long tasks, so it waited for their ends.
-TEST(shard_crash, an_isolated_task_starts_beside_long_ones_that_are_at_work)
-{
-    shard_world world(16);
-    world.task_ms = 60'000;
-    world.add_worker("a", 1'000);
-    world.take_over();
-    world.submit(shard_world::job(id_of(1), 1));
-    world.run(200);
-    world.add_worker("b");
-    world.submit(shard_world::job(id_of(2), 2));
-    world.run(2'000);
-    ASSERT_EQ(world.workers["b"].running.size(), 2U);
-    world.crash_worker("a", 100'000);
-    world.run(15'000);  // until the worker counts as gone
-    EXPECT_EQ(world.started[task_of(id_of(1), 0)], 2);
-}
-
 // Such a start did nothing, yet the task waited until the lease of the dead worker had lapsed.
 TEST(shard_crash, a_task_whose_start_was_refused_by_a_dead_worker_starts_elsewhere_at_once)
 {
