--- a/tests/shard/shard_restarted_worker_test.cpp
+++ b/tests/shard/shard_restarted_worker_test.cpp
@@ -67,6 +67,49 @@
     }
 }
 
+// The next process took a start that had waited for it, on a host that was cut off by then. Its lease ran
+// from the moment when it took the start, and the owner counted from the moment when it had sent it.
+TEST(shard_restarted_worker, a_start_that_waits_for_a_process_that_nobody_hears_gives_no_second_run)
+{
+    for (std::uint32_t seed = 1; seed <= 3; ++seed) {
+        for (const std::int64_t waits_ms : {300, 500, 1'000}) {
+            busy_fleet fleet(seed);
+            fleet.world.restart_unheard("a", 100, 100 + waits_ms, 16'000);
+            job_spec job = shard_world::long_running_job(5);
+            job.steps[0].max_per_worker = 1;
+            fleet.world.submit(job);
+            fleet.world.run(2'000);
+            fleet.world.add_worker("f", 40'000);  // the only one that may run the task of "a"
+            fleet.world.run(18'000);
+            ASSERT_EQ(fleet.world.violations, std::vector<std::string>())
+                << "seed " << seed << " waits " << waits_ms;
+        }
+    }
+}
+
+// The same with an owner that released the shard meanwhile.
+TEST(shard_restarted_worker, a_start_of_the_previous_owner_that_waits_so_gives_no_second_run)
+{
+    for (std::uint32_t seed = 1; seed <= 3; ++seed) {
+        for (const std::int64_t waits_ms : {300, 500, 1'000, 2'000}) {
+            busy_fleet fleet(seed);
+            fleet.world.restart_unheard("a", 100, 100 + waits_ms, 16'000);
+            job_spec job = shard_world::long_running_job(5);
+            job.steps[0].max_per_worker = 1;
+            fleet.world.submit(job);
+            fleet.world.run(100);
+            fleet.owner->terminated = true;
+            const auto next = fleet.world.take_over();
+            next->core->on_previous_owner_gone(fleet.world.now);
+            fleet.world.run(1'900);
+            fleet.world.add_worker("f", 40'000);
+            fleet.world.run(18'000);
+            ASSERT_EQ(fleet.world.violations, std::vector<std::string>())
+                << "seed " << seed << " waits " << waits_ms;
+        }
+    }
+}
+
 // Long-running tasks wait for no end of their runs, only for the leases.
 TEST(shard_restarted_worker, a_long_running_task_waits_for_a_lease_that_the_next_process_has_granted)
 {
--- a/tests/shard/shard_world.hpp
+++ b/tests/shard/shard_world.hpp
@@ -143,6 +143,15 @@
         });
     }
 
+    /// As restart_worker(), but the worker is cut off @p heard_ms after its process has ended. The next one
+    /// takes the calls that have arrived by then, and nobody hears of it for @p cut_ms.
+    void restart_unheard(const std::string& id, std::int64_t heard_ms, std::int64_t down_ms,
+                         std::int64_t cut_ms)
+    {
+        restart_worker(id, down_ms);
+        after(heard_ms, [this, id, cut_ms] { cut_worker(id, cut_ms); });
+    }
+
     /// Cuts worker @p id off from the owners and the store for @p cut_ms; it runs on.
     void cut_worker(const std::string& id, std::int64_t cut_ms)
     {
@@ -597,22 +606,25 @@
             fake_worker& worker = workers[id];
             if (const auto back = restarted_at_ms_.find(id);
                 back != restarted_at_ms_.end() && !worker.alive && !unreachable.contains(id)) {
-                // The next process takes the call. Its answer comes in time if the call has not waited too
-                // long.
+                // The next process takes the call, also if it is cut off by then. Its answer comes in time if
+                // the call has not waited too long and the worker is not cut off.
                 const std::int64_t waits_ms = back->second - now;
-                const bool in_time = waits_ms < timeout_ms;
-                after(waits_ms + 1, [this, id, owner, act, done, in_time] {
-                    if (!workers[id].alive || unreachable.contains(id)) {
+                const auto answered = std::make_shared<bool>(false);
+                after(waits_ms + 1, [this, id, owner, act, done, answered, late = waits_ms >= timeout_ms] {
+                    if (!workers[id].alive) {
                         return;
                     }
                     const Answer answer = act(workers[id]);
-                    if (in_time) {
+                    if (!late && !unreachable.contains(id)) {
+                        *answered = true;
                         deliver<Answer>(owner, done, answer);
                     }
                 });
-                if (!in_time) {
-                    after(timeout_ms, [this, owner, done] { deliver<Answer>(owner, done, Answer{}); });
-                }
+                after(timeout_ms, [this, owner, done, answered] {
+                    if (!*answered) {
+                        deliver<Answer>(owner, done, Answer{});
+                    }
+                });
                 return;
             }
             const bool cut_off = relay ? !passes_on || !passes_on(id, relay->turn) : unreachable.contains(id);
