--- a/tests/shard/shard_restarted_worker_test.cpp
+++ b/tests/shard/shard_restarted_worker_test.cpp
@@ -122,6 +122,7 @@
             fleet.world.submit(job);
             fleet.world.run(down_ms + gap_ms);
             fleet.world.cut_worker("a", 16'000);
+            fleet.world.add_worker("f", 40'000);  // the only one that may run the task of "a"
             fleet.world.run(20'000);
             ASSERT_EQ(fleet.world.violations, std::vector<std::string>())
                 << "seed " << seed << " gap " << gap_ms;
