--- a/tests/shard/shard_restarted_worker_test.cpp
+++ b/tests/shard/shard_restarted_worker_test.cpp
@@ -219,6 +219,61 @@
     }
 }
 
+/// Lets worker `b` answer and the time go on. @return when the owner gives the task of `a` to `b`
+std::int64_t second_start(loaded_core& owner, std::int64_t from_ms)
+{
+    constexpr std::int64_t unregistered_ms = 5'500;
+    for (std::int64_t now_ms = from_ms; now_ms < 20'000; now_ms += 50) {
+        if (now_ms == unregistered_ms) {
+            owner.core.remove_worker("a", now_ms);
+        }
+        owner.answer("b", {}, {}, now_ms);
+        owner.core.tick(now_ms, now_ms);
+        if (!owner.step(now_ms).starts.empty()) {
+            return now_ms;
+        }
+    }
+    return 0;
+}
+
+/// Starts the only task of a long-running job on `a`. @return the order, which is sent at 300
+start_order start_at_300(loaded_core& owner)
+{
+    owner.core.on_stored(owner.assign("a", 200), 300);
+    const shard_effects effects = owner.core.take_effects(300);
+    EXPECT_EQ(effects.starts.size(), 1U);
+    return effects.starts.at(0).order;
+}
+
+// A list of the process before came over a slow link, just before the next process answered a start. The run
+// was taken for one of the process before, and its lease for one of 4 s.
+TEST(shard_restarted_worker, a_start_that_is_answered_after_a_late_list_may_be_of_the_next_process)
+{
+    loaded_core owner(shard_world::long_running_job(1), {task_progress{}});
+    const start_order order = start_at_300(owner);
+    // Sent at 250 and answered at 260 by the process that ended at 270.
+    owner.core.on_poll("a", 250, false, {.outcome = order_result::ok, .clock_ms = 260, .started_ms = 5}, 640);
+    owner.core.on_start("a", order, {.outcome = order_result::ok}, 650);  // taken at 600 by the next process
+    owner.answer("b", {}, {}, 660);
+    owner.core.on_poll("a", 660, false, {.outcome = order_result::no_answer}, 1'060);
+    EXPECT_GE(second_start(owner, 1'100), 10'600);
+}
+
+// The poll that finds the next process has the former token, so that this process may still take a late start
+// with that token before the next poll arrives.
+TEST(shard_restarted_worker, a_late_start_may_be_taken_after_the_poll_that_finds_the_next_process)
+{
+    loaded_core owner(shard_world::long_running_job(1), {task_progress{}});
+    const start_order order = start_at_300(owner);
+    owner.core.on_start("a", order, {.outcome = order_result::no_answer}, 700);
+    owner.answer("b", {}, {}, 710);
+    owner.answer("a", {}, {}, 1'000, 900);  // of the process that started at 900
+    owner.core.take_effects(1'010);
+    // Cut off; the start is taken at 2'500.
+    owner.core.on_poll("a", 1'010, false, {.outcome = order_result::no_answer}, 1'410);
+    EXPECT_GE(second_start(owner, 1'450), 12'500);
+}
+
 // Each poll repeated the latest acknowledgement. The next process forgot the ends with numbers up to it,
 // which nobody had read.
 TEST(shard_restarted_worker, an_acknowledgement_that_was_answered_is_not_repeated)
