--- a/tests/soak/faulty_platform.py
+++ b/tests/soak/faulty_platform.py
@@ -318,13 +318,14 @@
         self.reaches_store = True  # else it does not register, and its entry lapses
         self.alive = False
         self.back = None  # set while the worker starts again in place
+        self.silent = ""  # "forth": calls are lost, "back": they are carried out and their answers lost, "both"
         self.order = {}  # the one that is being carried out
         self.sender = ""  # IP address of its sender
         self.progress = {}  # task: (time of start, seconds of work that its checkpoint had)
         self.needs = tasks.needs
         self.saved_of = self.checkpoint
         self.on_start = self.started
-        self.on_end = lambda worker, task, run, how: notice("end", task=task, run=run, worker=self.life, how=how)
+        self.on_end = self.ended
         self.on_acknowledged = lambda worker, task, run, how: notice("ack", task=task, run=run, worker=self.life,
                                                                      node=self.caller())
 
@@ -358,11 +359,20 @@
             self.store.put("keyed.servers", 0, [(self.id.encode(), None)])
 
     async def handle(self, method, path, query, headers, body):
+        if self.silent in ("forth", "both"):
+            return await no_answer(self.store.random)
         if self.back:
             await self.back.wait()  # the next life takes the call
         if not self.alive:
             return None  # a connection that was accepted in the moment of the crash
+        life = self.life
+        answer = await self.take(method, path, query, headers, body)
+        if self.silent:
+            return await no_answer(self.store.random)
+        # A poll that waited in a process that has ended gets no answer from the next one.
+        return answer if self.life == life else None
 
+    async def take(self, method, path, query, headers, body):
         async def carry_out():
             # Nothing else runs between here and the start or stop.
             self.order, self.sender = json.loads(body) if body else {}, headers[":peer"]
@@ -391,7 +401,7 @@
 
     def run_time(self, task):
         seconds = self.tasks.run_time(task)
-        if seconds is None:
+        if seconds is None or self.tasks.gang_size(task):
             return None
         saved_s = self.tasks.checkpoints.get(self.order.get("checkpoint", ""), (task, 0.0))[1]
         self.progress[task] = now_ms() / 1000, saved_s
@@ -413,9 +423,14 @@
                     node=self.caller(), token=self.order.get("fencingToken", 0),
                     checkpoint=checkpoint, known=not checkpoint or checkpoint in self.tasks.checkpoints and
                     self.tasks.checkpoints[checkpoint][0] == task)
+        self.tasks.gangs.joins(self, task, run)
         if self.tasks.crashes(task):
             asyncio.get_running_loop().call_later(0.05, lambda: asyncio.ensure_future(self.crash(2.0)))
 
+    def ended(self, _, task, run, how):
+        self.notice("end", task=task, run=run, worker=self.life, how=how)
+        self.tasks.gangs.leaves(self, task, run)
+
     def end(self, task, how, report=True):
         if how == "done" and (self.fails_all or self.tasks.fails(task)):
             how = "failed"
@@ -465,10 +480,12 @@
     def end_life(self):
         self.alive = False
         self.beat.cancel()
-        for task in list(self.running):
-            handle = self.running.pop(task)[1]
+        ended = list(self.running.items())
+        self.running.clear()
+        for task, (run, handle, *_) in ended:
             if handle:
                 handle.cancel()
+            self.tasks.gangs.leaves(self, task, run)
         self.notice("crash", worker=self.life)
         if self.lease_timer:
             self.lease_timer.cancel()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,6 +9,7 @@
 
 from checker import FINISH_S, Checker
 from faulty_platform import SoakWorker, dump, host_rows
+from gangs import Gangs
 from grown_faults import GrownStore, GrownWorker, Shares, WatchedStore, owner_of_connection
 from nodes import Node
 from users_platform import HostService, PolicyService, call
@@ -46,10 +47,11 @@
 class Tasks:
     """How each task behaves: told by the kind of its job."""
 
-    def __init__(self):
+    def __init__(self, gang_s):
         self.jobs = {}
         self.node_names = {}  # by IP address
         self.checkpoints = {}  # value: (task, seconds of work)
+        self.gangs = Gangs(self.gang_size, self.run_time, gang_s)
 
     def step(self, task):
         name, _, step, _ = task.split(".")
@@ -66,6 +68,10 @@
         row = self.step(task)[0]
         return None if row.get("longRunning") else row.get("estimateMs", 100) / 1000
 
+    def gang_size(self, task):
+        row = self.step(task)[0]
+        return row["count"] if row.get("gang") else 0
+
     def has_checkpoints(self, task):
         return self.step(task)[0].get("checkpointing", False)
 
@@ -95,7 +101,7 @@
         self.store = GrownStore(deployment.platform, self.on_draining, self.on_registry_read) \
             if deployment.grown else WatchedStore(self.on_draining)
         self.store.random = random.Random(seed + 1)
-        self.tasks = Tasks()
+        self.tasks = Tasks(deployment.all_bounds()["gangMs"] / 1000)
         self.hosts = HostService(Quiet())
         self.hosts.odd = []
         self.policy = PolicyService(Quiet(), lambda worker: True, {"validityMs": 60_000})
@@ -110,6 +116,7 @@
         self.host = HOST
         self.marked_routes = MarkedRoutes()
         self.extra_routes = 0
+        self.queue_extras = {}  # fields that all queues have besides
         self.extra_services = set()
         self.leads = {name: name for name in SERVICES if name != STANDBY}  # by prefix: service, or None
         self._disturbed_until = 0.0
@@ -202,7 +209,7 @@
                   for version in self.marked_routes.kept]
         routes = [{"name": name, "host": HOST, "pathPrefix": prefix, "kind": "non_idempotent",
                    "timeoutMs": timeout_ms, "completionTargetMs": 600, "priority": 0, "service": service,
-                   "maxAttempts": 4, "stretch": 1.6} for name, prefix, service in names]
+                   "maxAttempts": 4, "stretch": 1.6, **self.queue_extras} for name, prefix, service in names]
         services = [{"name": name, "healthPath": "/healthz", "maxConns": 64, "protocol": "h1", "tls": False,
                      "enforcesCapacity": True, "standby": name == STANDBY}
                     for name in [*SERVICES, *sorted(self.extra_services)]]
@@ -297,7 +304,7 @@
 
     # clients
 
-    def new_job(self, kind="plain", steps=None):
+    def new_job(self, kind="plain", steps=None, service=None):
         name = f"{self.random.getrandbits(64):016x}"
         if steps is None:
             steps = []
@@ -310,7 +317,8 @@
                 if number:
                     step["dependsOn"] = sorted(self.random.sample(range(number), self.random.randint(1, number)))
                 steps.append({**step, **self.random.choices(EXTRAS, EXTRA_WEIGHTS)[0]})
-        self.tasks.jobs[name] = {"kind": kind, "steps": steps, "service": self.next_service(), "final": False}
+        self.tasks.jobs[name] = {"kind": kind, "steps": steps, "service": service or self.next_service(),
+                                "final": False}
         return name
 
     def next_service(self):
