--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,8 @@
                              store_loses_answers, store_parts_away, store_revokes, store_slow, store_turns_some_away,
                              store_writes_late, wave, worker_links, workers_crash, workers_cut, workers_fail,
                              workers_leave, workers_recut, workers_slow)
+from restart_faults import (cut_before_back, gang_jobs, long_jobs, old_clocks, recut_nodes_paused, recut_one_way,
+                            recut_store_silent, restarts_in_series, with_advice)
 
 FAULTS = [store_down, store_slow, store_loses_answers, store_turns_some_away, store_forgets, store_deals_anew,
           odd_entries, odd_nesting, store_links, peer_links, worker_links, workers_crash, workers_leave, workers_slow,
@@ -24,7 +26,10 @@
           deals_in_series, workers_cut, one_way, island, paths_cut, big_config, config_storm]
 
 # Only with `--only`: another disturbance among the usual ones would change the days of all seeds.
-NAMED = [workers_recut]
+NAMED = [workers_recut, cut_before_back, recut_one_way, recut_store_silent, recut_nodes_paused, restarts_in_series,
+         long_jobs, gang_jobs]
 
 STARTS = [apart, without_store, without_configuration, with_odd_settings, restarted_at_once, with_odd_records,
           with_small_files, idle_leases_last]
+
+NAMED_STARTS = [old_clocks, with_advice]  # as NAMED
