--- a/src/shard/core_leases.cpp
+++ b/src/shard/core_leases.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::int64_t lease_margin_ms = 150;  // delivery of an order and late timers
+// A call may be executed seconds after it was sent; a process that has not seen this owner's token obeys it.
+constexpr std::int64_t late_order_ms = 6'000;
 // From the start of a worker's process until an owner has reached it, and the difference between the times of
 // day of two hosts.
 constexpr std::int64_t first_contact_ms = 5'000;
@@ -44,10 +46,11 @@
 std::int64_t shard_core::lease_end_of(const run_entry& run) const
 {
     const worker_state& worker = *run.worker;
-    const bool certain = run.life_ms != 0 && (worker.synced || !young(run.life_ms, loaded_ms_));
+    const bool old = worker.restarts == 0 && !young(run.life_ms, loaded_ms_);
+    const bool certain = run.life_ms != 0 && (worker.synced || old);
     return certain || worker.lease_ordered_ms == 0
                ? worker.lease_end_ms
-               : std::max(worker.lease_end_ms, latest_granted_end(worker.lease_ordered_ms));
+               : std::max(worker.lease_end_ms, latest_granted_end(worker.lease_ordered_ms + late_order_ms));
 }
 
 /// Whether a process of a worker may have taken orders lately that were meant for the process before it.
--- a/src/shard/core_parts.hpp
+++ b/src/shard/core_parts.hpp
@@ -165,7 +165,8 @@
     // This process's steady clock; by then the leases of the runs have lapsed that its lists have shown.
     std::int64_t lease_end_ms = 0;
     std::int64_t lease_ordered_ms = 0;  // when the latest order with a lease may have been sent; 0: none
-    std::int64_t answered_ms = 0;       // latest answer to a poll by its process; 0: none
+    std::int64_t answered_poll_ms =
+        0;  // when the latest poll was sent that its process has answered; 0: none
     bool poll_in_flight = false;
     std::int64_t poll_sent_ms = 0;
     std::int64_t next_poll_ms = 0;
@@ -276,8 +277,8 @@
 constexpr std::size_t part_bytes = 16'384;
 
 /// An order names no process of a worker, only its id, so the next process takes what was meant for the one
-/// before. Workers have started again within 0.6 s; what happens so soon after an answer, which may have been
-/// under way for 0.4 s, is of the same process.
+/// before. Workers have started again within 0.6 s; what is answered so soon after a poll was sent which a
+/// process has answered is of the same process.
 constexpr std::int64_t same_life_ms = 200;
 
 /// Slowest rate of a worker's clock, relative to this process's clock.
--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -485,7 +485,8 @@
     case order_result::ok:
         run.stage = run_stage::running;
         run.confirmed_ms = now_ms;
-        if (!answer.relayed && worker.answered_ms != 0 && now_ms - worker.answered_ms <= same_life_ms) {
+        if (!answer.relayed && worker.answered_poll_ms != 0 &&
+            now_ms - worker.answered_poll_ms <= same_life_ms) {
             note_life(run);
         }
         if (run.stopping) {
--- a/src/shard/core_workers.cpp
+++ b/src/shard/core_workers.cpp
@@ -138,7 +138,7 @@
     worker.withheld_end = 0;
     worker.relayed.reset();
     worker.synced = false;
-    worker.answered_ms = 0;
+    worker.answered_poll_ms = 0;
     worker.list_clock_ms = -1;
     worker.next_poll_ms = now_ms;
     // Its runs stay until a list that is requested with this owner's token does not contain them. Before
@@ -221,14 +221,15 @@
     for (run_entry* run : worker.runs) {
         run->awaited = false;
     }
-    worker.answered_ms = now_ms;
+    worker.answered_poll_ms = sent_ms;
     if (!extra) {
         worker.forgotten_end = std::max(worker.forgotten_end, std::exchange(worker.polled_end, 0));
     }
     update_clock(worker, answer.clock_ms, now_ms);
     const bool all_ends = apply_ended(worker, answer, "worker", now_ms);
     apply_running(worker, sent_ms, answer, all_ends, now_ms);
-    if (!worker.synced) {
+    // The poll that finds another process has the token of the one before.
+    if (!worker.synced && (worker.restarts == 0 || sent_ms > worker.restarted_ms)) {
         worker.synced = true;
         // From now on it rejects earlier tokens. The last renewal of a previous owner is at most one lease
         // old, unless it was meant for an earlier process.
