--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -109,10 +109,13 @@
     bool ready() const;
     void guard_descriptors();
     void stop();
+    void use_host_service();
     void reload();
 
     node_options options_;
     node_state state_;
+    adapter::advice_client* policy_client_ = nullptr;  // in state_
+    adapter::host_client* host_client_ = nullptr;      // in state_; null: the settings name no host service
     caller_api callers_;
     internal_api internal_;
     http_server caller_server_;
@@ -150,15 +153,12 @@
     state_.upgrade = std::make_unique<store_upgrade>(state_.loop, *state_.store, *state_.homes,
                                                      *state_.shards_of_services, state_.settings.partitions);
     state_.workers = std::make_unique<adapter::worker_client>(state_.client);
-    if (!state_.settings.policy_address.empty()) {
-        state_.policy_service =
-            std::make_unique<adapter::advice_client>(state_.client, state_.settings.policy_address);
-        state_.advice = std::make_unique<advice_queue>(*state_.policy_service);
-    }
-    if (!state_.settings.host_service_address.empty()) {
-        state_.hosts =
-            std::make_unique<adapter::host_client>(state_.client, state_.settings.host_service_address);
-    }
+    auto policy_client =
+        std::make_unique<adapter::advice_client>(state_.client, state_.settings.policy_address);
+    policy_client_ = policy_client.get();
+    state_.policy_service = std::move(policy_client);
+    state_.advice = std::make_unique<advice_queue>(*state_.policy_service);
+    use_host_service();
     state_.release_shard = [this](int shard, std::int64_t epoch) {
         const auto found = state_.shards.find(shard);
         if (found != state_.shards.end() && found->second->epoch() < epoch) {
@@ -540,22 +540,38 @@
     state_.transport.set_peers(std::move(peers));
 }
 
+/// Takes the address of the host service from the settings. A node whose settings name none manages no hosts.
+void node::use_host_service()
+{
+    const std::string& address = state_.settings.host_service_address;
+    if (address.empty()) {
+        return;
+    }
+    if (host_client_ != nullptr) {
+        host_client_->set_address(address);
+        return;
+    }
+    auto client = std::make_unique<adapter::host_client>(state_.client, address);
+    host_client_ = client.get();
+    state_.hosts = std::move(client);
+}
+
 void node::reload()
 {
     std::vector<std::string> unusable;
-    auto settings = read_settings(options_.settings_file, unusable);
+    auto settings = read_settings(options_.settings_file, unusable, state_.settings);
     if (!settings) {
         log_event(log_level::error, "reload",
                   {{"outcome", "kept the old settings"}, {"reason", settings.error().message}});
         return;
     }
-    log_unusable_settings(unusable);
-    state_.settings.seeds = settings.value().seeds;
-    state_.settings.store_address = settings.value().store_address;
-    state_.transport.set_address(settings.value().store_address);
+    log_unusable_settings(unusable, "kept the old values");
+    const settings_changes changes = take_over(state_.settings, settings.value());
+    state_.transport.set_address(state_.settings.store_address);
+    policy_client_->set_address(state_.settings.policy_address);
+    use_host_service();
     update_peers();
-    log_event(log_level::info, "reload",
-              {{"outcome", "in force"}, {"store", settings.value().store_address}});
+    log_reload(state_.settings, changes);
 }
 
 void node::stop()
@@ -627,7 +643,7 @@
     }
     set_crash_report_node(settings.value().name);
     init_log({.level = log_level::info, .file = {}, .node = settings.value().name, .standard_output = true});
-    log_unusable_settings(unusable);
+    log_unusable_settings(unusable, "defaults used");
     node process(std::move(settings.value()), options);
     return process.run();
 }
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -106,6 +106,34 @@
     EXPECT_EQ(read("/bounds", 1).drain_grace_ms, defaults.drain_grace_ms);
 }
 
+// An odd setting in a file that is read again would have replaced a value in force by its default.
+TEST(settings, unusable_optional_fields_keep_the_values_in_force)
+{
+    const auto before = decode_settings(settings_text);
+    ASSERT_TRUE(before);
+    const auto read = [&](const char* path, const nlohmann::json& value) {
+        auto text = nlohmann::json::parse(settings_text);
+        text[nlohmann::json::json_pointer(path)] = value;
+        std::vector<std::string> unusable;
+        const auto settings = decode_settings(text.dump(), &unusable, before.value());
+        EXPECT_EQ(unusable.size(), 1U) << path;
+        return settings ? settings.value() : node_settings();
+    };
+    EXPECT_EQ(read("/advice", "host.example:9").policy_address, "127.0.0.1:9");
+    EXPECT_EQ(read("/advice", 9).policy_address, "127.0.0.1:9");
+    EXPECT_EQ(read("/cloudApi/address", "5").host_service_address, "127.0.0.1:5");
+    EXPECT_EQ(read("/cloudApi", 5).host_service_address, "127.0.0.1:5");
+    EXPECT_EQ(read("/cloudApi", 5).host_orders_per_s, 310);
+    EXPECT_EQ(read("/seeds", "127.0.0.1:3").seeds.size(), 2U);
+    EXPECT_EQ(read("/bounds/graceS", "soon").drain_grace_ms, 2'500);
+    EXPECT_EQ(read("/bounds", 1).max_lease_ms, 6'000);
+    auto text = nlohmann::json::parse(settings_text);
+    text["bounds"].erase("graceS");
+    const auto without = decode_settings(text.dump(), nullptr, before.value());
+    ASSERT_TRUE(without);
+    EXPECT_EQ(without.value().drain_grace_ms, node_settings().drain_grace_ms);
+}
+
 // 1048576 is a usual limit of descriptors and kept the nodes from starting; the product of two numbers in
 // range did not fit the integer.
 TEST(settings, large_limits_are_clamped)
