--- a/tests/standin/cluster.py
+++ b/tests/standin/cluster.py
@@ -21,13 +21,18 @@
           "violationMs": 4000}
 
 
+# Nodes of scripts that run at the same time have addresses of their own, so that none finds its port in use by another
+# script's node. The soak has 127.100 and above.
+NETWORK = f"127.{32 + os.getpid() // 256 % 64}.{os.getpid() % 256}"
+
+
 class Node:
     """One entry node: a process of the project with a settings file in the platform's format."""
 
     def __init__(self, cluster, number):
         self.cluster = cluster
         self.name = f"front-{number}"
-        self.ip = f"127.0.0.{10 + number}"
+        self.ip = f"{NETWORK}.{10 + number}"
         self.addresses = {name: f"{self.ip}:{free_port(self.ip)}" for name in ("front", "ready", "control")}
         self.process = None
 
--- a/tests/standin/users_platform.py
+++ b/tests/standin/users_platform.py
@@ -24,12 +24,19 @@
 EPHEMERAL_PORT = 32_768  # the kernel takes the ports of connections from here on
 
 
+GIVEN_PORTS = set()
+
+
 def free_port(ip):
-    """A port that no connection from this address gets before somebody listens on it."""
+    """A port that no connection from this address gets before somebody listens on it, and that this script has given to
+    nobody else."""
     while True:
         port = random.SystemRandom().randrange(FIRST_PORT, EPHEMERAL_PORT)
+        if (ip, port) in GIVEN_PORTS:
+            continue
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind((ip, port))
+            GIVEN_PORTS.add((ip, port))
             return port
 
 
