--- a/include/waxwingnotch/net/http_client.hpp
+++ b/include/waxwingnotch/net/http_client.hpp
@@ -33,7 +33,8 @@
     http_headers headers;
     std::string body;
     std::int64_t timeout_ms = 5'000;  // from the sending
-    // An answer that is arriving may take so much longer. Given up, it would cross the link a second time.
+    // An answer that is arriving may take so much longer, and by what the link carries at the timeout, a
+    // second at most, if its first byte has not come. Given up, it would cross the link a second time.
     std::int64_t max_extension_ms = 0;
     bool reuse_connection = false;  // may use a kept-alive connection; otherwise sends Connection: close
     traffic_class traffic = traffic_class::other;  // what its bytes count as
--- a/include/waxwingnotch/store/transport.hpp
+++ b/include/waxwingnotch/store/transport.hpp
@@ -37,7 +37,8 @@
 
     /// Sends a call over the best route, and over up to two others if it fails or is not answered soon. A
     /// read is sent again and again until it is answered, up to its timeout, and at once when the direct path
-    /// works again after an outage.
+    /// works again after an outage. While this host's link has more to carry, an answer may be later by as
+    /// much, and by a second at most; only joins and the like are sent again in spite of it.
     /// @param done receives the first answer that is no refusal. If there is none, it receives the outcome of
     ///        an attempt that may have been carried out, or else a refusal.
     void send(const store_call& call, answer_handler done);
@@ -63,11 +64,14 @@
 
     void attempt(const pending_ptr& send);
     void resend_later(const pending_ptr& send);
+    void resend_at(const pending_ptr& send, std::int64_t due_ms, std::int64_t at_ms);
     void on_attempt_answer(const pending_ptr& send, const http_answer& answer);
     void finish(const pending_ptr& send, const http_answer& answer);
     call_id send_via_peer(const store_call& call, const std::string& peer, answer_handler done);
     bool arriving(pending_send& send) const;
     bool in_progress(const pending_send& send) const;
+    bool waits_for_link(const pending_send& send) const;
+    void note_link(pending_send& send) const;
     void expire_later(const pending_ptr& send, std::int64_t delay_ms);
     void probe(const store_call& call);
     void note_result(const store_route& route, const std::string& address, std::int64_t earliest_ms,
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -30,6 +30,9 @@
 constexpr std::int64_t long_wait_pause_ms = 100;
 constexpr std::int64_t min_timeout_ms = 100;  // left to a call that has waited for the link
 constexpr std::int64_t waiting_check_ms = 5;  // between looks for room on the link while calls wait
+// By which an answer without its first byte may be late because of the link. A server that is silent has to
+// be noticed.
+constexpr std::int64_t max_link_extension_ms = 1'000;
 
 evhttp_cmd_type to_command(std::string_view method)
 {
@@ -128,6 +131,7 @@
     timer timeout;
     std::int64_t timeout_ms = 0;
     std::int64_t extension_left_ms = 0;
+    bool link_extended = false;       // because of what the link had to carry
     std::size_t received_before = 0;  // bytes of the answer when the timer was started
 };
 
@@ -385,7 +389,7 @@
     }
 }
 
-/// Ends a call, unless its answer is arriving and may take longer.
+/// Ends a call, unless its answer may take longer: it is arriving, or the link has more to carry.
 void http_client::on_timeout(call_id id)
 {
     const auto found = pending_.find(id);
@@ -400,6 +404,13 @@
         call.timeout = loop_.after(longer_ms, [this, id] { on_timeout(id); });
         return;
     }
+    const std::int64_t link_ms = std::min({link_delay_ms(), max_link_extension_ms, call.extension_left_ms});
+    if (link_ms > 0 && !call.link_extended) {
+        call.link_extended = true;
+        call.extension_left_ms -= link_ms;
+        call.timeout = loop_.after(link_ms, [this, id] { on_timeout(id); });
+        return;
+    }
     http_answer answer;
     answer.outcome = call_outcome::timed_out;
     answer.bytes_sent = call.link->bytes_sent;
--- a/src/store/transport.cpp
+++ b/src/store/transport.cpp
@@ -20,6 +20,9 @@
 // answers, cost no repeats of all reads.
 constexpr std::int64_t outage_ms = 500;
 constexpr std::int64_t expiry_check_ms = 200;  // between looks at an answer that arrives after its timeout
+// Longest time that a call waits for this host's link before it is sent again. What the link carries is an
+// estimate, and a store that is silent has to be noticed.
+constexpr std::int64_t max_link_ms = 1'000;
 // A timer that fires this late shows that this process is short of processor time. Answers may wait unread.
 constexpr std::int64_t late_timer_ms = 50;
 constexpr int status_throttled = 429;
@@ -40,9 +43,11 @@
     answer_handler done;
     std::vector<store_route> tried;
     std::size_t attempts = 0;
-    std::size_t open = 0;        // attempts without an answer
-    std::vector<call_id> calls;  // of the attempts
-    std::size_t received = 0;    // bytes of their answers at the latest look
+    std::size_t open = 0;         // attempts without an answer
+    std::vector<call_id> calls;   // of the attempts
+    std::size_t received = 0;     // bytes of their answers at the latest look
+    std::int64_t link_ms = 0;     // most that the link had to carry at a look since the latest attempt
+    std::int64_t expires_ms = 0;  // monotonic; of a read without an answer that is arriving
     bool finished = false;
     bool failed_once = false;
     http_answer failure;  // of an attempt that may have been carried out, else of the latest one
@@ -161,6 +166,7 @@
         reads_.push_back(pending);
     }
     if (pending->is_read() && !routes_.peers().empty()) {
+        pending->expires_ms = monotonic_ms() + call.timeout_ms;
         expire_later(pending, call.timeout_ms);
     }
     attempt(pending);
@@ -174,7 +180,12 @@
         if (!kept || kept->finished) {
             return;
         }
-        if (in_progress(*kept)) {
+        const std::int64_t now = monotonic_ms();
+        if (waits_for_link(*kept)) {
+            kept->expires_ms = now + kept->call.timeout_ms;
+        }
+        note_link(*kept);
+        if (in_progress(*kept) || now < kept->expires_ms + kept->link_ms) {
             expire_later(kept, expiry_check_ms);
             return;
         }
@@ -184,11 +195,23 @@
     });
 }
 
+/// Whether an attempt has not left this process yet.
+bool store_transport::waits_for_link(const pending_send& send) const
+{
+    return std::ranges::any_of(send.calls, [this](call_id id) { return client_.is_waiting(id); });
+}
+
+/// Notes what the link has to carry: an answer may be so much later, and a copy would cross the same link.
+void store_transport::note_link(pending_send& send) const
+{
+    send.link_ms = std::max(send.link_ms, std::min(client_.link_delay_ms(), max_link_ms));
+}
+
 /// Whether an attempt waits for the link, or its answer is arriving.
 bool store_transport::in_progress(const pending_send& send) const
 {
-    return std::ranges::any_of(
-        send.calls, [this](call_id id) { return client_.is_waiting(id) || client_.received(id) > 0; });
+    return waits_for_link(send) ||
+           std::ranges::any_of(send.calls, [this](call_id id) { return client_.received(id) > 0; });
 }
 
 /// Whether an attempt waits for the link, or an answer has made progress since the latest look. Another copy
@@ -196,14 +219,12 @@
 bool store_transport::arriving(pending_send& send) const
 {
     std::size_t received = 0;
-    bool waits = false;
     for (const call_id id : send.calls) {
         received += client_.received(id);
-        waits = waits || client_.is_waiting(id);
     }
     const bool progress = received > send.received;
     send.received = received;
-    return progress || waits;
+    return progress || waits_for_link(send);
 }
 
 /// Ends a call. Answers of attempts that are still open have no effect.
@@ -247,24 +268,44 @@
     }
 }
 
-/// Starts another attempt if none has been answered by then. The route counts as failed until it answers.
+/// Starts another attempt if none has been answered by then.
 void store_transport::resend_later(const pending_ptr& send)
 {
-    const std::int64_t delay_ms = routes_.resend_after_ms() + send->call.wait_ms;
-    const std::int64_t due_ms = monotonic_ms() + delay_ms;
-    send->resend = client_.loop().after(delay_ms, [this, weak = std::weak_ptr(send), due_ms] {
-        const pending_ptr kept = weak.lock();
-        if (!kept || kept->finished) {
-            return;
-        }
-        const std::int64_t now = monotonic_ms();
-        if (now - due_ms > late_timer_ms || arriving(*kept)) {
-            resend_later(kept);
-            return;
-        }
-        routes_.on_failure(kept->tried.back(), now);
-        attempt(kept);
-    });
+    send->link_ms = 0;
+    const std::int64_t due_ms = monotonic_ms() + routes_.resend_after_ms() + send->call.wait_ms;
+    resend_at(send, due_ms, due_ms);
+}
+
+/// @param due_ms when the answer of an idle link would be late
+/// @param at_ms when to look. The route counts as failed until it answers, unless the link may be the reason.
+void store_transport::resend_at(const pending_ptr& send, std::int64_t due_ms, std::int64_t at_ms)
+{
+    if (send->call.wait_ms == 0) {
+        note_link(*send);  // of a call that waits at the store, the link carries the answer much later
+    }
+    send->resend =
+        client_.loop().after(at_ms - monotonic_ms(), [this, weak = std::weak_ptr(send), due_ms, at_ms] {
+            const pending_ptr kept = weak.lock();
+            if (!kept || kept->finished) {
+                return;
+            }
+            const std::int64_t now = monotonic_ms();
+            if (now - at_ms > late_timer_ms || arriving(*kept)) {
+                resend_later(kept);
+                return;
+            }
+            note_link(*kept);
+            const std::int64_t link_due_ms = due_ms + kept->link_ms;
+            // A join is small, so a copy of it is no load, and its owner loses its shards within 1.5 s.
+            if (now < link_due_ms && kept->call.traffic != traffic_class::ownership) {
+                resend_at(kept, due_ms, link_due_ms);
+                return;
+            }
+            if (now >= link_due_ms) {
+                routes_.on_failure(kept->tried.back(), now);
+            }
+            attempt(kept);
+        });
 }
 
 void store_transport::on_attempt_answer(const pending_ptr& send, const http_answer& answer)
