--- a/src/store/transport.cpp
+++ b/src/store/transport.cpp
@@ -35,6 +35,12 @@
     return answer.outcome != call_outcome::answered || answer.status == status_bad_gateway;
 }
 
+/// Whether the outcome tells something about the route.
+bool was_sent(const http_answer& answer)
+{
+    return answer.outcome != call_outcome::cancelled && answer.outcome != call_outcome::not_sent;
+}
+
 }  // namespace
 
 /// A call and its attempts over several routes.
@@ -113,7 +119,7 @@
                   .traffic = call.traffic};
     return client_.send(out, [this, earliest_ms = monotonic_ms() + call.wait_ms,
                               done = std::move(done)](const http_answer& answer) {
-        if (answer.outcome != call_outcome::cancelled) {
+        if (was_sent(answer)) {
             note_result({}, address_, earliest_ms, answer);
             note_direct_result(answer);
         }
@@ -322,7 +328,9 @@
         send->failure = answer;
     }
     send->failed_once = true;
-    const bool more = !routes_.peers().empty() && send->attempts < max_attempts;
+    // Another route would need the same link.
+    const bool has_room = answer.outcome != call_outcome::not_sent;
+    const bool more = has_room && !routes_.peers().empty() && send->attempts < max_attempts;
     if (more && send->open == 0) {
         send->resend.cancel();
         attempt(send);
@@ -352,7 +360,7 @@
         if (answer.outcome == call_outcome::answered) {
             last_peer_answer_ms_ = monotonic_ms();
         }
-        if (answer.outcome != call_outcome::cancelled) {
+        if (was_sent(answer)) {
             note_result(peer, peer, earliest_ms, answer);
         }
         done(answer);
--- a/tests/store/full_link_test.cpp
+++ b/tests/store/full_link_test.cpp
@@ -143,4 +143,25 @@
     EXPECT_GT(budget_.backlog_ms(monotonic_ms()), 2'000) << "after " << monotonic_ms() - sent_ms << " ms";
 }
 
+// A read that found no room on this host's link made the store count as silent, so that joins went over peers
+// and calls of other nodes were refused.
+TEST_F(full_link, a_call_that_was_not_sent_says_nothing_about_its_route)
+{
+    late_server store(loop_, 1);
+    transport_.set_address(store.address());
+    fill(4'000);
+    http_answer result;
+    transport_.send_direct(
+        {.method = "GET", .path = "/r", .timeout_ms = 200, .traffic = traffic_class::relays},
+        [&](const http_answer& answer) {
+            result = answer;
+            loop_.stop();
+        });
+    const timer guard = loop_.after(20'000, [&] { loop_.stop(); });
+    loop_.run();
+    EXPECT_EQ(result.outcome, call_outcome::not_sent);
+    EXPECT_EQ(store.calls(), 0);
+    EXPECT_TRUE(transport_.direct_path_usable());
+}
+
 }  // namespace waxwingnotch
