--- a/include/waxwingnotch/net/http_client.hpp
+++ b/include/waxwingnotch/net/http_client.hpp
@@ -48,7 +48,7 @@
     answered,   // status, headers and body are valid
     failed,     // connection refused, reset or closed
     timed_out,  // no complete answer within the timeout
-    not_sent,   // there was no room on the link within the longest wait
+    not_sent,   // there was no room on the link within the longest wait, or too many calls waited
     cancelled,  // ended by cancel()
 };
 
@@ -104,8 +104,9 @@
     /// @return bytes of the answer so far; 0 for a call that has ended
     std::size_t received(call_id id) const;
 
-    /// Sends @p call, or lets it wait for room on the link. Calls @p done once, from the loop, unless the
-    /// client is destroyed first.
+    /// Sends @p call, or lets it wait for room on the link. It ends as `not_sent` at once if 2,000 calls of
+    /// its class wait, or others with 4 MB of bodies. Calls @p done once, from the loop, unless the client is
+    /// destroyed first.
     call_id send(const http_call& call, answer_handler done);
     /// Cancels a call; its handler is called with `cancelled`. Unknown ids are ignored.
     void cancel(call_id id);
@@ -127,6 +128,7 @@
 
     void dispatch(call_id id, const http_call& call, answer_handler done);
     void send_waiting();
+    bool cancel_waiting(call_id id);
     void end_unsent(answer_handler done, call_outcome outcome);
     void on_timeout(call_id id);
     std::shared_ptr<connection> idle_connection(const std::string& address);
@@ -139,6 +141,7 @@
     traffic_meter* meter_ = nullptr;  // null: bytes are not counted
     link_budget* budget_ = nullptr;   // null: no call waits
     std::array<std::deque<waiting_call>, traffic_class_count> waiting_;
+    std::array<std::size_t, traffic_class_count> waiting_bytes_{};  // of their bodies
     std::set<call_id> waiting_ids_;
     // By class: when a call went in spite of the backlog.
     std::array<std::int64_t, traffic_class_count> long_wait_ended_ms_{};
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -23,13 +23,6 @@
 // open for good, and with them the descriptors that callers need.
 constexpr std::size_t max_idle_connections = 8;
 constexpr std::size_t head_bytes = 150;  // of a call, beside its path and body
-// A call that has waited for so long goes in spite of the backlog, one of its class at a time and no sooner
-// than the pause after the one before: else a class that is always ready would hold up the ones behind it for
-// ever.
-constexpr std::int64_t long_wait_ms = 1'000;
-constexpr std::int64_t long_wait_pause_ms = 100;
-constexpr std::int64_t min_timeout_ms = 100;  // left to a call that has waited for the link
-constexpr std::int64_t waiting_check_ms = 5;  // between looks for room on the link while calls wait
 // By which an answer without its first byte may be late because of the link. A server that is silent has to
 // be noticed.
 constexpr std::int64_t max_link_extension_ms = 1'000;
@@ -70,13 +63,6 @@
     return !connection_header || strcasecmp(connection_header->c_str(), "close") != 0;
 }
 
-/// Whether the calls of the class are few, and would be sent again if they were given up.
-bool repeated_until_answered(traffic_class what)
-{
-    return what == traffic_class::polls || what == traffic_class::journal || what == traffic_class::jobs ||
-           what == traffic_class::configuration || what == traffic_class::registrations;
-}
-
 }  // namespace
 
 std::optional<std::string> find_header(const http_headers& headers, std::string_view name)
@@ -233,90 +219,6 @@
     loop_.defer([link = std::move(link)]() mutable { link.reset(); });
 }
 
-/// Ends a call of which nothing was sent.
-void http_client::end_unsent(answer_handler done, call_outcome outcome)
-{
-    loop_.defer([done = std::move(done), outcome, alive = alive_] {
-        if (*alive) {
-            done({.outcome = outcome});
-        }
-    });
-}
-
-call_id http_client::send(const http_call& call, answer_handler done)
-{
-    if (!is_connectable(call.address)) {
-        // evhttp would look up a name, which blocks the loop.
-        end_unsent(std::move(done), call_outcome::failed);
-        return next_id_++;
-    }
-    const call_id id = next_id_++;
-    if (budget_ == nullptr || call.traffic == traffic_class::ownership) {
-        dispatch(id, call, std::move(done));
-        return id;
-    }
-    auto& queue = waiting_[static_cast<std::size_t>(call.traffic)];
-    if (queue.empty() && budget_->admits(call.traffic, 0, monotonic_ms())) {
-        dispatch(id, call, std::move(done));
-        return id;
-    }
-    queue.push_back({.id = id, .since_ms = monotonic_ms(), .call = call, .done = std::move(done)});
-    if (call.max_wait_ms == 0 && !repeated_until_answered(call.traffic)) {
-        queue.back().call.max_wait_ms = call.timeout_ms;  // by then its caller has given up
-    }
-    waiting_ids_.insert(id);
-    if (waiting_ids_.size() == 1) {
-        waiting_timer_ = loop_.every(waiting_check_ms, [this] { send_waiting(); });
-    }
-    return id;
-}
-
-/// Sends the waiting calls that the budget admits, those of the most urgent class first.
-void http_client::send_waiting()
-{
-    const std::int64_t now = monotonic_ms();
-    for (std::deque<waiting_call>& queue : waiting_) {
-        while (!queue.empty()) {
-            const std::int64_t waited_ms = now - queue.front().since_ms;
-            const std::int64_t max_wait_ms = queue.front().call.max_wait_ms;
-            const bool expired = max_wait_ms > 0 && waited_ms > max_wait_ms;
-            const traffic_class what = queue.front().call.traffic;
-            if (!expired && !budget_->admits(what, waited_ms, now)) {
-                std::int64_t& latest_ms = long_wait_ended_ms_[static_cast<std::size_t>(what)];
-                if (waited_ms < long_wait_ms || now - latest_ms < long_wait_pause_ms) {
-                    break;
-                }
-                latest_ms = now;
-            }
-            waiting_call next = std::move(queue.front());
-            queue.pop_front();
-            waiting_ids_.erase(next.id);
-            if (expired) {
-                end_unsent(std::move(next.done), call_outcome::not_sent);
-                continue;
-            }
-            if (max_wait_ms > 0) {
-                // Its caller counts on an outcome within the timeout, however long it has waited.
-                next.call.timeout_ms = std::max(min_timeout_ms, next.call.timeout_ms - waited_ms);
-            }
-            dispatch(next.id, next.call, std::move(next.done));
-        }
-    }
-    if (waiting_ids_.empty()) {
-        waiting_timer_.cancel();
-    }
-}
-
-std::int64_t http_client::link_delay_ms() const
-{
-    return budget_ == nullptr ? 0 : budget_->full_backlog_ms(monotonic_ms());
-}
-
-std::size_t http_client::waiting() const
-{
-    return waiting_ids_.size();
-}
-
 std::size_t http_client::received(call_id id) const
 {
     const auto found = pending_.find(id);
@@ -474,16 +376,7 @@
 
 void http_client::cancel(call_id id)
 {
-    if (waiting_ids_.erase(id) > 0) {
-        for (std::deque<waiting_call>& queue : waiting_) {
-            const auto at = std::find_if(queue.begin(), queue.end(),
-                                         [id](const waiting_call& call) { return call.id == id; });
-            if (at == queue.end()) {
-                continue;
-            }
-            end_unsent(std::move(at->done), call_outcome::cancelled);
-            queue.erase(at);
-        }
+    if (cancel_waiting(id)) {
         return;
     }
     const auto found = pending_.find(id);
--- a/tests/net/link_budget_test.cpp
+++ b/tests/net/link_budget_test.cpp
@@ -274,4 +274,41 @@
     EXPECT_LT(node.budget.full_backlog_ms(monotonic_ms()), 20);
 }
 
+// Lists, appends and jobs wait without a limit of time; on a link that stays full they took memory without
+// end.
+TEST(waiting_calls, are_bounded_in_number_and_bytes)
+{
+    narrow_client node;
+    node.fill(60'000);
+    int not_sent = 0;
+    const auto done = [&](const http_answer& answer) {
+        not_sent += answer.outcome == call_outcome::not_sent ? 1 : 0;
+    };
+    constexpr int calls = 20'000;
+    for (int call = 0; call < calls; ++call) {
+        node.send(traffic_class::polls, "/list", done);
+    }
+    constexpr std::size_t body_bytes = 1U << 20U;
+    for (int call = 0; call < 100; ++call) {
+        node.client.send({.method = "POST",
+                          .address = node.address,
+                          .body = std::string(body_bytes, 'x'),
+                          .traffic = traffic_class::jobs},
+                         done);
+    }
+    EXPECT_LT(node.client.waiting(), 5'000U);
+    const timer stop = node.loop.after(100, [&] { node.loop.stop(); });
+    node.loop.run();
+    EXPECT_GT(not_sent, calls - 5'000 + 80);
+    // A class that is full must not keep out the calls of another one, nor a call without others of its
+    // class.
+    const std::size_t before = node.client.waiting();
+    node.client.send({.method = "POST",
+                      .address = node.address,
+                      .body = std::string(8 * body_bytes, 'x'),
+                      .traffic = traffic_class::journal},
+                     done);
+    EXPECT_EQ(node.client.waiting(), before + 1);
+}
+
 }  // namespace waxwingnotch
