--- a/include/waxwingnotch/net/http_client.hpp
+++ b/include/waxwingnotch/net/http_client.hpp
@@ -97,6 +97,8 @@
     void share_link(link_budget& budget) { budget_ = budget.limited() ? &budget : nullptr; }
     /// @return how late an answer to a call that is sent now may be because of this host's link, in ms
     std::int64_t link_delay_ms() const;
+    /// @return how long a link like this host's needs for @p bytes, in ms; 0 if its rate is not known
+    std::int64_t transfer_ms(std::size_t bytes) const;
     /// @return number of calls that wait for room on the link
     std::size_t waiting() const;
     /// Whether the call waits for room on the link.
--- a/include/waxwingnotch/net/link_budget.hpp
+++ b/include/waxwingnotch/net/link_budget.hpp
@@ -47,6 +47,8 @@
     std::int64_t backlog_ms(std::int64_t now_ms) const;
     /// @return the same with answers in bulk: how late an answer may be because of this host's link
     std::int64_t full_backlog_ms(std::int64_t now_ms) const;
+    /// @return how long the link needs for @p bytes, in ms; 0 if it is not limited
+    std::int64_t transfer_ms(std::size_t bytes) const;
 
 private:
     struct queue {
--- a/include/waxwingnotch/store/transport.hpp
+++ b/include/waxwingnotch/store/transport.hpp
@@ -24,6 +24,7 @@
     std::int64_t timeout_ms = 0;
     std::int64_t wait_ms = 0;  // the store may delay its answer for this long; part of `timeout_ms`
     traffic_class traffic = traffic_class::other;
+    std::size_t max_answer_bytes = 0;  // of a read: longest answer; 0: not known
 };
 
 class store_transport {
@@ -69,6 +70,7 @@
     void finish(const pending_ptr& send, const http_answer& answer);
     call_id send_via_peer(const store_call& call, const std::string& peer, answer_handler done);
     bool arriving(pending_send& send) const;
+    std::int64_t relay_ms(const store_call& call) const;
     bool in_progress(const pending_send& send) const;
     bool waits_for_link(const pending_send& send) const;
     void note_link(pending_send& send) const;
--- a/src/net/link_budget.cpp
+++ b/src/net/link_budget.cpp
@@ -77,6 +77,11 @@
     return static_cast<std::int64_t>(std::max(left(sent_, now_ms), all_received) / bytes_per_ms_);
 }
 
+std::int64_t link_budget::transfer_ms(std::size_t bytes) const
+{
+    return limited() ? static_cast<std::int64_t>(static_cast<double>(bytes) / bytes_per_ms_) : 0;
+}
+
 bool link_budget::admits(traffic_class what, std::int64_t waited_ms, std::int64_t now_ms) const
 {
     const auto bonus_ms = std::min(max_waited_bonus_ms,
--- a/src/net/waiting_calls.cpp
+++ b/src/net/waiting_calls.cpp
@@ -118,6 +118,11 @@
     return budget_ == nullptr ? 0 : budget_->full_backlog_ms(monotonic_ms());
 }
 
+std::int64_t http_client::transfer_ms(std::size_t bytes) const
+{
+    return budget_ == nullptr ? 0 : budget_->transfer_ms(bytes);
+}
+
 std::size_t http_client::waiting() const
 {
     return waiting_ids_.size();
--- a/src/store/transport.cpp
+++ b/src/store/transport.cpp
@@ -23,6 +23,9 @@
 // Longest time that a call waits for this host's link before it is sent again. What the link carries is an
 // estimate, and a store that is silent has to be noticed.
 constexpr std::int64_t max_link_ms = 1'000;
+// Longest time by which the answer of a peer may be later because of its length: a version of 290 KB
+// takes 1.3 s of a link of 2 Mbit/s, and has to be in force within 3 s.
+constexpr std::int64_t max_relay_ms = 2'000;
 // A timer that fires this late shows that this process is short of processor time. Answers may wait unread.
 constexpr std::int64_t late_timer_ms = 50;
 constexpr int status_throttled = 429;
@@ -191,7 +194,10 @@
             kept->expires_ms = now + kept->call.timeout_ms;
         }
         note_link(*kept);
-        if (in_progress(*kept) || now < kept->expires_ms + kept->link_ms) {
+        const bool relayed =
+            std::ranges::any_of(kept->tried, [](const auto& route) { return !route.empty(); });
+        const std::int64_t late_ms = kept->link_ms + (relayed ? relay_ms(kept->call) : 0);
+        if (in_progress(*kept) || now < kept->expires_ms + late_ms) {
             expire_later(kept, expiry_check_ms);
             return;
         }
@@ -213,6 +219,14 @@
     send.link_ms = std::max(send.link_ms, std::min(client_.link_delay_ms(), max_link_ms));
 }
 
+/// @return how long the link of a peer needs for the call. The peer passes an answer on once it is complete,
+/// so the first byte is late by as much. Its link is taken to be like this host's.
+std::int64_t store_transport::relay_ms(const store_call& call) const
+{
+    const std::size_t bytes = call.method == "GET" ? call.max_answer_bytes : call.body.size();
+    return std::min(client_.transfer_ms(bytes), max_relay_ms);
+}
+
 /// Whether an attempt waits for the link, or its answer is arriving.
 bool store_transport::in_progress(const pending_send& send) const
 {
@@ -278,7 +292,8 @@
 void store_transport::resend_later(const pending_ptr& send)
 {
     send->link_ms = 0;
-    const std::int64_t due_ms = monotonic_ms() + routes_.resend_after_ms() + send->call.wait_ms;
+    const std::int64_t route_ms = send->tried.back().empty() ? 0 : relay_ms(send->call);
+    const std::int64_t due_ms = monotonic_ms() + routes_.resend_after_ms() + send->call.wait_ms + route_ms;
     resend_at(send, due_ms, due_ms);
 }
 
@@ -351,7 +366,7 @@
                               {relay_wait, std::to_string(call.wait_ms)},
                               {relay_class, to_string(call.traffic)}},
                   .body = call.body,
-                  .timeout_ms = call.timeout_ms + relay_margin_ms,
+                  .timeout_ms = call.timeout_ms + relay_margin_ms + relay_ms(call),
                   .max_extension_ms = call.method == "GET" ? max_extension_ms : 0,
                   .reuse_connection = true,
                   .traffic = relayed_class(call)};
--- a/tests/store/full_link_test.cpp
+++ b/tests/store/full_link_test.cpp
@@ -164,4 +164,19 @@
     EXPECT_TRUE(transport_.direct_path_usable());
 }
 
+// A peer passes an answer on once it has all of it: after more than its timeout the read was given up, and
+// had been sent over each route by then.
+TEST_F(full_link, a_read_over_a_relay_waits_until_the_peer_has_the_answer)
+{
+    late_server peer_a(loop_, 1'000);
+    late_server peer_b(loop_, never_ms);
+    transport_.set_address("127.0.0.1:1");
+    transport_.set_peers({peer_a.address(), peer_b.address()});
+    store_call call = read_call();
+    call.max_answer_bytes = 300'000;  // 1.3 s of the link
+    EXPECT_EQ(send(call, 0).outcome, call_outcome::answered);
+    EXPECT_EQ(peer_a.calls(), 1);
+    EXPECT_EQ(peer_b.calls(), 0);
+}
+
 }  // namespace waxwingnotch
