--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -47,6 +47,7 @@
 constexpr std::size_t max_peer_body_bytes = 4U << 20U;  // twice the store's limit for one call
 constexpr std::int64_t descriptors_check_ms = 100;
 constexpr std::int64_t lost_hosts_check_ms = 500;
+constexpr std::int64_t settings_check_ms = 1'000;  // the settings file may change without a signal
 // A node that is started again waits for the ports as long as the process before it may drain, and this
 // longer.
 constexpr std::int64_t listen_margin_ms = 2'000;
@@ -86,7 +87,8 @@
 /// An entry node: its servers, followers and components.
 class node {
 public:
-    node(node_settings settings, node_options options);
+    /// @param stamp of the file from which the settings come
+    node(node_settings settings, node_options options, const file_stamp& stamp);
     node_end run();
 
 private:
@@ -113,6 +115,7 @@
     void reload();
 
     node_options options_;
+    file_stamp settings_stamp_;  // of the file when it was last read
     node_state state_;
     adapter::advice_client* policy_client_ = nullptr;  // in state_
     adapter::host_client* host_client_ = nullptr;      // in state_; null: the settings name no host service
@@ -131,6 +134,7 @@
     timer sigterm_;
     timer sigint_;
     timer sighup_;
+    timer settings_timer_;
     timer drain_timer_;
     timer ends_timer_;
     timer descriptors_timer_;
@@ -140,11 +144,11 @@
     bool descriptors_short_ = false;
 };
 
-node::node(node_settings settings, node_options options)
-    : options_(std::move(options)), state_(std::move(settings)), callers_(state_), internal_(state_),
-      caller_server_(state_.loop), ready_server_(state_.loop), internal_server_(state_.loop),
-      metrics_server_(state_.loop), metrics_listener_(state_.loop, metrics_server_), lost_hosts_(state_),
-      traffic_log_(state_)
+node::node(node_settings settings, node_options options, const file_stamp& stamp)
+    : options_(std::move(options)), settings_stamp_(stamp), state_(std::move(settings)), callers_(state_),
+      internal_(state_), caller_server_(state_.loop), ready_server_(state_.loop),
+      internal_server_(state_.loop), metrics_server_(state_.loop),
+      metrics_listener_(state_.loop, metrics_server_), lost_hosts_(state_), traffic_log_(state_)
 {
     state_.store = std::make_unique<adapter::store_client>(state_.transport);
     state_.homes = std::make_unique<job_homes>(*state_.store, state_.settings.partitions);
@@ -559,6 +563,7 @@
 void node::reload()
 {
     std::vector<std::string> unusable;
+    settings_stamp_ = stamp_of(options_.settings_file);
     auto settings = read_settings(options_.settings_file, unusable, state_.settings);
     if (!settings) {
         log_event(log_level::error, "reload",
@@ -620,6 +625,11 @@
     sigint_ = state_.loop.on_signal(SIGINT, [this] { stop(); });
     sighup_ = state_.loop.on_signal(SIGHUP, [this] { reload(); });
     release_control_signals();
+    settings_timer_ = state_.loop.every(settings_check_ms, [this] {
+        if (stamp_of(options_.settings_file) != settings_stamp_) {
+            reload();
+        }
+    });
     follow_operator_topic();
     join_group();
     ends_timer_ = state_.loop.every(ends_retry_ms, [this] { deliver_ends(state_); });
@@ -637,6 +647,7 @@
 node_end run_with_settings(const node_options& options)
 {
     std::vector<std::string> unusable;
+    const file_stamp stamp = stamp_of(options.settings_file);
     auto settings = read_settings(options.settings_file, unusable);
     if (!settings) {
         return {"settings", options.settings_file + ": " + settings.error().message, 1};
@@ -644,7 +655,7 @@
     set_crash_report_node(settings.value().name);
     init_log({.level = log_level::info, .file = {}, .node = settings.value().name, .standard_output = true});
     log_unusable_settings(unusable, "defaults used");
-    node process(std::move(settings.value()), options);
+    node process(std::move(settings.value()), options, stamp);
     return process.run();
 }
 
--- a/src/node/settings_file.cpp
+++ b/src/node/settings_file.cpp
@@ -4,6 +4,8 @@
 
 #include "waxwingnotch/base/log.hpp"
 
+#include <sys/stat.h>
+
 #include <fstream>
 #include <sstream>
 
@@ -22,6 +24,18 @@
 
 }  // namespace
 
+file_stamp stamp_of(const std::string& file)
+{
+    struct stat found {};
+    if (stat(file.c_str(), &found) != 0) {
+        return {};
+    }
+    constexpr std::int64_t ns_per_s = 1'000'000'000;
+    return {.changed_ns = found.st_mtim.tv_sec * ns_per_s + found.st_mtim.tv_nsec,
+            .number = found.st_ino,
+            .bytes = found.st_size};
+}
+
 result<node_settings> read_settings(const std::string& file, std::vector<std::string>& unusable,
                                     const node_settings& before)
 {
--- a/src/node/settings_file.hpp
+++ b/src/node/settings_file.hpp
@@ -5,11 +5,24 @@
 #include "waxwingnotch/base/result.hpp"
 #include "waxwingnotch/node/settings.hpp"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
 namespace waxwingnotch {
 
+/// What tells a changed file from the one before. All 0: there is no file.
+struct file_stamp {
+    std::int64_t changed_ns = 0;  // time of the last write
+    std::uint64_t number = 0;     // of the inode, which changes when another file takes the name
+    std::int64_t bytes = 0;
+
+    bool operator==(const file_stamp&) const = default;
+};
+
+/// Take it before the file is read, so that a change during the read counts as one.
+file_stamp stamp_of(const std::string& file);
+
 /// @param unusable receives the problems of optional fields
 /// @param before the settings in force, which hold for unusable fields; the defaults at the start of a node
 result<node_settings> read_settings(const std::string& file, std::vector<std::string>& unusable,
