--- a/src/shard/core_leases.cpp
+++ b/src/shard/core_leases.cpp
@@ -48,9 +48,12 @@
     const worker_state& worker = *run.worker;
     const bool old = worker.restarts == 0 && !young(run.life_ms, loaded_ms_);
     const bool certain = run.life_ms != 0 && (worker.synced || old);
-    return certain || worker.lease_ordered_ms == 0
-               ? worker.lease_end_ms
-               : std::max(worker.lease_end_ms, latest_granted_end(worker.lease_ordered_ms + late_order_ms));
+    if (certain || worker.lease_ordered_ms == 0) {
+        return worker.lease_end_ms;
+    }
+    const bool late = run.life_ms == 0 || worker.restarts > 0;
+    return std::max(worker.lease_end_ms,
+                    latest_granted_end(worker.lease_ordered_ms + (late ? late_order_ms : 0)));
 }
 
 /// Whether a process of a worker may have taken orders lately that were meant for the process before it.
