--- a/src/shard/core_runs.cpp
+++ b/src/shard/core_runs.cpp
@@ -497,13 +497,9 @@
         ++counts_.rejected;
         worker.silent_since_ms = worker.silent_since_ms == 0 ? now_ms : worker.silent_since_ms;
         worker.next_poll_ms = now_ms;
-        take_crash_back(run);
-        requeue(run, to_string(answer.outcome), now_ms);
-        return;
+        break;
     case order_result::not_sent:  // says nothing about the worker
-        take_crash_back(run);
-        requeue(run, to_string(answer.outcome), now_ms);
-        return;
+        break;
     case order_result::no_answer:
     case order_result::disconnected:
     case order_result::unexplained:
@@ -527,9 +523,7 @@
         }
         // Its next life has heard of this owner by a later order.
         ++counts_.rejected;
-        take_crash_back(run);
-        requeue(run, to_string(answer.outcome), now_ms);
-        return;
+        break;
     default:
         ++counts_.rejected;
         worker.avoid_until_ms = now_ms + rejection_pause_ms;
@@ -540,9 +534,9 @@
             }
             run.occurrence->job->wants_ticket = run.occurrence->job->wants_ticket || order.ticket.empty();
         }
-        take_crash_back(run);
-        requeue(run, to_string(answer.outcome), now_ms);
     }
+    take_crash_back(run);  // the start was not executed
+    requeue(run, to_string(answer.outcome), now_ms);
 }
 
 void shard_core::on_stop(const std::string& worker_id, const stop_order& order, const order_answer& answer,
